--- /dev/null
+++ b/sapphirespur_core/src/answer.rs
@@ -0,0 +1,174 @@
+//! Frames of an answer: their order at the reader and their store at the writer.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::request::AttemptId;
+use crate::time::Time;
+
+/// Time without a frame after which a reader takes its connection for silent.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time between two keep-alive frames of a writer.
+pub const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Times that a reader resumes one answer without progress.
+const MAX_RESUMES: u32 = 3;
+
+/// Kind of a frame, without its content.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrameKind {
+    /// Status line and content type, or data.
+    Content,
+    /// Sign of life; its number is that of the next content frame.
+    KeepAlive,
+    /// Last frame; its number is the count of the content frames before it.
+    End,
+}
+
+/// What a reader does with a frame.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FrameVerdict {
+    /// Passes the content on.
+    Deliver,
+    /// Drops the frame: of another attempt, repeated, or without content.
+    Drop,
+    /// Ends the answer as whole.
+    Complete,
+    /// Reads again from the next expected number, for frames are missing.
+    Resume,
+}
+
+/// What a reader does about a connection that ended or went silent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Recovery {
+    /// Opens a new connection and reads from `from`.
+    Resume {
+        /// Number of the next expected frame.
+        from: u64,
+    },
+    /// Ends the answer as lost.
+    GiveUp,
+}
+
+/// State of a reader of one answer.
+#[derive(Clone, Debug)]
+pub struct AnswerReader {
+    attempt: AttemptId,
+    next: u64,
+    resumes: u32,
+    last_frame: Time,
+    dropped: u64,
+}
+
+impl AnswerReader {
+    /// Creates a reader that expects the first frame.
+    pub fn new(now: Time, attempt: AttemptId) -> Self {
+        Self { attempt, next: 0, resumes: 0, last_frame: now, dropped: 0 }
+    }
+
+    /// Decides about a frame.
+    pub fn on_frame(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        number: u64,
+        kind: FrameKind,
+    ) -> FrameVerdict {
+        if attempt != self.attempt {
+            self.dropped += 1;
+            return FrameVerdict::Drop;
+        }
+
+        self.last_frame = now;
+        if number > self.next {
+            return FrameVerdict::Resume;
+        }
+        match kind {
+            FrameKind::KeepAlive => FrameVerdict::Drop,
+            FrameKind::End if number == self.next => FrameVerdict::Complete,
+            FrameKind::Content if number == self.next => {
+                self.next += 1;
+                self.resumes = 0;
+                FrameVerdict::Deliver
+            }
+            FrameKind::Content | FrameKind::End => {
+                self.dropped += 1;
+                FrameVerdict::Drop
+            }
+        }
+    }
+
+    /// Decides about a connection that ended, went silent or lost frames.
+    pub fn on_broken(&mut self, now: Time) -> Recovery {
+        if self.resumes >= MAX_RESUMES {
+            return Recovery::GiveUp;
+        }
+
+        self.resumes += 1;
+        self.last_frame = now;
+        Recovery::Resume { from: self.next }
+    }
+
+    /// Returns the time at which the connection counts as silent.
+    pub fn silent_at(&self) -> Time {
+        self.last_frame + SILENCE_TIMEOUT
+    }
+
+    /// Returns the number of content frames that were delivered.
+    pub fn delivered(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the number of frames that were dropped as foreign or repeated.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
+
+/// Content frames that a writer keeps so that a reader can resume; bounded in bytes.
+#[derive(Clone, Debug)]
+pub struct AnswerLog<T> {
+    frames: VecDeque<(usize, T)>,
+    first: u64,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl<T: Clone> AnswerLog<T> {
+    /// Creates a log that keeps at most `max_bytes` bytes, and always the last frame.
+    pub fn new(max_bytes: usize) -> Self {
+        Self { frames: VecDeque::new(), first: 0, bytes: 0, max_bytes }
+    }
+
+    /// Appends a frame of `bytes` bytes and returns its number.
+    pub fn push(&mut self, bytes: usize, frame: T) -> u64 {
+        self.frames.push_back((bytes, frame));
+        self.bytes += bytes;
+        while self.bytes > self.max_bytes && self.frames.len() > 1 {
+            if let Some((bytes, _)) = self.frames.pop_front() {
+                self.bytes -= bytes;
+                self.first += 1;
+            }
+        }
+
+        self.next() - 1
+    }
+
+    /// Returns the number of the next frame.
+    pub fn next(&self) -> u64 {
+        self.first + self.frames.len() as u64
+    }
+
+    /// Returns frame `number`, when it is still kept.
+    pub fn get(&self, number: u64) -> Option<T> {
+        let index = number.checked_sub(self.first)?;
+
+        self.frames.get(index as usize).map(|(_, frame)| frame.clone())
+    }
+
+    /// Tells whether reading can go on at `number`.
+    pub fn can_resume(&self, number: u64) -> bool {
+        (self.first..=self.next()).contains(&number)
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/fair.rs
@@ -0,0 +1,310 @@
+//! Order of service at one sidecar: start-time fair queueing over workspaces, then classes.
+//!
+//! Source: Goyal, Vin and Cheng, "Start-Time Fair Queueing", 1996; the virtual time of a workspace
+//! spans the fleet, as its account's home reports it.
+
+use std::time::Duration;
+
+use crate::account::to_virtual_time;
+use crate::collections::HashMap;
+use crate::config::Target;
+use crate::message::{AccountEntry, ReportEntry};
+use crate::name::Name;
+use crate::time::Time;
+
+/// Time without work after which a workspace without open charges is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(600);
+
+/// Class within a workspace, ordered by its own virtual time.
+#[derive(Clone, Debug, Default)]
+struct ClassOrder {
+    virtual_time: i64,
+    weight: u32,
+    waiting: bool,
+}
+
+/// Workspace as the sidecar orders it.
+#[derive(Clone, Debug)]
+struct WorkspaceOrder {
+    share: u32,
+    home: Option<Name>,
+    session: u64,
+    /// Virtual time that the home last told.
+    known: i64,
+    charged: i64,
+    acknowledged: i64,
+    competitors: u32,
+    /// Start that the home has not yet confirmed.
+    floor: Option<i64>,
+    waiting: bool,
+    reported_waiting: bool,
+    last_use: Time,
+    class_virtual_time: i64,
+    classes: HashMap<Name, ClassOrder>,
+}
+
+/// How unreported charges are weighed until the home answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Extrapolation {
+    /// As if each competing sidecar had charged as much.
+    #[default]
+    Competitors,
+    /// Only the sidecar's own charges.
+    OwnOnly,
+}
+
+/// Queue that is served next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Workspace of the queue.
+    pub workspace: Name,
+    /// Class of the queue.
+    pub class: Name,
+}
+
+/// Controller of the order of service.
+#[derive(Clone, Debug)]
+pub struct FairOrder {
+    workspaces: HashMap<Name, WorkspaceOrder>,
+    /// Virtual time at which the last choice started.
+    virtual_time: i64,
+    next_session: u64,
+    extrapolation: Extrapolation,
+}
+
+impl FairOrder {
+    /// Creates an order whose report sessions start at `first_session`.
+    pub fn new(first_session: u64, extrapolation: Extrapolation) -> Self {
+        Self {
+            workspaces: HashMap::default(),
+            virtual_time: 0,
+            next_session: first_session,
+            extrapolation,
+        }
+    }
+
+    /// Marks a queue as waiting; a workspace that was idle starts at the current virtual time.
+    pub fn set_waiting(&mut self, now: Time, choice: &Choice, share: u32, weight: u32) {
+        let floor = self.current_virtual_time();
+        let session = &mut self.next_session;
+        let order = self.workspaces.entry(choice.workspace.clone()).or_insert_with(|| {
+            *session += 1;
+            WorkspaceOrder::new(*session)
+        });
+
+        order.share = share;
+        order.last_use = now;
+        if !order.waiting {
+            order.waiting = true;
+            order.start_at(floor, self.extrapolation);
+        }
+        order.set_class_waiting(&choice.class, weight);
+    }
+
+    /// Marks a queue as empty.
+    pub fn set_empty(&mut self, choice: &Choice) {
+        let Some(order) = self.workspaces.get_mut(&choice.workspace) else { return };
+
+        if let Some(class) = order.classes.get_mut(&choice.class) {
+            class.waiting = false;
+        }
+        order.waiting = order.classes.values().any(|class| class.waiting);
+    }
+
+    /// Chooses the queue to serve next among the waiting ones that `available` accepts.
+    pub fn choose(&mut self, available: impl Fn(&Name, &Name) -> bool) -> Option<Choice> {
+        let extrapolation = self.extrapolation;
+        let (tag, workspace, class) = self
+            .workspaces
+            .iter()
+            .filter(|(_, order)| order.waiting)
+            .filter_map(|(name, order)| {
+                let class = order.first_class(|class| available(name, class))?;
+                Some((order.tag(extrapolation), name, class))
+            })
+            .min()?;
+
+        let choice = Choice { workspace: workspace.clone(), class: class.clone() };
+        self.virtual_time = self.virtual_time.max(tag);
+        if let Some(order) = self.workspaces.get_mut(&choice.workspace) {
+            order.note_class(&choice.class);
+        }
+        Some(choice)
+    }
+
+    /// Charges `cost` cost units to a queue; a negative cost is a refund.
+    pub fn charge(&mut self, now: Time, choice: &Choice, cost: i64) {
+        let Some(order) = self.workspaces.get_mut(&choice.workspace) else { return };
+
+        order.last_use = now;
+        order.charged += cost;
+        if let Some(class) = order.classes.get_mut(&choice.class) {
+            class.virtual_time += to_virtual_time(cost, class.weight);
+        }
+    }
+
+    /// Returns the open report entries by home.
+    pub fn report(
+        &mut self,
+        home_of: impl Fn(&Name) -> Option<Name>,
+    ) -> HashMap<Name, Vec<ReportEntry>> {
+        let mut reports: HashMap<Name, Vec<ReportEntry>> = HashMap::default();
+        for (name, order) in &mut self.workspaces {
+            let Some(home) = home_of(name) else { continue };
+            if order.home.as_ref() != Some(&home) {
+                self.next_session += 1;
+                order.move_home(home.clone(), self.next_session);
+            }
+
+            if order.is_open() {
+                reports.entry(home).or_default().push(order.report_entry(name));
+            }
+        }
+
+        for entries in reports.values_mut() {
+            entries.sort_unstable_by(|a, b| a.workspace.cmp(&b.workspace));
+        }
+        reports
+    }
+
+    /// Takes the account that a home answered.
+    pub fn on_account(&mut self, entry: &AccountEntry) {
+        let Some(order) = self.workspaces.get_mut(&entry.workspace) else { return };
+        if order.session != entry.session {
+            return;
+        }
+
+        order.known = entry.virtual_time;
+        order.acknowledged = entry.acknowledged;
+        order.competitors = entry.competitors.max(1);
+        order.floor = None;
+    }
+
+    /// Forgets workspaces that have been idle for long.
+    pub fn prune(&mut self, now: Time) {
+        self.workspaces.retain(|_, order| {
+            order.waiting
+                || order.charged != order.acknowledged
+                || now.since(order.last_use) < FORGET_AFTER
+        });
+    }
+
+    /// Returns the virtual time of a workspace, when it is known.
+    pub fn tag(&self, workspace: &Name) -> Option<i64> {
+        self.workspaces.get(workspace).map(|order| order.tag(self.extrapolation))
+    }
+
+    /// Returns the number of workspaces.
+    pub fn len(&self) -> usize {
+        self.workspaces.len()
+    }
+
+    /// Tells whether no workspace is known.
+    pub fn is_empty(&self) -> bool {
+        self.workspaces.is_empty()
+    }
+
+    fn current_virtual_time(&self) -> i64 {
+        let waiting = self.workspaces.values().filter(|order| order.waiting);
+
+        waiting.map(|order| order.tag(self.extrapolation)).min().unwrap_or(self.virtual_time)
+    }
+}
+
+/// Returns the home of `workspace` for reports on `target` among `routers`.
+pub fn home_name<'a>(
+    target: &Target,
+    workspace: &Name,
+    routers: impl Iterator<Item = &'a Name>,
+) -> Option<Name> {
+    crate::account::home_of(target, workspace, routers).cloned()
+}
+
+impl WorkspaceOrder {
+    fn new(session: u64) -> Self {
+        Self {
+            share: 1,
+            home: None,
+            session,
+            known: 0,
+            charged: 0,
+            acknowledged: 0,
+            competitors: 1,
+            floor: None,
+            waiting: false,
+            reported_waiting: false,
+            last_use: Time::default(),
+            class_virtual_time: 0,
+            classes: HashMap::default(),
+        }
+    }
+
+    fn tag(&self, extrapolation: Extrapolation) -> i64 {
+        let open = self.charged - self.acknowledged;
+        let factor = match extrapolation {
+            Extrapolation::Competitors => i64::from(self.competitors),
+            Extrapolation::OwnOnly => 1,
+        };
+
+        self.known + to_virtual_time(open.saturating_mul(factor), self.share)
+    }
+
+    fn start_at(&mut self, floor: i64, extrapolation: Extrapolation) {
+        let lift = floor - self.tag(extrapolation);
+        if lift > 0 {
+            self.known += lift;
+            self.floor = Some(floor);
+        }
+    }
+
+    fn set_class_waiting(&mut self, name: &Name, weight: u32) {
+        let waiting = self.classes.values().filter(|class| class.waiting);
+        let floor =
+            waiting.map(|class| class.virtual_time).min().unwrap_or(self.class_virtual_time);
+
+        let class = self.classes.entry(name.clone()).or_default();
+        class.weight = weight;
+        if !class.waiting {
+            class.waiting = true;
+            class.virtual_time = class.virtual_time.max(floor);
+        }
+    }
+
+    fn first_class(&self, available: impl Fn(&Name) -> bool) -> Option<&Name> {
+        self.classes
+            .iter()
+            .filter(|(name, class)| class.waiting && available(name))
+            .min_by_key(|(name, class)| (class.virtual_time, *name))
+            .map(|(name, _)| name)
+    }
+
+    fn note_class(&mut self, name: &Name) {
+        if let Some(class) = self.classes.get(name) {
+            self.class_virtual_time = self.class_virtual_time.max(class.virtual_time);
+        }
+    }
+
+    fn move_home(&mut self, home: Name, session: u64) {
+        self.home = Some(home);
+        self.session = session;
+        self.charged -= self.acknowledged;
+        self.acknowledged = 0;
+    }
+
+    fn is_open(&self) -> bool {
+        self.waiting || self.reported_waiting || self.charged != self.acknowledged
+    }
+
+    fn report_entry(&mut self, name: &Name) -> ReportEntry {
+        self.reported_waiting = self.waiting;
+
+        ReportEntry {
+            workspace: name.clone(),
+            session: self.session,
+            charged: self.charged,
+            known: self.known,
+            floor: self.floor,
+            backlogged: self.waiting,
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/filter/chain.rs
@@ -0,0 +1,147 @@
+//! Filters in their order.
+
+use crate::collections::HashMap;
+use crate::config::{Config, Target};
+use crate::hash::sha256_hex;
+use crate::name::Name;
+use crate::request::{Call, QueueKey, Refusal, RefusalCode, RequestHead, RequestMeta};
+
+/// Cost of a model request without a hint, in tokens.
+const DEFAULT_MODEL_COST_TOKENS: u64 = 256;
+
+/// Cost of a service call, in cost units.
+const SERVICE_COST_UNITS: u64 = 256;
+
+/// Highest accepted cost hint, in tokens.
+const MAX_COST_TOKENS: u64 = 1_000_000;
+
+/// Longest accepted idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Step of the chain.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Filter {
+    /// Finds the workspace of the bearer key.
+    Authenticate,
+    /// Checks that the model or service exists.
+    Resolve,
+    /// Finds the class of work.
+    Classify,
+    /// Estimates the cost.
+    Estimate,
+    /// Decides whether the call may be repeated.
+    Repeatability,
+}
+
+/// Filters in the order in which they run.
+const CHAIN: [Filter; 5] = [
+    Filter::Authenticate,
+    Filter::Resolve,
+    Filter::Classify,
+    Filter::Estimate,
+    Filter::Repeatability,
+];
+
+/// What the filters look things up in.
+#[derive(Clone, Copy, Debug)]
+pub struct FilterContext<'a> {
+    /// Configuration in force.
+    pub config: &'a Config,
+    /// Workspace of each key digest.
+    pub keys: &'a HashMap<String, Name>,
+}
+
+/// Findings of the filters that ran so far.
+#[derive(Debug, Default)]
+struct Draft {
+    workspace: Option<Name>,
+    class: Option<Name>,
+    cost: u64,
+    call: Option<Call>,
+}
+
+/// Runs the chain over a request.
+///
+/// # Errors
+///
+/// Returns the refusal of the first filter that does not let the request pass.
+pub fn run(head: &RequestHead, cx: FilterContext<'_>) -> Result<RequestMeta, Refusal> {
+    let mut draft = Draft::default();
+    for filter in CHAIN {
+        filter.apply(head, cx, &mut draft).map_err(Refusal::rejected)?;
+    }
+
+    let (Some(workspace), Some(class), Some(call)) = (draft.workspace, draft.class, draft.call)
+    else {
+        return Err(Refusal::rejected(RefusalCode::MalformedRequest));
+    };
+    let queue = QueueKey { target: head.target.clone(), workspace, class };
+    Ok(RequestMeta { queue, cost: draft.cost, call })
+}
+
+impl Filter {
+    fn apply(
+        self,
+        head: &RequestHead,
+        cx: FilterContext<'_>,
+        draft: &mut Draft,
+    ) -> Result<(), RefusalCode> {
+        match self {
+            Self::Authenticate => draft.workspace = Some(authenticate(head, cx)?),
+            Self::Resolve => resolve(head, cx)?,
+            Self::Classify => draft.class = Some(classify(head, cx)?),
+            Self::Estimate => draft.cost = estimate(head),
+            Self::Repeatability => draft.call = Some(repeatability(head, cx, draft)?),
+        }
+
+        Ok(())
+    }
+}
+
+fn authenticate(head: &RequestHead, cx: FilterContext<'_>) -> Result<Name, RefusalCode> {
+    let digest = head.key_digest.as_ref().ok_or(RefusalCode::InvalidKey)?;
+
+    cx.keys.get(digest).cloned().ok_or(RefusalCode::InvalidKey)
+}
+
+fn resolve(head: &RequestHead, cx: FilterContext<'_>) -> Result<(), RefusalCode> {
+    if cx.config.has_target(&head.target) { Ok(()) } else { Err(RefusalCode::UnknownTarget) }
+}
+
+fn classify(head: &RequestHead, cx: FilterContext<'_>) -> Result<Name, RefusalCode> {
+    let class = match &head.class {
+        Some(text) => cx.config.classes.get_key_value(text.as_str()).map(|(name, _)| name),
+        None => cx.config.default_class(),
+    };
+
+    class.cloned().ok_or(RefusalCode::UnknownClass)
+}
+
+fn estimate(head: &RequestHead) -> u64 {
+    match head.target {
+        Target::Model(_) => {
+            head.cost_hint.unwrap_or(DEFAULT_MODEL_COST_TOKENS).clamp(1, MAX_COST_TOKENS)
+        }
+        Target::Service(_) => SERVICE_COST_UNITS,
+    }
+}
+
+fn repeatability(
+    head: &RequestHead,
+    cx: FilterContext<'_>,
+    draft: &Draft,
+) -> Result<Call, RefusalCode> {
+    let Target::Service(name) = &head.target else { return Ok(Call::Idempotent) };
+    let service = cx.config.services.get(name).ok_or(RefusalCode::UnknownTarget)?;
+    if service.is_idempotent(&head.method, &head.path) {
+        return Ok(Call::Idempotent);
+    }
+
+    let Some(key) = &head.idempotency_key else { return Ok(Call::Single) };
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(RefusalCode::MalformedRequest);
+    }
+    let workspace = draft.workspace.as_ref().ok_or(RefusalCode::InvalidKey)?;
+    let scoped = format!("{workspace}\0{name}\0{key}");
+    Ok(Call::Once { key: sha256_hex(scoped.as_bytes()), fingerprint: head.fingerprint.clone() })
+}
--- /dev/null
+++ b/sapphirespur_core/src/filter/mod.rs
@@ -0,0 +1,5 @@
+//! Filter chain that every request passes before it waits.
+
+mod chain;
+
+pub use chain::{Filter, FilterContext, run};
--- /dev/null
+++ b/sapphirespur_core/src/lib.rs
@@ -0,0 +1,24 @@
+//! Decisions of the router fleet as plain state machines.
+//!
+//! Nothing in this crate opens a socket, starts a thread, reads a clock or keeps global state: the
+//! time and every event come in as typed inputs and every effect goes out as a typed output.
+
+pub mod account;
+pub mod answer;
+pub mod collections;
+pub mod config;
+pub mod event;
+pub mod fair;
+pub mod filter;
+pub mod hash;
+pub mod limiter;
+pub mod message;
+pub mod name;
+pub mod once;
+pub mod request;
+pub mod router;
+pub mod sidecar;
+pub mod spread;
+pub mod time;
+pub mod timer;
+pub mod vm;
--- /dev/null
+++ b/sapphirespur_core/src/message/mod.rs
@@ -0,0 +1,56 @@
+//! Typed messages between the processes of the fleet.
+
+mod account;
+mod config;
+mod demand;
+mod heartbeat;
+mod permit;
+
+pub use account::{AccountEntry, AccountUpdate, ReportEntry, ServiceReport};
+pub use config::{ConfigDelta, ConfigFull, ConfigPull};
+pub use demand::{Demand, DemandResync, QueueDemand};
+pub use heartbeat::{Heartbeat, NodeState, SidecarState};
+pub use permit::{Permit, PermitReturn};
+
+/// Message from one process to another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// Liveness, revision and state of the sender.
+    Heartbeat(Heartbeat),
+    /// Waiting work of a router, to a sidecar.
+    Demand(Demand),
+    /// Request for the whole demand, to a router.
+    DemandResync(DemandResync),
+    /// Leave to dispatch one request, to a router.
+    Permit(Permit),
+    /// Unused permit, back to its sidecar.
+    PermitReturn(PermitReturn),
+    /// Service given by a sidecar, to the home of the accounts.
+    ServiceReport(ServiceReport),
+    /// Virtual times, from the home of the accounts.
+    AccountUpdate(AccountUpdate),
+    /// Request for a newer configuration.
+    ConfigPull(ConfigPull),
+    /// Changes since an older revision.
+    ConfigDelta(ConfigDelta),
+    /// Whole configuration.
+    ConfigFull(ConfigFull),
+}
+
+impl Message {
+    /// Returns the kind, as metrics name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Demand(_) => "demand",
+            Self::DemandResync(_) => "demand-resync",
+            Self::Permit(_) => "permit",
+            Self::PermitReturn(_) => "permit-return",
+            Self::ServiceReport(_) => "service-report",
+            Self::AccountUpdate(_) => "account-update",
+            Self::ConfigPull(_) => "config-pull",
+            Self::ConfigDelta(_) => "config-delta",
+            Self::ConfigFull(_) => "config-full",
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/name.rs
@@ -0,0 +1,52 @@
+//! Shared, cheaply cloned name.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Name of a VM, workspace, class, model, service, upstream or data centre.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Longest accepted name, in bytes.
+    pub const MAX_BYTES: usize = 64;
+
+    /// Creates a name without checking its characters.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// Returns the text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Tells whether the name is short, not empty and made of letters, digits, `-`, `_`, `.`, `:`.
+    pub fn is_valid(&self) -> bool {
+        let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
+
+        !self.0.is_empty() && self.0.len() <= Self::MAX_BYTES && self.0.chars().all(allowed)
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/once/ledger.rs
@@ -0,0 +1,367 @@
+//! State machine of the calls that one sidecar runs through the ledger.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::collections::{HashMap, HashSet};
+use crate::once::{
+    Expectation, LedgerBatch, LedgerEntry, LedgerFailure, LedgerOperation, LedgerResult,
+    LedgerState, RecordedAnswer,
+};
+use crate::request::{AttemptId, Refusal, RefusalCode};
+use crate::time::Time;
+
+/// Time within which an intent must be recorded.
+pub const INTENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Most operations in one batch; the platform allows 128 to a transaction.
+const MAX_BATCH: usize = 100;
+
+/// Pause before a batch is sent again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time after which an intent without an outcome no longer counts as in progress.
+const PROGRESS_WINDOW_S: u64 = 60;
+
+/// Time after which a caller may ask again while an earlier call is in progress.
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+/// Time after which a caller may come back when the platform is down.
+const LEDGER_RETRY: Duration = Duration::from_secs(2);
+
+/// What becomes of a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The intent is recorded; this attempt alone may send the call.
+    Proceed,
+    /// An earlier attempt finished with this answer.
+    Replay(RecordedAnswer),
+    /// The call is not sent by this attempt.
+    Refuse(Refusal),
+}
+
+/// Verdict on one attempt.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OnceVerdict {
+    /// Attempt.
+    pub attempt: AttemptId,
+    /// What becomes of it.
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stage {
+    /// The intent is being recorded; the call has not been sent.
+    Intending,
+    /// The intent is recorded; the call may have been sent.
+    Running { revision: u64 },
+    /// The call was not and will not be sent; the entry is being freed.
+    Abandoning,
+    /// The outcome is being recorded.
+    Concluding,
+}
+
+#[derive(Clone, Debug)]
+struct OnceCall {
+    key: String,
+    day: u64,
+    fingerprint: String,
+    since_s: u64,
+    stage: Stage,
+    deadline: Time,
+}
+
+/// Controller of the ledger at one sidecar.
+#[derive(Clone, Debug, Default)]
+pub struct OnceLedger {
+    calls: HashMap<AttemptId, OnceCall>,
+    waiting: VecDeque<LedgerOperation>,
+    in_flight: Option<LedgerBatch>,
+    next_batch: u64,
+    paused_until: Time,
+}
+
+impl OnceLedger {
+    /// Starts recording the intent of a call.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        wall_s: u64,
+        attempt: AttemptId,
+        key: &str,
+        fingerprint: &str,
+    ) {
+        const DAY_S: u64 = 86_400;
+
+        let call = OnceCall {
+            key: key.to_owned(),
+            day: wall_s / DAY_S,
+            fingerprint: fingerprint.to_owned(),
+            since_s: wall_s,
+            stage: Stage::Intending,
+            deadline: now + INTENT_TIMEOUT,
+        };
+        let operation = call.operation(attempt, Expectation::Absent, LedgerState::Intent);
+        self.calls.insert(attempt, call);
+        self.waiting.push_back(operation);
+    }
+
+    /// Records that a call that was allowed to proceed was not sent after all.
+    pub fn abandon(&mut self, attempt: AttemptId) {
+        self.conclude(attempt, Stage::Abandoning, LedgerState::Abandoned);
+    }
+
+    /// Records the outcome of a call.
+    pub fn finish(&mut self, attempt: AttemptId, state: LedgerState) {
+        self.conclude(attempt, Stage::Concluding, state);
+    }
+
+    /// Returns the next batch to send, when none is under way.
+    pub fn next_batch(&mut self, now: Time) -> Option<LedgerBatch> {
+        if self.in_flight.is_some() || now < self.paused_until {
+            return None;
+        }
+
+        let operations = self.take_operations();
+        if operations.is_empty() {
+            return None;
+        }
+
+        self.next_batch += 1;
+        let batch = LedgerBatch { id: self.next_batch, operations };
+        self.in_flight = Some(batch.clone());
+        Some(batch)
+    }
+
+    /// Takes the platform's answer to a batch.
+    pub fn on_answer(
+        &mut self,
+        now: Time,
+        batch: u64,
+        answer: Result<Vec<LedgerResult>, LedgerFailure>,
+    ) -> Vec<OnceVerdict> {
+        let Some(sent) = self.in_flight.take_if(|sent| sent.id == batch) else {
+            return Vec::new();
+        };
+
+        match answer {
+            Ok(results) if results.len() == sent.operations.len() => sent
+                .operations
+                .into_iter()
+                .zip(results)
+                .filter_map(|(operation, result)| self.on_result(operation, result))
+                .collect(),
+            Ok(_) | Err(LedgerFailure::Unknown) => {
+                self.paused_until = now + RETRY_PAUSE;
+                for operation in sent.operations.into_iter().rev() {
+                    self.retry(operation);
+                }
+                Vec::new()
+            }
+        }
+    }
+
+    /// Refuses the calls whose intent could not be recorded in time.
+    pub fn on_time(&mut self, now: Time) -> Vec<OnceVerdict> {
+        let late: Vec<AttemptId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.stage == Stage::Intending && call.deadline <= now)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+
+        late.into_iter()
+            .map(|attempt| {
+                self.give_up(attempt);
+                refuse(attempt, Refusal::later(RefusalCode::LedgerUnavailable, LEDGER_RETRY))
+            })
+            .collect()
+    }
+
+    /// Returns the time at which `on_time` or `next_batch` has something to do.
+    pub fn next_deadline(&self, now: Time) -> Option<Time> {
+        let intents = self.calls.values().filter(|call| call.stage == Stage::Intending);
+        let retry = (self.in_flight.is_none() && !self.waiting.is_empty())
+            .then_some(self.paused_until.max(now));
+
+        intents.map(|call| call.deadline).chain(retry).min()
+    }
+
+    /// Tells whether every outcome is recorded.
+    pub fn is_idle(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    fn take_operations(&mut self) -> Vec<LedgerOperation> {
+        let mut keys = HashSet::default();
+        let mut taken = Vec::new();
+        let mut left = VecDeque::new();
+        while let Some(operation) = self.waiting.pop_front() {
+            if taken.len() < MAX_BATCH && keys.insert(operation.key.clone()) {
+                taken.push(operation);
+            } else {
+                left.push_back(operation);
+            }
+        }
+
+        self.waiting = left;
+        taken
+    }
+
+    fn conclude(&mut self, attempt: AttemptId, stage: Stage, state: LedgerState) {
+        let Some(call) = self.calls.get_mut(&attempt) else { return };
+        let Stage::Running { revision } = call.stage else { return };
+
+        call.stage = stage;
+        let operation = call.operation(attempt, Expectation::At { revision }, state);
+        self.waiting.push_back(operation);
+    }
+
+    /// Ends an intent that is not recorded; a write that is still under way must lose its effect.
+    fn give_up(&mut self, attempt: AttemptId) {
+        let Some(call) = self.calls.get_mut(&attempt) else { return };
+
+        call.stage = Stage::Abandoning;
+        let operation = call.operation(attempt, Expectation::Absent, LedgerState::Abandoned);
+        self.waiting.retain(|waiting| waiting.attempt != attempt);
+        self.waiting.push_back(operation);
+    }
+
+    fn retry(&mut self, operation: LedgerOperation) {
+        let Some(call) = self.calls.get(&operation.attempt) else { return };
+
+        let is_current = match call.stage {
+            Stage::Intending => operation.entry.state == LedgerState::Intent,
+            Stage::Abandoning => operation.entry.state == LedgerState::Abandoned,
+            Stage::Concluding => true,
+            Stage::Running { .. } => false,
+        };
+        if is_current {
+            self.waiting.push_front(operation);
+        }
+    }
+
+    fn on_result(
+        &mut self,
+        operation: LedgerOperation,
+        result: LedgerResult,
+    ) -> Option<OnceVerdict> {
+        let attempt = operation.attempt;
+        let stage = self.calls.get(&attempt)?.stage;
+        match stage {
+            Stage::Intending => self.on_intent_result(attempt, result),
+            // The intent's own answer came after it was given up; the queued abandonment follows.
+            Stage::Abandoning if operation.entry.state == LedgerState::Intent => None,
+            Stage::Abandoning => {
+                self.on_abandon_result(attempt, result);
+                None
+            }
+            Stage::Concluding => {
+                self.calls.remove(&attempt);
+                None
+            }
+            Stage::Running { .. } => None,
+        }
+    }
+
+    fn on_intent_result(
+        &mut self,
+        attempt: AttemptId,
+        result: LedgerResult,
+    ) -> Option<OnceVerdict> {
+        let call = self.calls.get_mut(&attempt)?;
+        let (day, revision, entry) = match result {
+            LedgerResult::Written { revision } => {
+                call.stage = Stage::Running { revision };
+                return Some(OnceVerdict { attempt, verdict: Verdict::Proceed });
+            }
+            LedgerResult::Missing => {
+                let operation = call.operation(attempt, Expectation::Absent, LedgerState::Intent);
+                self.waiting.push_back(operation);
+                return None;
+            }
+            LedgerResult::Found { day, revision, entry } => (day, revision, entry),
+        };
+
+        if entry.attempt == attempt.to_string() && entry.state == LedgerState::Intent {
+            call.day = day;
+            call.stage = Stage::Running { revision };
+            return Some(OnceVerdict { attempt, verdict: Verdict::Proceed });
+        }
+        if entry.state == LedgerState::Abandoned {
+            call.day = day;
+            let expect = Expectation::At { revision };
+            self.waiting.push_back(call.operation(attempt, expect, LedgerState::Intent));
+            return None;
+        }
+
+        let verdict = call.verdict_on(&entry);
+        self.calls.remove(&attempt);
+        Some(OnceVerdict { attempt, verdict })
+    }
+
+    fn on_abandon_result(&mut self, attempt: AttemptId, result: LedgerResult) {
+        let Some(call) = self.calls.get_mut(&attempt) else { return };
+        let LedgerResult::Found { day, revision, entry } = result else {
+            self.calls.remove(&attempt);
+            return;
+        };
+
+        let is_own_intent =
+            entry.attempt == attempt.to_string() && entry.state == LedgerState::Intent;
+        let is_free = entry.state == LedgerState::Abandoned && entry.attempt != attempt.to_string();
+        if is_own_intent || is_free {
+            call.day = day;
+            let expect = Expectation::At { revision };
+            self.waiting.push_back(call.operation(attempt, expect, LedgerState::Abandoned));
+        } else {
+            self.calls.remove(&attempt);
+        }
+    }
+}
+
+impl OnceCall {
+    fn operation(
+        &self,
+        attempt: AttemptId,
+        expect: Expectation,
+        state: LedgerState,
+    ) -> LedgerOperation {
+        LedgerOperation {
+            attempt,
+            key: self.key.clone(),
+            day: self.day,
+            expect,
+            entry: LedgerEntry {
+                attempt: attempt.to_string(),
+                fingerprint: self.fingerprint.clone(),
+                since_s: self.since_s,
+                state,
+            },
+        }
+    }
+
+    fn verdict_on(&self, entry: &LedgerEntry) -> Verdict {
+        if entry.fingerprint != self.fingerprint {
+            return Verdict::Refuse(Refusal::rejected(RefusalCode::KeyReused));
+        }
+
+        match &entry.state {
+            LedgerState::Finished(answer) => Verdict::Replay(answer.clone()),
+            LedgerState::Intent if self.since_s < entry.since_s + PROGRESS_WINDOW_S => {
+                let refusal = Refusal::unknown(RefusalCode::InProgress);
+                Verdict::Refuse(Refusal { retry_after: Some(IN_PROGRESS_RETRY), ..refusal })
+            }
+            LedgerState::Intent
+            | LedgerState::Abandoned
+            | LedgerState::FinishedUnrecorded
+            | LedgerState::Unknown => {
+                Verdict::Refuse(Refusal::unknown(RefusalCode::EarlierUnknown))
+            }
+        }
+    }
+}
+
+fn refuse(attempt: AttemptId, refusal: Refusal) -> OnceVerdict {
+    OnceVerdict { attempt, verdict: Verdict::Refuse(refusal) }
+}
--- /dev/null
+++ b/sapphirespur_core/src/router/mod.rs
@@ -0,0 +1,19 @@
+//! Router: holds the waiting work and binds each request to an upstream late, by permit.
+
+mod demand;
+mod input;
+mod output;
+mod peers;
+mod policy;
+mod queue;
+mod requests;
+mod retry_budget;
+mod router;
+mod sidecar_view;
+mod status;
+
+pub use input::{AttemptEvent, RouterInput};
+pub use output::{Dispatch, RouterOutput};
+pub use policy::RouterPolicy;
+pub use router::Router;
+pub use status::{RouterStatus, SidecarStatus};
--- /dev/null
+++ b/sapphirespur_core/src/router/sidecar_view.rs
@@ -0,0 +1,152 @@
+//! What a router knows of one sidecar and what it told it.
+
+use std::time::Duration;
+
+use crate::collections::HashMap;
+use crate::message::{Demand, QueueDemand, SidecarState};
+use crate::name::Name;
+use crate::request::QueueKey;
+use crate::time::Time;
+
+/// Time without a message after which a sidecar counts as gone.
+pub(super) const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Queue within the target of the sidecar.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct ToldKey {
+    workspace: Name,
+    class: Name,
+}
+
+/// View of one sidecar.
+#[derive(Clone, Debug)]
+pub(super) struct SidecarView {
+    /// Whether the link is up.
+    pub linked: bool,
+    /// Time of the last message.
+    pub last_heard: Time,
+    /// Revision in force there.
+    pub revision: u64,
+    /// State that it last told, with room counted down for dispatches since.
+    pub state: Option<SidecarState>,
+    sequence: u64,
+    told: HashMap<ToldKey, u32>,
+    pending: Vec<QueueDemand>,
+    needs_full: bool,
+}
+
+impl SidecarView {
+    /// Creates a view of a sidecar without a link.
+    pub fn new() -> Self {
+        Self {
+            linked: false,
+            last_heard: Time::default(),
+            revision: 0,
+            state: None,
+            sequence: 0,
+            told: HashMap::default(),
+            pending: Vec::new(),
+            needs_full: false,
+        }
+    }
+
+    /// Starts a link session, in which the sidecar knows nothing yet.
+    pub fn on_link_up(&mut self, now: Time) {
+        self.linked = true;
+        self.last_heard = now;
+        self.forget_told();
+    }
+
+    /// Ends the link session.
+    pub fn on_link_down(&mut self) {
+        self.linked = false;
+        self.state = None;
+        self.forget_told();
+    }
+
+    /// Plans to tell the whole demand.
+    pub fn resync(&mut self) {
+        self.forget_told();
+    }
+
+    /// Tells whether the sidecar can be asked for permits.
+    pub fn is_serving(&self, now: Time) -> bool {
+        self.linked
+            && now.since(self.last_heard) < PEER_TIMEOUT
+            && self.state.as_ref().is_some_and(|state| state.serving)
+    }
+
+    /// Returns the room that it seems to have.
+    pub fn free(&self) -> u32 {
+        self.state.as_ref().map_or(0, |state| state.free)
+    }
+
+    /// Returns the number of the last demand message.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Plans to tell the demand of a queue when the sidecar should know it now.
+    pub fn tell(&mut self, key: &QueueKey, demand: QueueDemand, refresh: bool) {
+        let key = ToldKey { workspace: key.workspace.clone(), class: key.class.clone() };
+        let told = self.told.get(&key).copied().unwrap_or(0);
+        if !is_due(told, demand.count, refresh) {
+            return;
+        }
+
+        if demand.count == 0 {
+            self.told.remove(&key);
+        } else {
+            self.told.insert(key, demand.count);
+        }
+        self.pending.push(demand);
+    }
+
+    /// Tells whether the sidecar believes that the queue has work.
+    pub fn has_told(&self, key: &QueueKey) -> bool {
+        let key = ToldKey { workspace: key.workspace.clone(), class: key.class.clone() };
+
+        self.told.contains_key(&key)
+    }
+
+    /// Counts down what the sidecar knows after it issued a permit.
+    pub fn on_permit(&mut self, workspace: &Name, class: &Name) {
+        let key = ToldKey { workspace: workspace.clone(), class: class.clone() };
+        if let Some(told) = self.told.get_mut(&key) {
+            *told = told.saturating_sub(1);
+            if *told == 0 {
+                self.told.remove(&key);
+            }
+        }
+        if let Some(state) = &mut self.state {
+            state.free = state.free.saturating_sub(1);
+        }
+    }
+
+    /// Returns the planned message.
+    pub fn take_demand(&mut self) -> Option<Demand> {
+        if !self.linked || (self.pending.is_empty() && !self.needs_full) {
+            return None;
+        }
+
+        self.sequence += 1;
+        let entries = std::mem::take(&mut self.pending);
+        let full = std::mem::take(&mut self.needs_full);
+        Some(Demand { sequence: self.sequence, full, entries })
+    }
+
+    fn forget_told(&mut self) {
+        self.told.clear();
+        self.pending.clear();
+        self.needs_full = true;
+    }
+}
+
+/// Tells whether a change from `told` to `count` is worth a message of its own.
+fn is_due(told: u32, count: u32, refresh: bool) -> bool {
+    if told == count {
+        return false;
+    }
+
+    refresh || told == 0 || count == 0 || count < told / 2
+}
--- /dev/null
+++ b/sapphirespur_core/src/sidecar/attempt.rs
@@ -0,0 +1,102 @@
+//! Attempt that a sidecar serves.
+
+use std::time::Duration;
+
+use crate::fair::Choice;
+use crate::limiter::{FIRST_TOKEN_BREAK, Round, Sample};
+use crate::request::Call;
+use crate::time::Time;
+
+/// How far an attempt is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    /// Its intent is being recorded.
+    Recording,
+    /// It was sent to the upstream.
+    Called {
+        /// Time of the call.
+        since: Time,
+    },
+}
+
+/// Attempt under way.
+#[derive(Clone, Debug)]
+pub(super) struct Attempt {
+    /// Queue from which it came.
+    pub choice: Choice,
+    /// Cost that the caller expected.
+    pub hint: u64,
+    /// Cost charged so far.
+    pub charged: u64,
+    /// Whether and how the call may be repeated.
+    pub call: Call,
+    /// How far it is.
+    pub stage: Stage,
+    /// Round of the limit in which it was called.
+    pub round: Round,
+    /// Tokens that came.
+    pub tokens: u64,
+    /// Whether the wait for the first token has been counted as a failure.
+    pub is_late: bool,
+    first_token: Option<Time>,
+    last_token: Option<Time>,
+}
+
+impl Attempt {
+    /// Creates an attempt that has not been called.
+    pub fn new(choice: Choice, hint: u64, charged: u64, call: Call, round: Round) -> Self {
+        Self {
+            choice,
+            hint,
+            charged,
+            call,
+            stage: Stage::Recording,
+            round,
+            tokens: 0,
+            is_late: false,
+            first_token: None,
+            last_token: None,
+        }
+    }
+
+    /// Notes tokens, and tells whether they are the first ones.
+    pub fn on_tokens(&mut self, now: Time, count: u32) -> bool {
+        self.tokens += u64::from(count);
+        self.last_token = Some(now);
+        let is_first = self.first_token.is_none();
+        if is_first {
+            self.first_token = Some(now);
+        }
+
+        is_first
+    }
+
+    /// Returns the time from the call to the first token.
+    pub fn first_token_after(&self) -> Option<Duration> {
+        let Stage::Called { since } = self.stage else { return None };
+
+        self.first_token.map(|first| first.since(since))
+    }
+
+    /// Returns what was measured.
+    pub fn sample(&self) -> Sample {
+        let token_gap = match (self.first_token, self.last_token) {
+            (Some(first), Some(last)) if self.tokens > 1 => {
+                Some(last.since(first) / (self.tokens - 1).min(u64::from(u32::MAX)) as u32)
+            }
+            _ => None,
+        };
+
+        Sample { first_token: self.first_token_after(), token_gap }
+    }
+
+    /// Returns the time at which a missing first token becomes evidence of a cold upstream.
+    pub fn late_at(&self) -> Option<Time> {
+        match self.stage {
+            Stage::Called { since } if self.first_token.is_none() && !self.is_late => {
+                Some(since + FIRST_TOKEN_BREAK)
+            }
+            Stage::Called { .. } | Stage::Recording => None,
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/sidecar/demand_book.rs
@@ -0,0 +1,177 @@
+//! Waiting work of the routers, as a sidecar knows it.
+
+use crate::collections::HashMap;
+use crate::fair::Choice;
+use crate::message::Demand;
+use crate::name::Name;
+use crate::time::Time;
+
+/// Waiting work of one queue at one router.
+#[derive(Clone, Debug)]
+struct Waiting {
+    count: u32,
+    head_since: Time,
+    head_cost: u64,
+}
+
+/// Router that a permit goes to.
+#[derive(Clone, Debug)]
+pub(super) struct Claim {
+    /// Router with the longest wait.
+    pub router: Name,
+    /// Expected cost of its first request.
+    pub cost: u64,
+}
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct QueueId {
+    workspace: Name,
+    class: Name,
+}
+
+/// What follows from a demand message.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DemandChange {
+    /// Queues that have work now.
+    pub waiting: Vec<Choice>,
+    /// Queues that have none now.
+    pub empty: Vec<Choice>,
+    /// Whether a message was lost, so that the router must tell everything.
+    pub resync: bool,
+}
+
+/// Controller of the demand.
+#[derive(Clone, Debug, Default)]
+pub(super) struct DemandBook {
+    queues: HashMap<QueueId, HashMap<Name, Waiting>>,
+    sequences: HashMap<Name, u64>,
+}
+
+impl DemandBook {
+    /// Starts a link session of a router, which has told nothing yet.
+    pub fn on_link_up(&mut self, router: &Name) -> DemandChange {
+        let change = self.on_link_down(router);
+        self.sequences.insert(router.clone(), 0);
+
+        change
+    }
+
+    /// Forgets the demand of a router.
+    pub fn on_link_down(&mut self, router: &Name) -> DemandChange {
+        self.sequences.remove(router);
+        let mut change = DemandChange::default();
+        self.forget(router, &mut change);
+
+        change
+    }
+
+    /// Takes a demand message.
+    pub fn on_demand(&mut self, now: Time, router: &Name, demand: &Demand) -> DemandChange {
+        let mut change = DemandChange::default();
+        let Some(last) = self.sequences.get(router).copied() else { return change };
+        if demand.sequence <= last {
+            return change;
+        }
+
+        if demand.full {
+            self.forget(router, &mut change);
+        } else {
+            change.resync = demand.sequence > last + 1;
+        }
+        self.sequences.insert(router.clone(), demand.sequence);
+        for entry in &demand.entries {
+            let choice =
+                Choice { workspace: entry.workspace.clone(), class: entry.class.clone() };
+            let head_since = now - entry.head_age;
+            let waiting = Waiting { count: entry.count, head_since, head_cost: entry.head_cost };
+            self.set(router, choice, waiting, &mut change);
+        }
+
+        change
+    }
+
+    /// Tells whether a router has sent demand that did not arrive.
+    pub fn is_behind(&self, router: &Name, sequence: u64) -> bool {
+        self.sequences.get(router).is_some_and(|last| *last < sequence)
+    }
+
+    /// Returns the number of the last message of a router.
+    pub fn sequence(&self, router: &Name) -> u64 {
+        self.sequences.get(router).copied().unwrap_or(0)
+    }
+
+    /// Notes how many requests a router says to have left in a queue.
+    pub fn on_remaining(&mut self, router: &Name, choice: &Choice, remaining: u32) -> DemandChange {
+        let mut change = DemandChange::default();
+        let known = self.queues.get(&id_of(choice)).and_then(|queue| queue.get(router)).cloned();
+        if let Some(waiting) = known {
+            let waiting = Waiting { count: remaining, ..waiting };
+            self.set(router, choice.clone(), waiting, &mut change);
+        }
+
+        change
+    }
+
+    /// Tells whether a queue has work.
+    pub fn has_work(&self, workspace: &Name, class: &Name) -> bool {
+        self.queues.contains_key(&QueueId { workspace: workspace.clone(), class: class.clone() })
+    }
+
+    /// Claims one request of a queue from the router where one has waited longest.
+    pub fn claim(&mut self, choice: &Choice) -> Option<Claim> {
+        let id = id_of(choice);
+        let queue = self.queues.get_mut(&id)?;
+        let router =
+            queue.iter().min_by_key(|(name, w)| (w.head_since, *name)).map(|(name, _)| name.clone())?;
+
+        let waiting = queue.get_mut(&router)?;
+        let cost = waiting.head_cost;
+        waiting.count -= 1;
+        if waiting.count == 0 {
+            queue.remove(&router);
+        }
+        if queue.is_empty() {
+            self.queues.remove(&id);
+        }
+        Some(Claim { router, cost })
+    }
+
+    /// Returns the queues that have work.
+    pub fn choices(&self) -> impl Iterator<Item = Choice> {
+        self.queues
+            .keys()
+            .map(|id| Choice { workspace: id.workspace.clone(), class: id.class.clone() })
+    }
+
+    fn set(&mut self, router: &Name, choice: Choice, waiting: Waiting, change: &mut DemandChange) {
+        let id = id_of(&choice);
+        if waiting.count > 0 {
+            self.queues.entry(id).or_default().insert(router.clone(), waiting);
+            change.waiting.push(choice);
+            return;
+        }
+
+        let Some(queue) = self.queues.get_mut(&id) else { return };
+        queue.remove(router);
+        if queue.is_empty() {
+            self.queues.remove(&id);
+            change.empty.push(choice);
+        }
+    }
+
+    fn forget(&mut self, router: &Name, change: &mut DemandChange) {
+        self.queues.retain(|id, queue| {
+            queue.remove(router);
+            if queue.is_empty() {
+                let choice =
+                    Choice { workspace: id.workspace.clone(), class: id.class.clone() };
+                change.empty.push(choice);
+            }
+            !queue.is_empty()
+        });
+    }
+}
+
+fn id_of(choice: &Choice) -> QueueId {
+    QueueId { workspace: choice.workspace.clone(), class: choice.class.clone() }
+}
--- /dev/null
+++ b/sapphirespur_core/src/sidecar/policy.rs
@@ -0,0 +1,26 @@
+//! Tunable limits of a sidecar.
+
+use std::time::Duration;
+
+use crate::fair::Extrapolation;
+
+/// Limits of a sidecar.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SidecarPolicy {
+    /// Time between two reports to the homes of the accounts.
+    pub report_interval: Duration,
+    /// Time between two heartbeats on a link.
+    pub heartbeat_interval: Duration,
+    /// How unreported charges are weighed.
+    pub extrapolation: Extrapolation,
+}
+
+impl Default for SidecarPolicy {
+    fn default() -> Self {
+        Self {
+            report_interval: Duration::from_millis(500),
+            heartbeat_interval: Duration::from_secs(1),
+            extrapolation: Extrapolation::Competitors,
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/time.rs
@@ -0,0 +1,41 @@
+//! Monotonic time as seen by one process.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Point on a process's monotonic clock, in microseconds since an arbitrary origin.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Time(u64);
+
+impl Time {
+    /// Creates a time from microseconds since the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Returns microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the span since `earlier`, or zero when `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(span.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/timer.rs
@@ -0,0 +1,61 @@
+//! Timer service to which the controllers of one process subscribe.
+
+use std::collections::BTreeMap;
+
+use crate::collections::HashMap;
+use crate::time::Time;
+
+/// Pending subscriptions by deadline; a key has at most one deadline at a time.
+#[derive(Clone, Debug)]
+pub struct Timers<K> {
+    by_deadline: BTreeMap<(Time, u64), K>,
+    by_key: HashMap<K, (Time, u64)>,
+    next_sequence: u64,
+}
+
+impl<K: Clone + Eq + std::hash::Hash> Timers<K> {
+    /// Creates a service without subscriptions.
+    pub fn new() -> Self {
+        Self { by_deadline: BTreeMap::new(), by_key: HashMap::default(), next_sequence: 0 }
+    }
+
+    /// Subscribes `key` to `deadline`, in place of its earlier subscription.
+    pub fn subscribe(&mut self, key: K, deadline: Time) {
+        self.cancel(&key);
+
+        let slot = (deadline, self.next_sequence);
+        self.next_sequence += 1;
+        self.by_key.insert(key.clone(), slot);
+        self.by_deadline.insert(slot, key);
+    }
+
+    /// Ends the subscription of `key`.
+    pub fn cancel(&mut self, key: &K) {
+        if let Some(slot) = self.by_key.remove(key) {
+            self.by_deadline.remove(&slot);
+        }
+    }
+
+    /// Returns the earliest deadline.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.by_deadline.keys().next().map(|slot| slot.0)
+    }
+
+    /// Removes and returns one subscription whose deadline is at or before `now`.
+    pub fn pop_expired(&mut self, now: Time) -> Option<K> {
+        let slot = *self.by_deadline.keys().next()?;
+        if slot.0 > now {
+            return None;
+        }
+
+        let key = self.by_deadline.remove(&slot)?;
+        self.by_key.remove(&key);
+        Some(key)
+    }
+}
+
+impl<K: Clone + Eq + std::hash::Hash> Default for Timers<K> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
