--- /dev/null
+++ b/sapphirespur_cli/src/commands/confirm.rs
@@ -0,0 +1,65 @@
+//! Confirmation of plans.
+
+use sapphirespur_core::config::{Plan, Record};
+use sapphirespur_node::clock::wall_s;
+use sapphirespur_node::platform::ConfirmOutcome;
+use serde::Serialize;
+
+use crate::args::ConfirmArgs;
+use crate::commands::Context;
+use crate::error::CommandError;
+use crate::exit::Exit;
+
+/// Result for programs.
+#[derive(Debug, Serialize)]
+struct Confirmed<'a> {
+    plan: &'a str,
+    accepted: bool,
+    revision: u64,
+    by: Option<Record>,
+}
+
+/// Confirms a plan and tells what is in force.
+pub(super) async fn run(cx: &Context, args: &ConfirmArgs) -> Result<Exit, CommandError> {
+    let plan = find_plan(cx, &args.plan).await?;
+    let operator = cx.settings.name.as_str();
+
+    match cx.store.confirm(&plan, operator, wall_s()).await? {
+        ConfirmOutcome::Accepted { revision } => {
+            let result = Confirmed { plan: &plan.id, accepted: true, revision, by: None };
+            let text = format!("Plan {} is accepted as revision {revision}.\n", plan.id);
+            cx.print(&result, &text)?;
+            Ok(Exit::Success)
+        }
+        ConfirmOutcome::Stale { revision, by } => {
+            let text = stale_text(&plan, revision, by.as_ref());
+            cx.print(&Confirmed { plan: &plan.id, accepted: false, revision, by }, &text)?;
+            Ok(Exit::Stale)
+        }
+    }
+}
+
+/// Finds a plan among those to confirm, or in the record when it is accepted already.
+async fn find_plan(cx: &Context, id: &str) -> Result<Plan, CommandError> {
+    if let Some(plan) = cx.store.plan(id).await? {
+        return Ok(plan);
+    }
+
+    let records = cx.store.records().await?;
+    let record = records.into_iter().find(|record| record.plan.id == id);
+    record.map(|record| record.plan).ok_or_else(|| CommandError::NoPlan(id.to_owned()))
+}
+
+fn stale_text(plan: &Plan, revision: u64, by: Option<&Record>) -> String {
+    let (id, base) = (&plan.id, plan.base);
+    let first = format!("Plan {id} was made against revision {base} and is not accepted.\n");
+    let second = match by {
+        Some(record) => format!(
+            "Revision {revision} is in force: plan {} of {}, confirmed by {}: {}\n",
+            record.plan.id, record.plan.operator, record.confirmed_by, record.plan.reason
+        ),
+        None => format!("Revision {revision} is in force.\n"),
+    };
+
+    format!("{first}{second}Plan again against revision {revision}.\n")
+}
--- /dev/null
+++ b/sapphirespur_cli/src/commands/history.rs
@@ -0,0 +1,32 @@
+//! Record of changes.
+
+use sapphirespur_core::config::Record;
+
+use crate::commands::Context;
+use crate::error::CommandError;
+use crate::exit::Exit;
+use crate::render::table;
+
+/// Prints the record of changes.
+pub(super) async fn run(cx: &Context) -> Result<Exit, CommandError> {
+    let records = cx.store.records().await?;
+
+    let header = ["REVISION", "TIME", "PLAN", "PLANNED BY", "CONFIRMED BY", "REASON", "CHANGES"];
+    let rows: Vec<Vec<String>> = records.iter().map(row).collect();
+    cx.print(&records, &table(&header, &rows))?;
+    Ok(Exit::Success)
+}
+
+fn row(record: &Record) -> Vec<String> {
+    let changes: Vec<String> = record.plan.changes.iter().map(ToString::to_string).collect();
+
+    vec![
+        record.revision.to_string(),
+        record.confirmed_s.to_string(),
+        record.plan.id.clone(),
+        record.plan.operator.clone(),
+        record.confirmed_by.clone(),
+        record.plan.reason.clone(),
+        changes.join("; "),
+    ]
+}
--- /dev/null
+++ b/sapphirespur_cli/src/commands/status.rs
@@ -0,0 +1,157 @@
+//! State of the fleet.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use awc::Client;
+use sapphirespur_core::config::Config;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::router::{RouterStatus, SidecarStatus};
+use sapphirespur_core::vm::{Vm, VmRole};
+use serde::Serialize;
+
+use crate::args::StatusArgs;
+use crate::commands::Context;
+use crate::error::CommandError;
+use crate::exit::Exit;
+use crate::render::table;
+
+/// Time within which a router must answer.
+const ROUTER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause between two looks while waiting.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// State of the fleet for programs.
+#[derive(Debug, Serialize)]
+struct FleetStatus {
+    revision: u64,
+    routers: Vec<RouterStatus>,
+    unreachable: Vec<Name>,
+    upstreams: BTreeMap<Name, SidecarStatus>,
+    behind: Vec<Name>,
+}
+
+/// Shows what is in force where.
+pub(super) async fn run(cx: &Context, args: &StatusArgs) -> Result<Exit, CommandError> {
+    let deadline = Instant::now() + Duration::from_secs(args.wait_s);
+    let status = loop {
+        let status = look(cx).await?;
+        if status.behind.is_empty() || Instant::now() >= deadline {
+            break status;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    };
+
+    cx.print(&status, &text_of(&status))?;
+    Ok(if status.behind.is_empty() { Exit::Success } else { Exit::Behind })
+}
+
+async fn look(cx: &Context) -> Result<FleetStatus, CommandError> {
+    let stored = cx.store.load().await?;
+    let vms = cx.vm_list.get().await?;
+    let client = Client::builder().timeout(ROUTER_TIMEOUT).finish();
+    let asked = vms
+        .iter()
+        .filter(|vm| vm.role == VmRole::Router)
+        .map(|vm| async { (vm.name.clone(), router_status(&client, vm).await) });
+
+    let mut routers = Vec::new();
+    let mut unreachable = Vec::new();
+    for (name, status) in futures::future::join_all(asked).await {
+        match status {
+            Some(status) => routers.push(status),
+            None => unreachable.push(name),
+        }
+    }
+    let upstreams = upstreams_of(&stored.config, &routers);
+    let behind = behind(stored.root.revision, &routers, &unreachable, &upstreams);
+    Ok(FleetStatus { revision: stored.root.revision, routers, unreachable, upstreams, behind })
+}
+
+async fn router_status(client: &Client, vm: &Vm) -> Option<RouterStatus> {
+    let url = format!("http://{}/status", vm.admin);
+    let body = client.get(url).send().await.ok()?.body().await.ok()?;
+
+    serde_json::from_slice(&body).ok()
+}
+
+/// Returns each configured upstream as the router that knows most of it sees it.
+fn upstreams_of(config: &Config, routers: &[RouterStatus]) -> BTreeMap<Name, SidecarStatus> {
+    let mut upstreams: BTreeMap<Name, SidecarStatus> = BTreeMap::new();
+    let seen = routers.iter().flat_map(|router| &router.sidecars);
+    for sidecar in seen.filter(|sidecar| config.upstreams.contains_key(&sidecar.upstream)) {
+        let rank = |s: &SidecarStatus| (s.linked, s.revision);
+        let best = upstreams.entry(sidecar.upstream.clone()).or_insert_with(|| sidecar.clone());
+        if rank(sidecar) > rank(best) {
+            *best = sidecar.clone();
+        }
+    }
+
+    upstreams
+}
+
+fn behind(
+    revision: u64,
+    routers: &[RouterStatus],
+    unreachable: &[Name],
+    upstreams: &BTreeMap<Name, SidecarStatus>,
+) -> Vec<Name> {
+    let routers = routers.iter().filter(|router| router.revision != revision);
+    let sidecars = upstreams.values().filter(|s| !s.linked || s.revision != revision);
+
+    routers
+        .map(|router| router.name.clone())
+        .chain(unreachable.iter().cloned())
+        .chain(sidecars.map(|sidecar| sidecar.upstream.clone()))
+        .collect()
+}
+
+fn text_of(status: &FleetStatus) -> String {
+    let yes = |flag: bool| if flag { "yes" } else { "no" }.to_owned();
+    let routers: Vec<Vec<String>> = status
+        .routers
+        .iter()
+        .map(|r| {
+            vec![
+                r.name.to_string(),
+                r.data_centre.to_string(),
+                r.revision.to_string(),
+                yes(r.ready),
+                yes(r.watching),
+                r.waiting.to_string(),
+                r.serving.to_string(),
+            ]
+        })
+        .collect();
+    let upstreams: Vec<Vec<String>> = status
+        .upstreams
+        .values()
+        .map(|s| {
+            vec![
+                s.upstream.to_string(),
+                s.revision.to_string(),
+                yes(s.linked),
+                yes(s.serving),
+                s.phase.clone(),
+                s.limit.to_string(),
+                s.free.to_string(),
+            ]
+        })
+        .collect();
+
+    let router_header =
+        ["ROUTER", "DATA CENTRE", "REVISION", "READY", "WATCHING", "WAITING", "SERVING"];
+    let upstream_header = ["UPSTREAM", "REVISION", "LINKED", "SERVING", "PHASE", "LIMIT", "FREE"];
+    let behind: Vec<&str> = status.behind.iter().map(Name::as_str).collect();
+    let summary = if behind.is_empty() {
+        format!("Revision {} is in force everywhere.\n", status.revision)
+    } else {
+        format!("Revision {} is accepted; behind: {}\n", status.revision, behind.join(", "))
+    };
+    format!(
+        "{}\n{}\n{summary}",
+        table(&router_header, &routers),
+        table(&upstream_header, &upstreams)
+    )
+}
--- a/sapphirespur_cli/src/main.rs
+++ b/sapphirespur_cli/src/main.rs
@@ -1,1 +1,19 @@
-fn main() {}
+//! Command line for operators.
+
+use std::process::ExitCode;
+
+use sapphirespur_cli::args::Args;
+use sapphirespur_cli::commands;
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+
+    let done = actix_rt::System::new().block_on(commands::run(&args));
+    match done {
+        Ok(exit) => exit.into(),
+        Err(e) => {
+            eprintln!("sapphirespur: {e}");
+            e.exit().into()
+        }
+    }
+}
--- a/sapphirespur_core/src/hash.rs
+++ b/sapphirespur_core/src/hash.rs
@@ -40,9 +40,8 @@
     candidates: impl Iterator<Item = &'a Name>,
     count: usize,
 ) -> Vec<&'a Name> {
-    let mut ranked: Vec<(u64, &Name)> = candidates
-        .map(|name| (stable_hash(&[key, name.as_str().as_bytes()]), name))
-        .collect();
+    let mut ranked: Vec<(u64, &Name)> =
+        candidates.map(|name| (stable_hash(&[key, name.as_str().as_bytes()]), name)).collect();
     ranked.sort_unstable_by(|a, b| b.cmp(a));
     ranked.truncate(count);
 
--- a/sapphirespur_core/src/once/ledger.rs
+++ b/sapphirespur_core/src/once/ledger.rs
@@ -149,7 +149,7 @@
                 .operations
                 .into_iter()
                 .zip(results)
-                .filter_map(|(operation, result)| self.on_result(operation, result))
+                .filter_map(|(operation, result)| self.on_result(&operation, result))
                 .collect(),
             Ok(_) | Err(LedgerFailure::Unknown) => {
                 self.paused_until = now + RETRY_PAUSE;
@@ -243,7 +243,7 @@
 
     fn on_result(
         &mut self,
-        operation: LedgerOperation,
+        operation: &LedgerOperation,
         result: LedgerResult,
     ) -> Option<OnceVerdict> {
         let attempt = operation.attempt;
--- a/sapphirespur_core/src/router/demand.rs
+++ b/sapphirespur_core/src/router/demand.rs
@@ -114,7 +114,8 @@
         queue: Option<&Queue>,
         refresh: bool,
     ) {
-        let asked = queue.map_or_else(HashSet::default, |queue| self.asked(now, config, key, queue));
+        let asked =
+            queue.map_or_else(HashSet::default, |queue| self.asked(now, config, key, queue));
         let demand = demand_of(now, key, queue);
 
         for (name, view) in &mut self.views {
@@ -135,7 +136,9 @@
 
         let mut roomy: Vec<(bool, std::cmp::Reverse<u32>, &Name)> = candidates()
             .filter(|(_, view)| view.free() > 0)
-            .map(|(name, view)| (self.is_remote(config, name), std::cmp::Reverse(view.free()), name))
+            .map(|(name, view)| {
+                (self.is_remote(config, name), std::cmp::Reverse(view.free()), name)
+            })
             .collect();
         if roomy.is_empty() {
             return candidates().map(|(name, _)| name.clone()).collect();
--- a/sapphirespur_core/src/router/input.rs
+++ b/sapphirespur_core/src/router/input.rs
@@ -7,7 +7,7 @@
 use crate::vm::Vm;
 
 /// What happened to an attempt, as the traffic side of the router saw it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AttemptEvent {
     /// The sidecar refused the attempt.
     Refused(Refusal),
--- a/sapphirespur_core/src/router/requests.rs
+++ b/sapphirespur_core/src/router/requests.rs
@@ -113,10 +113,7 @@
     pub fn admit(&mut self, now: Time, id: RequestId, meta: RequestMeta) -> Result<(), Refusal> {
         self.check_room(&meta.queue)?;
 
-        self.budgets
-            .entry(meta.queue.workspace.clone())
-            .or_insert_with(RetryBudget::new)
-            .earn();
+        self.budgets.entry(meta.queue.workspace.clone()).or_insert_with(RetryBudget::new).earn();
         let waiting = Waiting { id, since: now, cost: meta.cost };
         self.count_waiting(&meta.queue, 1);
         self.queues.entry(meta.queue.clone()).or_insert_with(Queue::new).push(waiting);
@@ -126,12 +123,7 @@
     }
 
     /// Takes the first request of a queue for an attempt.
-    pub fn dispatch(
-        &mut self,
-        now: Time,
-        key: &QueueKey,
-        attempt: AttemptId,
-    ) -> Option<RequestId> {
+    pub fn dispatch(&mut self, now: Time, key: &QueueKey, attempt: AttemptId) -> Option<RequestId> {
         let waiting = self.queues.get_mut(key)?.pop(now)?;
         self.count_waiting(key, -1);
 
@@ -213,7 +205,10 @@
             }
         }
 
-        expired.into_iter().filter_map(|(id, retry_after)| self.expire_one(id, retry_after)).collect()
+        expired
+            .into_iter()
+            .filter_map(|(id, retry_after)| self.expire_one(id, retry_after))
+            .collect()
     }
 
     /// Forgets empty queues.
@@ -226,7 +221,9 @@
     pub fn waiting_for(&self, target: &Target) -> Vec<RequestId> {
         self.requests
             .iter()
-            .filter(|(_, request)| request.attempt.is_none() && request.meta.queue.target == *target)
+            .filter(|(_, request)| {
+                request.attempt.is_none() && request.meta.queue.target == *target
+            })
             .map(|(id, _)| *id)
             .collect()
     }
@@ -257,8 +254,7 @@
     }
 
     fn count_waiting(&mut self, key: &QueueKey, change: isize) {
-        let count =
-            self.waiting_of.entry((key.target.clone(), key.workspace.clone())).or_insert(0);
+        let count = self.waiting_of.entry((key.target.clone(), key.workspace.clone())).or_insert(0);
         *count = count.saturating_add_signed(change);
     }
 
--- a/sapphirespur_core/src/router/router.rs
+++ b/sapphirespur_core/src/router/router.rs
@@ -327,13 +327,7 @@
         }
     }
 
-    fn on_permit(
-        &mut self,
-        now: Time,
-        from: &Name,
-        permit: &Permit,
-        out: &mut Vec<RouterOutput>,
-    ) {
+    fn on_permit(&mut self, now: Time, from: &Name, permit: &Permit, out: &mut Vec<RouterOutput>) {
         if let Some(view) = self.demand.view_mut(from) {
             view.on_permit(&permit.workspace, &permit.class);
         }
@@ -427,8 +421,7 @@
         match next {
             Next::Requeued => {
                 out.push(RouterOutput::Event(Event::Retried { request: id }));
-                if let Some(key) = self.requests.get(id).map(|request| request.meta.queue.clone())
-                {
+                if let Some(key) = self.requests.get(id).map(|request| request.meta.queue.clone()) {
                     self.on_queue_grew(now, &key);
                 }
             }
--- a/sapphirespur_core/src/sidecar/attempts.rs
+++ b/sapphirespur_core/src/sidecar/attempts.rs
@@ -7,14 +7,32 @@
 use crate::sidecar::attempt::Attempt;
 use crate::time::Time;
 
-/// Time for which a barred attempt is remembered; no connection delivers a request later.
-const BARRED_FOR: Duration = Duration::from_secs(600);
+/// Time for which an attempt is remembered after its end; no router asks after it later.
+const REMEMBERED_FOR: Duration = Duration::from_secs(3_600);
+
+/// What the sidecar can say of an attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptFate {
+    /// It is under way.
+    Running,
+    /// It has not started and never will.
+    NeverStarted,
+    /// It may have run.
+    Unknown,
+}
+
+/// Attempt that cannot start any more.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    has_run: bool,
+    until: Time,
+}
 
 /// Controller of the attempts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Attempts {
     running: HashMap<AttemptId, Attempt>,
-    barred: HashMap<AttemptId, Time>,
+    closed: HashMap<AttemptId, Closed>,
 }
 
 impl Attempts {
@@ -36,29 +54,30 @@
     /// Takes an attempt that ended; it can never start again.
     pub fn remove(&mut self, now: Time, id: AttemptId) -> Option<Attempt> {
         let attempt = self.running.remove(&id)?;
-        self.bar(now, id);
+        self.closed.insert(id, Closed { has_run: true, until: now + REMEMBERED_FOR });
 
         Some(attempt)
     }
 
-    /// Tells whether an attempt is under way.
-    pub fn is_running(&self, id: AttemptId) -> bool {
-        self.running.contains_key(&id)
+    /// Tells whether an attempt may start.
+    pub fn may_start(&self, id: AttemptId) -> bool {
+        !self.closed.contains_key(&id) && !self.running.contains_key(&id)
     }
 
-    /// Tells whether an attempt may not start.
-    pub fn is_barred(&self, id: AttemptId) -> bool {
-        self.barred.contains_key(&id) || self.running.contains_key(&id)
-    }
+    /// Returns the fate of an attempt; one that has not started is kept from starting.
+    pub fn settle_fate(&mut self, now: Time, id: AttemptId) -> AttemptFate {
+        if self.running.contains_key(&id) {
+            return AttemptFate::Running;
+        }
 
-    /// Keeps an attempt from starting.
-    pub fn bar(&mut self, now: Time, id: AttemptId) {
-        self.barred.insert(id, now + BARRED_FOR);
+        let until = now + REMEMBERED_FOR;
+        let closed = self.closed.entry(id).or_insert(Closed { has_run: false, until });
+        if closed.has_run { AttemptFate::Unknown } else { AttemptFate::NeverStarted }
     }
 
-    /// Forgets the attempts that were barred long ago.
+    /// Forgets the attempts that ended long ago.
     pub fn prune(&mut self, now: Time) {
-        self.barred.retain(|_, until| *until > now);
+        self.closed.retain(|_, closed| closed.until > now);
     }
 
     /// Returns the attempts whose first token is late.
--- a/sapphirespur_core/src/sidecar/demand_book.rs
+++ b/sapphirespur_core/src/sidecar/demand_book.rs
@@ -80,8 +80,7 @@
         }
         self.sequences.insert(router.clone(), demand.sequence);
         for entry in &demand.entries {
-            let choice =
-                Choice { workspace: entry.workspace.clone(), class: entry.class.clone() };
+            let choice = Choice { workspace: entry.workspace.clone(), class: entry.class.clone() };
             let head_since = now - entry.head_age;
             let waiting = Waiting { count: entry.count, head_since, head_cost: entry.head_cost };
             self.set(router, choice, waiting, &mut change);
@@ -121,8 +120,10 @@
     pub fn claim(&mut self, choice: &Choice) -> Option<Claim> {
         let id = id_of(choice);
         let queue = self.queues.get_mut(&id)?;
-        let router =
-            queue.iter().min_by_key(|(name, w)| (w.head_since, *name)).map(|(name, _)| name.clone())?;
+        let router = queue
+            .iter()
+            .min_by_key(|(name, w)| (w.head_since, *name))
+            .map(|(name, _)| name.clone())?;
 
         let waiting = queue.get_mut(&router)?;
         let cost = waiting.head_cost;
@@ -163,8 +164,7 @@
         self.queues.retain(|id, queue| {
             queue.remove(router);
             if queue.is_empty() {
-                let choice =
-                    Choice { workspace: id.workspace.clone(), class: id.class.clone() };
+                let choice = Choice { workspace: id.workspace.clone(), class: id.class.clone() };
                 change.empty.push(choice);
             }
             !queue.is_empty()
--- a/sapphirespur_core/src/sidecar/input.rs
+++ b/sapphirespur_core/src/sidecar/input.rs
@@ -75,6 +75,8 @@
     Ask {
         /// Attempt.
         attempt: AttemptId,
+        /// Permit that it spent.
+        permit: u64,
     },
     /// The caller of an attempt has gone.
     Cancel {
--- a/sapphirespur_core/src/sidecar/mod.rs
+++ b/sapphirespur_core/src/sidecar/mod.rs
@@ -11,6 +11,7 @@
 mod sidecar;
 mod status;
 
+pub use attempts::AttemptFate;
 pub use input::{SidecarInput, Start, UpstreamEvent, UpstreamFailure};
 pub use output::SidecarOutput;
 pub use policy::SidecarPolicy;
--- a/sapphirespur_core/src/sidecar/output.rs
+++ b/sapphirespur_core/src/sidecar/output.rs
@@ -5,6 +5,7 @@
 use crate::name::Name;
 use crate::once::{LedgerBatch, RecordedAnswer};
 use crate::request::{AttemptId, Refusal};
+use crate::sidecar::AttemptFate;
 
 /// Output of a sidecar.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,8 +45,8 @@
     Asked {
         /// Attempt.
         attempt: AttemptId,
-        /// Whether it started; if not, it never will.
-        started: bool,
+        /// What the sidecar can say of it.
+        fate: AttemptFate,
     },
     /// Sends operations to the platform as one transaction.
     Commit(LedgerBatch),
--- a/sapphirespur_core/src/sidecar/sidecar.rs
+++ b/sapphirespur_core/src/sidecar/sidecar.rs
@@ -15,7 +15,7 @@
 use crate::once::{LedgerState, OnceLedger, OnceVerdict, RecordedAnswer, Verdict};
 use crate::request::{AttemptId, Call, QueueKey, Refusal, RefusalCode};
 use crate::sidecar::attempt::{Attempt, Stage};
-use crate::sidecar::attempts::Attempts;
+use crate::sidecar::attempts::{AttemptFate, Attempts};
 use crate::sidecar::demand_book::{DemandBook, DemandChange};
 use crate::sidecar::permits::Permits;
 use crate::sidecar::ratio::Ratios;
@@ -116,7 +116,7 @@
             SidecarInput::LinkDown { peer } => self.on_link_down(now, &peer),
             SidecarInput::Message { from, message } => self.on_message(now, &from, message, out),
             SidecarInput::Start(start) => self.on_start(now, &start, out),
-            SidecarInput::Ask { attempt } => self.on_ask(now, attempt, out),
+            SidecarInput::Ask { attempt, permit } => self.on_ask(now, attempt, permit, out),
             SidecarInput::Cancel { attempt } => self.on_cancel(now, attempt, out),
             SidecarInput::Upstream { attempt, event } => {
                 self.on_upstream(now, attempt, event, out);
@@ -336,7 +336,7 @@
     fn on_start(&mut self, now: Time, start: &Start, out: &mut Vec<SidecarOutput>) {
         let id = start.attempt;
         let permit = self.permits.take(start.permit);
-        let Some(permit) = permit.filter(|_| !self.attempts.is_barred(id)) else {
+        let Some(permit) = permit.filter(|_| self.attempts.may_start(id)) else {
             let refusal = Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY);
             out.push(SidecarOutput::Refuse { attempt: id, refusal });
             return;
@@ -366,18 +366,20 @@
         }
     }
 
-    fn on_ask(&mut self, now: Time, attempt: AttemptId, out: &mut Vec<SidecarOutput>) {
-        let started = self.attempts.is_running(attempt);
-        if !started {
-            self.attempts.bar(now, attempt);
-        }
+    fn on_ask(&mut self, now: Time, attempt: AttemptId, permit: u64, out: &mut Vec<SidecarOutput>) {
+        // Permits count from the incarnation, so a lower one was issued before a restart.
+        let fate = if permit < self.incarnation {
+            AttemptFate::Unknown
+        } else {
+            self.attempts.settle_fate(now, attempt)
+        };
 
-        out.push(SidecarOutput::Asked { attempt, started });
+        out.push(SidecarOutput::Asked { attempt, fate });
     }
 
     fn on_cancel(&mut self, now: Time, id: AttemptId, out: &mut Vec<SidecarOutput>) {
         let Some(attempt) = self.attempts.get_mut(id) else {
-            self.attempts.bar(now, id);
+            self.attempts.settle_fate(now, id);
             return;
         };
         // The outcome of a call that may not be repeated is worth more than its slot.
@@ -407,13 +409,7 @@
         }
     }
 
-    fn on_tokens(
-        &mut self,
-        now: Time,
-        id: AttemptId,
-        count: u32,
-        out: &mut Vec<SidecarOutput>,
-    ) {
+    fn on_tokens(&mut self, now: Time, id: AttemptId, count: u32, out: &mut Vec<SidecarOutput>) {
         let Some(attempt) = self.attempts.get_mut(id) else { return };
         let is_first = attempt.on_tokens(now, count);
         let overrun = attempt.tokens.saturating_sub(attempt.charged);
@@ -445,10 +441,8 @@
         self.settle(now, &attempt, cost);
         self.ratios.learn(&attempt.choice, attempt.hint, cost);
         self.limiter.on_finished(now, attempt.round, attempt.sample(), saturated);
-        self.ledger.finish(
-            id,
-            answer.map_or(LedgerState::FinishedUnrecorded, LedgerState::Finished),
-        );
+        self.ledger
+            .finish(id, answer.map_or(LedgerState::FinishedUnrecorded, LedgerState::Finished));
 
         if let Some(queue) = self.queue_key(&attempt.choice) {
             let token_gap = attempt.sample().token_gap;
@@ -484,12 +478,7 @@
         out.push(SidecarOutput::Refuse { attempt: id, refusal });
     }
 
-    fn on_verdicts(
-        &mut self,
-        now: Time,
-        verdicts: Vec<OnceVerdict>,
-        out: &mut Vec<SidecarOutput>,
-    ) {
+    fn on_verdicts(&mut self, now: Time, verdicts: Vec<OnceVerdict>, out: &mut Vec<SidecarOutput>) {
         for OnceVerdict { attempt, verdict } in verdicts {
             match verdict {
                 Verdict::Proceed => self.call(now, attempt, out),
@@ -682,8 +671,7 @@
     }
 
     fn check_drained(&mut self, now: Time, out: &mut Vec<SidecarOutput>) {
-        let is_empty =
-            self.attempts.len() == 0 && self.permits.len() == 0 && self.ledger.is_idle();
+        let is_empty = self.attempts.len() == 0 && self.permits.len() == 0 && self.ledger.is_idle();
         if !self.draining || self.drained || !is_empty {
             return;
         }
--- /dev/null
+++ b/sapphirespur_node/src/clock.rs
@@ -0,0 +1,41 @@
+//! Clocks of a process.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use sapphirespur_core::time::Time;
+
+/// Monotonic clock with its origin a day before the process started.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Microseconds on the clock when the process starts, so that earlier times can be named.
+    const ORIGIN_US: u64 = 86_400_000_000;
+
+    /// Creates a clock that starts now.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Returns the time now.
+    pub fn now(&self) -> Time {
+        Time::from_micros(Self::ORIGIN_US + self.start.elapsed().as_micros() as u64)
+    }
+
+    /// Returns the instant of `time`.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + time.since(Time::from_micros(Self::ORIGIN_US))
+    }
+}
+
+/// Returns the wall-clock time in seconds since the Unix epoch.
+pub fn wall_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
+}
+
+/// Returns the wall-clock time in microseconds since the Unix epoch.
+pub fn wall_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_micros() as u64)
+}
--- /dev/null
+++ b/sapphirespur_node/src/http/server.rs
@@ -0,0 +1,84 @@
+//! HTTP servers on their own threads.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_server::{Server, ServerHandle};
+use actix_service::fn_service;
+use serde::Serialize;
+
+/// Time within which the head of a request must arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for which a closing connection is waited for.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Time for which open connections are waited for at the end, in seconds.
+const SHUTDOWN_TIMEOUT_S: u64 = 2;
+
+/// Starts a server on `workers` threads; `make` creates the handler of one thread.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub fn start<M, H, F>(
+    name: &str,
+    listener: TcpListener,
+    workers: usize,
+    make: M,
+) -> io::Result<ServerHandle>
+where
+    M: Fn() -> H + Clone + Send + 'static,
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let server = Server::build()
+        .workers(workers)
+        .disable_signals()
+        .shutdown_timeout(SHUTDOWN_TIMEOUT_S)
+        .listen(name, listener, move || {
+            let handler = make();
+            HttpService::build()
+                .client_request_timeout(HEAD_TIMEOUT)
+                .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .keep_alive(KEEP_ALIVE)
+                .h1_allow_half_closed(false)
+                .tcp_nodelay(true)
+                .h1(fn_service(move |req: Request| {
+                    let response = handler(req);
+                    async move { Ok::<_, Infallible>(response.await) }
+                }))
+                .tcp()
+        })?
+        .run();
+
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+/// Returns a response with a plain text.
+pub fn respond(status: StatusCode, text: &'static str) -> Response<BoxBody> {
+    Response::build(status)
+        .insert_header(("content-type", "text/plain"))
+        .body(text)
+        .map_into_boxed_body()
+}
+
+/// Returns a response with a JSON value.
+pub fn respond_json(value: &impl Serialize) -> Response<BoxBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::build(StatusCode::OK)
+            .insert_header(("content-type", "application/json"))
+            .body(body)
+            .map_into_boxed_body(),
+        Err(_) => respond(StatusCode::INTERNAL_SERVER_ERROR, "the state has no encoding"),
+    }
+}
--- a/sapphirespur_node/src/lib.rs
+++ b/sapphirespur_node/src/lib.rs
@@ -0,0 +1,12 @@
+//! Library of the sapphirespur daemons: settings, links, platform, traffic and control loops.
+
+pub mod clock;
+pub mod http;
+pub mod link;
+pub mod logging;
+pub mod metrics;
+pub mod platform;
+pub mod router;
+pub mod settings;
+pub mod sidecar;
+pub mod start;
--- /dev/null
+++ b/sapphirespur_node/src/link/control.rs
@@ -0,0 +1,70 @@
+//! RPC object that takes the messages of a peer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use capnp_rpc::new_client_from_rc;
+use sapphirespur_core::message::Message;
+use sapphirespur_core::name::Name;
+use sapphirespur_wire::control_capnp::control;
+use sapphirespur_wire::decode_message;
+
+/// What a peer says on a link.
+pub(super) enum Said {
+    /// Its name and where to send messages for it.
+    Attached {
+        /// Name of the peer.
+        peer: Name,
+        /// Receiver of messages to the peer.
+        client: control::Client,
+    },
+    /// A message.
+    Message(Message),
+}
+
+/// Receiver of one link's messages.
+pub(super) struct Control {
+    name: Name,
+    listener: RefCell<Box<dyn FnMut(Said)>>,
+}
+
+impl Control {
+    /// Creates a receiver that passes what it takes to `listener`.
+    pub fn new_client(name: Name, listener: impl FnMut(Said) + 'static) -> control::Client {
+        let control = Self { name, listener: RefCell::new(Box::new(listener)) };
+
+        new_client_from_rc(Rc::new(control))
+    }
+
+    fn say(&self, said: Said) {
+        (self.listener.borrow_mut())(said);
+    }
+}
+
+impl control::Server for Control {
+    async fn attach(
+        self: Rc<Self>,
+        params: control::AttachParams,
+        mut results: control::AttachResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let peer = Name::new(params.get_name()?.to_str()?);
+        let client = params.get_peer()?;
+
+        results.get().set_name(self.name.as_str());
+        self.say(Said::Attached { peer, client });
+        Ok(())
+    }
+
+    async fn deliver(
+        self: Rc<Self>,
+        params: control::DeliverParams,
+        _results: control::DeliverResults,
+    ) -> Result<(), capnp::Error> {
+        let message = decode_message(params.get()?.get_message()?)
+            .map_err(|e| capnp::Error::failed(e.to_string()))?;
+
+        self.say(Said::Message(message));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/link/links.rs
@@ -0,0 +1,297 @@
+//! Links of one process.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sapphirespur_core::collections::HashMap;
+use sapphirespur_core::message::Message;
+use sapphirespur_core::name::Name;
+use sapphirespur_wire::control_capnp::control;
+use sapphirespur_wire::encode_message;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinHandle;
+
+use crate::link::connection::{self, Rpc};
+use crate::link::control::{Control, Said};
+
+/// Pause before a link that ended is opened again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Messages that may wait for a peer before its link counts as broken.
+const MAX_OUTSTANDING: usize = 10_000;
+
+/// What happens on the links.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A link came up.
+    Up {
+        /// Process at the other end.
+        peer: Name,
+    },
+    /// A link ended.
+    Down {
+        /// Process at the other end.
+        peer: Name,
+    },
+    /// A message came.
+    Message {
+        /// Sender.
+        from: Name,
+        /// Message.
+        message: Message,
+    },
+}
+
+/// Link that is up.
+struct Link {
+    id: u64,
+    client: control::Client,
+    outstanding: Rc<RefCell<usize>>,
+    /// Task that runs the connection; ending it closes the connection.
+    run: JoinHandle<()>,
+}
+
+/// State shared by the tasks of the links.
+struct Shared {
+    me: Name,
+    listener: UnboundedSender<LinkEvent>,
+    links: RefCell<HashMap<Name, Link>>,
+    dialers: RefCell<HashMap<Name, JoinHandle<()>>>,
+    next_id: RefCell<u64>,
+}
+
+/// Links of one process; all on its control thread.
+#[derive(Clone)]
+pub struct Links {
+    shared: Rc<Shared>,
+}
+
+impl Links {
+    /// Creates links of process `me` whose events go to `listener`.
+    pub fn new(me: Name, listener: UnboundedSender<LinkEvent>) -> Self {
+        let shared = Shared {
+            me,
+            listener,
+            links: RefCell::default(),
+            dialers: RefCell::default(),
+            next_id: RefCell::new(0),
+        };
+
+        Self { shared: Rc::new(shared) }
+    }
+
+    /// Accepts links on `listener` until the process ends.
+    pub fn accept(&self, listener: TcpListener) {
+        let shared = self.shared.clone();
+        actix_rt::spawn(async move {
+            loop {
+                match listener.accept().await {
+                    Ok((stream, _)) => accept_one(&shared, stream),
+                    Err(e) => {
+                        log::warn!("a control connection cannot be accepted: {e}");
+                        tokio::time::sleep(REDIAL_PAUSE).await;
+                    }
+                }
+            }
+        });
+    }
+
+    /// Opens a link to `peer` and opens it again whenever it ends.
+    pub fn connect(&self, peer: &Name, address: SocketAddr) {
+        let shared = self.shared.clone();
+        let name = peer.clone();
+        let dialer = actix_rt::spawn(async move {
+            loop {
+                dial(&shared, &name, address).await;
+                tokio::time::sleep(REDIAL_PAUSE).await;
+            }
+        });
+
+        if let Some(old) = self.shared.dialers.borrow_mut().insert(peer.clone(), dialer) {
+            old.abort();
+        }
+    }
+
+    /// Closes the link to `peer` and does not open it again.
+    pub fn disconnect(&self, peer: &Name) {
+        if let Some(dialer) = self.shared.dialers.borrow_mut().remove(peer) {
+            dialer.abort();
+        }
+        self.reconnect(peer);
+    }
+
+    /// Closes the link to `peer`; whoever opened it may open it again.
+    pub fn reconnect(&self, peer: &Name) {
+        let link = self.shared.links.borrow_mut().remove(peer);
+        if let Some(link) = link {
+            link.run.abort();
+            self.shared.emit(LinkEvent::Down { peer: peer.clone() });
+        }
+    }
+
+    /// Sends a message, or drops it when there is no link.
+    pub fn send(&self, peer: &Name, message: &Message) {
+        let is_stuck = {
+            let links = self.shared.links.borrow();
+            let Some(link) = links.get(peer) else { return };
+            link.deliver(message);
+            *link.outstanding.borrow() > MAX_OUTSTANDING
+        };
+
+        if is_stuck {
+            self.reconnect(peer);
+        }
+    }
+}
+
+impl Link {
+    fn deliver(&self, message: &Message) {
+        let mut request = self.client.deliver_request();
+        encode_message(message, request.get().init_message());
+
+        let outstanding = self.outstanding.clone();
+        *outstanding.borrow_mut() += 1;
+        let promise = request.send().promise;
+        actix_rt::spawn(async move {
+            // A failure ends the connection, which the link notices by itself.
+            let _ = promise.await;
+            *outstanding.borrow_mut() -= 1;
+        });
+    }
+}
+
+impl Shared {
+    fn emit(&self, event: LinkEvent) {
+        // The receiver is gone only when the process ends.
+        let _ = self.listener.send(event);
+    }
+
+    fn next_id(&self) -> u64 {
+        *self.next_id.borrow_mut() += 1;
+        *self.next_id.borrow()
+    }
+
+    fn add(&self, id: u64, peer: &Name, client: control::Client, run: JoinHandle<()>) {
+        let link = Link { id, client, outstanding: Rc::default(), run };
+        let old = self.links.borrow_mut().insert(peer.clone(), link);
+        if let Some(old) = old {
+            old.run.abort();
+            self.emit(LinkEvent::Down { peer: peer.clone() });
+        }
+
+        self.emit(LinkEvent::Up { peer: peer.clone() });
+    }
+
+    fn remove(&self, id: u64, peer: &Name) {
+        let is_current = self.links.borrow().get(peer).is_some_and(|link| link.id == id);
+        if is_current {
+            self.links.borrow_mut().remove(peer);
+            self.emit(LinkEvent::Down { peer: peer.clone() });
+        }
+    }
+
+    fn is_current(&self, id: u64, peer: &Name) -> bool {
+        self.links.borrow().get(peer).is_some_and(|link| link.id == id)
+    }
+}
+
+/// Runs the client side of a link until it ends.
+async fn dial(shared: &Rc<Shared>, peer: &Name, address: SocketAddr) {
+    let id = shared.next_id();
+    let listener = shared.clone();
+    let from = peer.clone();
+    let control = Control::new_client(shared.me.clone(), move |said| {
+        if let Said::Message(message) = said {
+            listener.emit(LinkEvent::Message { from: from.clone(), message });
+        }
+    });
+
+    let attached = match connection::connect(address, &shared.me, control).await {
+        Ok(attached) => attached,
+        Err(e) => {
+            log::debug!(peer = peer.as_str(); "a link does not come up: {e}");
+            return;
+        }
+    };
+    let (ended, wait) = tokio::sync::oneshot::channel::<()>();
+    let run = actix_rt::spawn(async move {
+        let _ended = ended;
+        let _ = AbortOnDrop(attached.run).await;
+    });
+    shared.add(id, peer, attached.client, run);
+    // The sender is only ever dropped, when the connection or its task ends.
+    let _ = wait.await;
+    shared.remove(id, peer);
+}
+
+/// Starts the server side of a link.
+fn accept_one(shared: &Rc<Shared>, stream: tokio::net::TcpStream) {
+    let id = shared.next_id();
+    let listener = shared.clone();
+    let attached: Rc<RefCell<Option<Name>>> = Rc::default();
+    let run: Rc<RefCell<Option<JoinHandle<()>>>> = Rc::default();
+
+    let (peer_of, run_of) = (attached.clone(), run.clone());
+    let control = Control::new_client(shared.me.clone(), move |said| match said {
+        Said::Attached { peer, client } => {
+            *peer_of.borrow_mut() = Some(peer.clone());
+            if let Some(run) = run_of.borrow_mut().take() {
+                listener.add(id, &peer, client, run);
+            }
+        }
+        Said::Message(message) => {
+            let Some(from) = peer_of.borrow().clone() else { return };
+            if listener.is_current(id, &from) {
+                listener.emit(LinkEvent::Message { from, message });
+            }
+        }
+    });
+
+    let Ok(Rpc(rpc)) = connection::serve(stream, control) else { return };
+    let shared = shared.clone();
+    let task = actix_rt::spawn(async move {
+        let guard = RemoveOnDrop { shared, id, attached };
+        // The end of the connection is all that matters to the link.
+        let _ = rpc.await;
+        drop(guard);
+    });
+    *run.borrow_mut() = Some(task);
+}
+
+/// Ends a task when the task that waits for it ends.
+struct AbortOnDrop(JoinHandle<()>);
+
+impl Future for AbortOnDrop {
+    type Output = ();
+
+    fn poll(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<()> {
+        std::pin::Pin::new(&mut self.0).poll(cx).map(|_| ())
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Removes an accepted link when its connection ends.
+struct RemoveOnDrop {
+    shared: Rc<Shared>,
+    id: u64,
+    attached: Rc<RefCell<Option<Name>>>,
+}
+
+impl Drop for RemoveOnDrop {
+    fn drop(&mut self) {
+        if let Some(peer) = self.attached.borrow().as_ref() {
+            self.shared.remove(self.id, peer);
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/link/mod.rs
@@ -0,0 +1,7 @@
+//! Control links between processes, over Cap'n Proto RPC.
+
+mod connection;
+mod control;
+mod links;
+
+pub use links::{LinkEvent, Links};
--- /dev/null
+++ b/sapphirespur_node/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Metrics of the decisions' events, sent to a StatsD collector.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::prelude::*;
+use cadence::{NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use sapphirespur_core::event::{Event, EventListener};
+use sapphirespur_core::message::Message;
+use sapphirespur_core::request::QueueKey;
+use thiserror::Error;
+
+use crate::settings::MetricsSettings;
+
+/// Prefix of every metric.
+const PREFIX: &str = "sapphirespur";
+
+/// Reason why metrics cannot start.
+#[derive(Debug, Error)]
+pub enum MetricsError {
+    /// No socket can be opened.
+    #[error("no socket can be opened for metrics: {0}")]
+    Socket(#[from] io::Error),
+    /// The collector cannot be used.
+    #[error("the metrics collector cannot be used: {0}")]
+    Collector(#[from] cadence::MetricError),
+}
+
+/// Sender of metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Starts sending to the collector in the settings, or nowhere.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no socket can be opened.
+    pub fn start(settings: &MetricsSettings, node: &str) -> Result<Self, MetricsError> {
+        let builder = match settings.statsd {
+            Some(collector) => {
+                let sink = UdpMetricSink::from(collector, open_socket(collector)?)?;
+                StatsdClient::builder(PREFIX, QueuingMetricSink::from(sink))
+            }
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+        };
+
+        Ok(Self { client: builder.with_tag("node", node).build() })
+    }
+
+    /// Counts a control message that was sent.
+    pub fn on_sent(&self, message: &Message) {
+        self.client.count_with_tags("messages_sent", 1).with_tag("kind", message.kind()).send();
+    }
+
+    /// Counts a call to the platform.
+    pub fn on_platform_call(&self, kind: &str) {
+        self.client.count_with_tags("platform_calls", 1).with_tag("kind", kind).send();
+    }
+
+    fn time(&self, name: &str, queue: &QueueKey, micros: u128) {
+        self.client
+            .histogram_with_tags(name, micros as u64)
+            .with_tag("workspace", queue.workspace.as_str())
+            .with_tag("class", queue.class.as_str())
+            .with_tag("target", queue.target.name().as_str())
+            .send();
+    }
+}
+
+impl EventListener for Metrics {
+    fn on_event(&mut self, event: &Event) {
+        match event {
+            Event::Dispatched { queue, waited, .. } => {
+                self.time("wait_us", queue, waited.as_micros());
+            }
+            Event::Completed { queue, served, .. } => {
+                self.time("served_us", queue, served.as_micros());
+            }
+            Event::FirstToken { queue, after } => {
+                self.time("first_token_us", queue, after.as_micros());
+            }
+            Event::Served { queue, cost, token_gap } => {
+                self.time("cost_units", queue, u128::from(*cost));
+                if let Some(gap) = token_gap {
+                    self.time("token_gap_us", queue, gap.as_micros());
+                }
+            }
+            Event::Refused { code, .. } => {
+                self.client.count_with_tags("refused", 1).with_tag("code", code.as_str()).send();
+            }
+            Event::Retried { .. } => self.client.count_with_tags("retried", 1).send(),
+            Event::PhaseChanged { .. } => self.client.count_with_tags("phase_changes", 1).send(),
+            Event::ConfigInForce { revision } => {
+                self.client.gauge_with_tags("config_revision", *revision).send();
+            }
+            Event::ConfigRejected { .. } => {
+                self.client.count_with_tags("config_rejected", 1).send();
+            }
+        }
+    }
+}
+
+fn open_socket(collector: SocketAddr) -> io::Result<UdpSocket> {
+    let any = if collector.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    let socket = UdpSocket::bind(any)?;
+    socket.set_nonblocking(true)?;
+
+    Ok(socket)
+}
--- /dev/null
+++ b/sapphirespur_node/src/platform/config_store.rs
@@ -0,0 +1,278 @@
+//! Configuration and record of changes in the key-value service.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use sapphirespur_core::config::{Config, ConfigError, Plan, Record, Root};
+use sapphirespur_core::hash::sha256_hex;
+
+use crate::platform::{Compare, Operation, PlatformError, Store};
+
+/// Key of the head of the configuration.
+pub const ROOT_KEY: &str = "/sapphirespur/config/root";
+
+/// Prefix of the chunks of the configuration.
+const CHUNK_PREFIX: &str = "/sapphirespur/config/chunk/";
+
+/// Prefix of the plans.
+const PLAN_PREFIX: &str = "/sapphirespur/plan/";
+
+/// Prefix of the record of changes.
+const RECORD_PREFIX: &str = "/sapphirespur/record/";
+
+/// Time for which a plan can be confirmed.
+const PLAN_TTL: Duration = Duration::from_secs(24 * 3_600);
+
+/// Times that a swap without an answer is tried.
+const MAX_SWAP_TRIES: u32 = 4;
+
+/// What a confirmation led to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfirmOutcome {
+    /// The plan is accepted.
+    Accepted {
+        /// Revision that it led to.
+        revision: u64,
+    },
+    /// Another plan was accepted since this one was made.
+    Stale {
+        /// Revision that is accepted.
+        revision: u64,
+        /// Record of that revision, when it is there.
+        by: Option<Record>,
+    },
+}
+
+/// Accepted configuration with its head as stored.
+#[derive(Clone, Debug)]
+pub struct Stored {
+    /// Head.
+    pub root: Root,
+    /// Revision of the service at which the head was changed; zero when there is none.
+    pub mod_revision: u64,
+    /// Configuration.
+    pub config: Config,
+}
+
+/// Configuration in the key-value service.
+#[derive(Clone)]
+pub struct ConfigStore {
+    store: Store,
+}
+
+impl ConfigStore {
+    /// Creates a client over `store`.
+    pub fn new(store: Store) -> Self {
+        Self { store }
+    }
+
+    /// Returns the accepted configuration; an empty one when none was ever accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer or the parts do not fit.
+    pub async fn load(&self) -> Result<Stored, PlatformError> {
+        let Some(kv) = self.store.get(ROOT_KEY).await? else {
+            let (root, config) = (Root::default(), Config::default());
+            return Ok(Stored { root, mod_revision: 0, config });
+        };
+
+        let root: Root = serde_json::from_slice(&kv.value)?;
+        let mut chunks = Vec::with_capacity(root.chunks.len());
+        for digest in &root.chunks {
+            let chunk = self.store.get(&chunk_key(digest)).await?;
+            chunks.push(chunk.ok_or_else(|| PlatformError::MissingChunk(digest.clone()))?.value);
+        }
+        let config = Config::from_chunks(chunks.iter().map(Vec::as_slice))?;
+        if config.digest() != root.digest {
+            return Err(ConfigError::DigestMismatch(root.revision).into());
+        }
+
+        Ok(Stored { root, mod_revision: kv.mod_revision, config })
+    }
+
+    /// Returns the accepted revision, zero when none was ever accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn revision(&self) -> Result<u64, PlatformError> {
+        let Some(kv) = self.store.get(ROOT_KEY).await? else { return Ok(0) };
+        let root: Root = serde_json::from_slice(&kv.value)?;
+
+        Ok(root.revision)
+    }
+
+    /// Keeps a plan until it is confirmed or expires.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn save_plan(&self, plan: &Plan) -> Result<(), PlatformError> {
+        let lease = self.store.grant_lease(PLAN_TTL).await?;
+        let key = format!("{PLAN_PREFIX}{}", plan.id);
+
+        self.store.put(&key, &serde_json::to_vec(plan)?, Some(lease)).await
+    }
+
+    /// Returns a plan that can be confirmed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn plan(&self, id: &str) -> Result<Option<Plan>, PlatformError> {
+        let kv = self.store.get(&format!("{PLAN_PREFIX}{id}")).await?;
+
+        Ok(kv.map(|kv| serde_json::from_slice(&kv.value)).transpose()?)
+    }
+
+    /// Returns the record of changes, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn records(&self) -> Result<Vec<Record>, PlatformError> {
+        let kvs = self.store.list(RECORD_PREFIX).await?;
+
+        Ok(kvs.iter().map(|kv| serde_json::from_slice(&kv.value)).collect::<Result<_, _>>()?)
+    }
+
+    /// Returns the record of one revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn record(&self, revision: u64) -> Result<Option<Record>, PlatformError> {
+        let kv = self.store.get(&record_key(revision)).await?;
+
+        Ok(kv.map(|kv| serde_json::from_slice(&kv.value)).transpose()?)
+    }
+
+    /// Accepts a plan by one compare-and-swap of the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer, in which case `outcome_of` tells
+    /// later what is in force, or when the changes break a rule.
+    pub async fn confirm(
+        &self,
+        plan: &Plan,
+        operator: &str,
+        wall_s: u64,
+    ) -> Result<ConfirmOutcome, PlatformError> {
+        let stored = self.load().await?;
+        if stored.root.revision != plan.base {
+            return self.outcome_of(plan).await;
+        }
+
+        let config = stored.config.with_changes(&plan.changes)?;
+        let chunks = self.write_chunks(&stored.root, &config).await?;
+        let record = Record {
+            revision: config.revision,
+            confirmed_by: operator.to_owned(),
+            confirmed_s: wall_s,
+            plan: plan.clone(),
+        };
+        let root = Root {
+            revision: config.revision,
+            plan: plan.id.clone(),
+            digest: config.digest(),
+            chunks,
+            previous: stored.root.chunks.clone(),
+        };
+
+        self.swap_until_answered(&stored, &root, &record).await?;
+        self.outcome_of(plan).await
+    }
+
+    /// Tells whether a plan was accepted, from what is stored.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn outcome_of(&self, plan: &Plan) -> Result<ConfirmOutcome, PlatformError> {
+        let next = self.record(plan.base + 1).await?;
+        if next.as_ref().is_some_and(|record| record.plan.id == plan.id) {
+            return Ok(ConfirmOutcome::Accepted { revision: plan.base + 1 });
+        }
+
+        let revision = self.revision().await?;
+        let by = self.record(revision).await?;
+        Ok(ConfirmOutcome::Stale { revision, by })
+    }
+
+    /// Swaps the head; after a lost answer it swaps again, which can take effect only once.
+    async fn swap_until_answered(
+        &self,
+        stored: &Stored,
+        root: &Root,
+        record: &Record,
+    ) -> Result<(), PlatformError> {
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            match self.swap_root(stored, root, record).await {
+                Ok(_) => return Ok(()),
+                Err(e) if e.is_uncertain() && tries < MAX_SWAP_TRIES => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    async fn swap_root(
+        &self,
+        stored: &Stored,
+        root: &Root,
+        record: &Record,
+    ) -> Result<bool, PlatformError> {
+        let key = ROOT_KEY.to_owned();
+        let compare = match stored.mod_revision {
+            0 => Compare::Absent(key),
+            mod_revision => Compare::Unchanged { key, mod_revision },
+        };
+        let mut operations = vec![
+            Operation::Put { key: ROOT_KEY.to_owned(), value: serde_json::to_vec(root)? },
+            Operation::Put { key: record_key(record.revision), value: serde_json::to_vec(record)? },
+            Operation::Delete(format!("{PLAN_PREFIX}{}", record.plan.id)),
+        ];
+        operations.extend(obsolete_chunks(&stored.root, root).map(Operation::Delete));
+
+        Ok(self.store.txn(&[compare], &operations, &[]).await?.succeeded)
+    }
+
+    /// Writes the chunks that are not stored yet; they take effect only with the head.
+    async fn write_chunks(
+        &self,
+        before: &Root,
+        config: &Config,
+    ) -> Result<Vec<String>, PlatformError> {
+        let mut digests = Vec::new();
+        for chunk in config.to_chunks() {
+            let digest = sha256_hex(&chunk);
+            if !before.chunks.contains(&digest) {
+                self.store.put(&chunk_key(&digest), &chunk, None).await?;
+            }
+            digests.push(digest);
+        }
+
+        Ok(digests)
+    }
+}
+
+/// Returns the keys of chunks that neither the new configuration nor the one before needs.
+fn obsolete_chunks(before: &Root, after: &Root) -> impl Iterator<Item = String> {
+    let needed: BTreeSet<&String> = after.chunks.iter().chain(&before.chunks).collect();
+    let obsolete: BTreeSet<&String> =
+        before.previous.iter().filter(|digest| !needed.contains(digest)).collect();
+
+    obsolete.into_iter().map(|digest| chunk_key(digest)).collect::<Vec<_>>().into_iter()
+}
+
+fn chunk_key(digest: &str) -> String {
+    format!("{CHUNK_PREFIX}{digest}")
+}
+
+/// Returns the key of a record, padded so that keys sort by revision.
+fn record_key(revision: u64) -> String {
+    format!("{RECORD_PREFIX}{revision:020}")
+}
--- /dev/null
+++ b/sapphirespur_node/src/platform/vm_list.rs
@@ -0,0 +1,40 @@
+//! Client of the platform's VM list.
+
+use std::time::Duration;
+
+use awc::Client;
+use sapphirespur_core::vm::Vm;
+
+use crate::platform::PlatformError;
+
+/// Time within which the list must be answered.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client of the VM list.
+#[derive(Clone)]
+pub struct VmList {
+    url: String,
+    client: Client,
+}
+
+impl VmList {
+    /// Creates a client of the list at `url`.
+    pub fn new(url: &str) -> Self {
+        Self { url: url.to_owned(), client: Client::builder().timeout(CALL_TIMEOUT).finish() }
+    }
+
+    /// Returns the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gives no proper answer.
+    pub async fn get(&self) -> Result<Vec<Vm>, PlatformError> {
+        let mut answer = self.client.get(&self.url).send().await?;
+        if !answer.status().is_success() {
+            return Err(PlatformError::Status(answer.status().as_u16()));
+        }
+
+        let body = answer.body().await?;
+        Ok(serde_json::from_slice(&body)?)
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/router/admin.rs
@@ -0,0 +1,24 @@
+//! Operators' requests to a router.
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use crate::http::{respond, respond_json};
+use crate::router::command::Command;
+
+/// Answers an operator's request.
+pub(super) async fn handle(commands: UnboundedSender<Command>, req: Request) -> Response<BoxBody> {
+    if req.path() != "/status" {
+        return respond(StatusCode::NOT_FOUND, "unknown path\n");
+    }
+
+    let (reply, status) = oneshot::channel();
+    // The control thread ends only with the process.
+    let _ = commands.send(Command::Status { reply });
+    match status.await {
+        Ok(status) => respond_json(&status),
+        Err(_) => respond(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n"),
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/router/attempt.rs
@@ -0,0 +1,207 @@
+//! One attempt to serve a request through a sidecar.
+
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::{Client, ClientResponse};
+use sapphirespur_core::answer::{AnswerReader, FrameVerdict, Recovery};
+use sapphirespur_core::config::Target;
+use sapphirespur_core::request::{Call, Refusal};
+use sapphirespur_core::router::Dispatch;
+use sapphirespur_wire::{Frame, FrameBody};
+
+use crate::clock::Clock;
+use crate::http::wire;
+use crate::router::caller::{Caller, CallerGone};
+use crate::router::frames::Frames;
+use crate::router::parse::UpstreamCall;
+
+/// Pause before an answer is resumed.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptEnd {
+    /// The whole answer was passed on.
+    Finished,
+    /// The sidecar refused.
+    Refused(Refusal),
+    /// The sidecar could not be reached, or barred the attempt before it started.
+    NeverStarted,
+    /// The answer was lost.
+    Lost,
+    /// The caller hung up.
+    CallerGone,
+}
+
+/// How reading on one connection ended.
+enum ConnectionEnd {
+    Attempt(AttemptEnd),
+    Broken,
+}
+
+/// Attempt with all it needs.
+pub(super) struct Attempt<'a> {
+    /// Client of the traffic thread.
+    pub client: &'a Client,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Order of the control thread.
+    pub dispatch: &'a Dispatch,
+    /// Call to the upstream.
+    pub call: &'a UpstreamCall,
+    /// Identifier that follows the request.
+    pub request_id: &'a str,
+}
+
+impl Attempt<'_> {
+    /// Makes the attempt and passes its answer to the caller.
+    ///
+    /// `on_delivering` is called once, when the first content reached the caller.
+    pub async fn run(&self, caller: &mut Caller, mut on_delivering: impl FnMut()) -> AttemptEnd {
+        let mut reader = AnswerReader::new(self.clock.now(), self.dispatch.attempt);
+        let mut connection = match self.open().await {
+            Ok(connection) => Some(connection),
+            Err(SendRequestError::Connect(_)) => return AttemptEnd::NeverStarted,
+            Err(_) => None,
+        };
+
+        loop {
+            if let Some(connection) = connection.take() {
+                match self.read(connection, &mut reader, caller, &mut on_delivering).await {
+                    ConnectionEnd::Attempt(end) => return end,
+                    ConnectionEnd::Broken => {}
+                }
+            }
+
+            let Recovery::Resume { from } = reader.on_broken(self.clock.now()) else {
+                return AttemptEnd::Lost;
+            };
+            match self.resume(from).await {
+                Ok(response) if response.status().is_success() => connection = Some(response),
+                Ok(response) if response.status().as_u16() == 404 && from == 0 => {
+                    return AttemptEnd::NeverStarted;
+                }
+                Ok(_) => return AttemptEnd::Lost,
+                Err(_) => tokio::time::sleep(RESUME_PAUSE).await,
+            }
+        }
+    }
+
+    /// Tells the sidecar that nobody waits for the answer.
+    pub async fn cancel(&self) {
+        // A sidecar that does not hear of it notices that nobody reads.
+        let _ = self.client.delete(self.url("")).send().await;
+    }
+
+    fn url(&self, query: &str) -> String {
+        format!("http://{}/attempts/{}{query}", self.dispatch.address, self.dispatch.attempt)
+    }
+
+    async fn open(&self) -> Result<ClientResponse, SendRequestError> {
+        let meta = &self.dispatch.meta;
+        let unit = match meta.queue.target {
+            Target::Model(_) => "tokens",
+            Target::Service(_) => "calls",
+        };
+        let mut request = self
+            .client
+            .post(self.url(""))
+            .insert_header((wire::REQUEST_ID, self.request_id))
+            .insert_header((wire::PERMIT, self.dispatch.permit))
+            .insert_header((wire::COST, meta.cost))
+            .insert_header((wire::UNIT, unit))
+            .insert_header((wire::METHOD, self.call.method.as_str()))
+            .insert_header((wire::PATH, self.call.path.as_str()));
+        if let Some(content_type) = &self.call.content_type {
+            request = request.insert_header(("content-type", content_type.as_str()));
+        }
+        if let Some(key) = &self.call.idempotency_key {
+            request = request.insert_header((wire::IDEMPOTENCY_KEY, key.as_str()));
+        }
+        request = match &meta.call {
+            Call::Idempotent => request.insert_header((wire::CALL, "idempotent")),
+            Call::Single => request.insert_header((wire::CALL, "single")),
+            Call::Once { key, fingerprint } => request
+                .insert_header((wire::CALL, "once"))
+                .insert_header((wire::ONCE_KEY, key.as_str()))
+                .insert_header((wire::FINGERPRINT, fingerprint.as_str())),
+        };
+
+        request.send_body(self.call.body.clone()).await
+    }
+
+    async fn resume(&self, from: u64) -> Result<ClientResponse, SendRequestError> {
+        let query = format!("?from={from}&permit={}", self.dispatch.permit);
+
+        self.client.get(self.url(&query)).send().await
+    }
+
+    async fn read(
+        &self,
+        connection: ClientResponse,
+        reader: &mut AnswerReader,
+        caller: &mut Caller,
+        on_delivering: &mut impl FnMut(),
+    ) -> ConnectionEnd {
+        if !connection.status().is_success() {
+            return ConnectionEnd::Broken;
+        }
+        let mut frames = Frames::new(connection.timeout(Duration::from_secs(u64::from(u32::MAX))));
+
+        loop {
+            let silent_at = self.clock.instant(reader.silent_at()).into();
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(silent_at, frames.next()) => frame,
+                () = caller.gone() => return ConnectionEnd::Attempt(AttemptEnd::CallerGone),
+            };
+            let Ok(Ok(Some(frame))) = frame else { return ConnectionEnd::Broken };
+
+            let now = self.clock.now();
+            match reader.on_frame(now, frame.attempt, frame.number, frame.kind()) {
+                FrameVerdict::Drop => {}
+                FrameVerdict::Resume => return ConnectionEnd::Broken,
+                FrameVerdict::Complete => return ConnectionEnd::Attempt(AttemptEnd::Finished),
+                FrameVerdict::Deliver => match deliver(frame, caller, on_delivering).await {
+                    Ok(None) => {}
+                    Ok(Some(refusal)) => {
+                        return ConnectionEnd::Attempt(AttemptEnd::Refused(refusal));
+                    }
+                    Err(CallerGone) => {
+                        return ConnectionEnd::Attempt(AttemptEnd::CallerGone);
+                    }
+                },
+            }
+        }
+    }
+}
+
+/// Passes a frame's content on, or returns the refusal that it holds.
+async fn deliver(
+    frame: Frame,
+    caller: &mut Caller,
+    on_delivering: &mut impl FnMut(),
+) -> Result<Option<Refusal>, CallerGone> {
+    match frame.body {
+        FrameBody::Head { status, content_type } => {
+            caller.start(status, content_type)?;
+            on_delivering();
+        }
+        FrameBody::Data(data) => caller.send(data.into()).await?,
+        FrameBody::Refused(refusal) => return Ok(Some(refusal)),
+        FrameBody::KeepAlive | FrameBody::End => {}
+    }
+
+    Ok(None)
+}
+
+/// Returns a client for attempts, whose silence the reader of the answer notices.
+pub(super) fn new_client() -> Client {
+    const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    Client::builder()
+        .connector(connector)
+        .timeout(sapphirespur_core::answer::SILENCE_TIMEOUT)
+        .finish()
+}
--- /dev/null
+++ b/sapphirespur_node/src/router/control.rs
@@ -0,0 +1,285 @@
+//! Control thread of a router.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use sapphirespur_core::collections::HashMap;
+use sapphirespur_core::event::{Event, EventListener};
+use sapphirespur_core::hash::stable_hash;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::request::{Refusal, RequestId};
+use sapphirespur_core::router::{AttemptEvent, Router, RouterInput, RouterOutput};
+use sapphirespur_core::time::Time;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+
+use crate::clock::{Clock, wall_us};
+use crate::link::{LinkEvent, Links};
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::platform::{ConfigStore, Store, VmList};
+use crate::router::command::{Command, Reply};
+use crate::router::platform::{Watch, follow_vm_list, read_config};
+use crate::router::traffic::{Shared, Traffic};
+use crate::router::{admin, attempt};
+use crate::settings::RouterSettings;
+use crate::start::{StartError, listen_control, listen_traffic, peer_address};
+
+/// Time for which the process stays after its last request ended.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Control thread with all it drives.
+struct ControlLoop {
+    clock: Clock,
+    router: Router,
+    links: Links,
+    metrics: Rc<Metrics>,
+    listener: Metrics,
+    replies: HashMap<RequestId, UnboundedSender<Reply>>,
+    ready: Arc<AtomicBool>,
+    store: Store,
+    watch: Watch,
+    inputs: UnboundedSender<RouterInput>,
+    drained: bool,
+}
+
+/// Runs a router until it is asked to stop and has drained.
+///
+/// # Errors
+///
+/// Returns an error when the router cannot start.
+pub async fn run(settings: RouterSettings) -> Result<(), StartError> {
+    logging::start(&settings.log, settings.node.name.as_str())?;
+    let node = settings.node.name.as_str().to_owned();
+    let metrics = Rc::new(Metrics::start(&settings.metrics, &node)?);
+    let listener = Metrics::start(&settings.metrics, &node)?;
+
+    let clock = Clock::start();
+    let incarnation = stable_hash(&[node.as_bytes(), &wall_us().to_le_bytes()]);
+    let (commands_tx, commands) = mpsc::unbounded_channel();
+    let (inputs_tx, inputs) = mpsc::unbounded_channel();
+    let (links_tx, link_events) = mpsc::unbounded_channel();
+    let links = Links::new(settings.node.name.clone(), links_tx);
+    links.accept(listen_control(settings.listen.control).await?);
+
+    let shared = Shared {
+        commands: commands_tx.clone(),
+        clock,
+        ready: Arc::new(AtomicBool::new(false)),
+        next_id: Arc::new(AtomicU64::new(0)),
+        incarnation,
+        max_body_bytes: settings.limits.max_body_bytes,
+    };
+    let ready = shared.ready.clone();
+    start_servers(&settings, shared, commands_tx)?;
+
+    let store = Store::new(&settings.platform.store, Some(metrics.clone()));
+    actix_rt::spawn(follow_vm_list(VmList::new(&settings.platform.vm_list), inputs_tx.clone()));
+    actix_rt::spawn(read_config(ConfigStore::new(store.clone()), inputs_tx.clone()));
+
+    let router = Router::new(
+        clock.now(),
+        settings.node.name.clone(),
+        settings.node.data_centre.clone(),
+        incarnation,
+        settings.limits.policy,
+    );
+    log::info!("the router starts");
+    let control = ControlLoop {
+        clock,
+        router,
+        links,
+        metrics,
+        listener,
+        replies: HashMap::default(),
+        ready,
+        store,
+        watch: Watch::default(),
+        inputs: inputs_tx,
+        drained: false,
+    };
+    control.run(commands, inputs, link_events, settings.limits.drain).await;
+    log::info!("the router stops");
+    Ok(())
+}
+
+fn start_servers(
+    settings: &RouterSettings,
+    shared: Shared,
+    commands: UnboundedSender<Command>,
+) -> Result<(), StartError> {
+    let failed = |address| move |source| StartError::Listen { address, source };
+    let (http, admin_address) = (settings.listen.http, settings.listen.admin);
+
+    let make = move || {
+        let traffic = Traffic::new(shared.clone(), attempt::new_client());
+        move |req| traffic.clone().handle(req)
+    };
+    crate::http::start("callers", listen_traffic(http)?, settings.listen.workers, make)
+        .map_err(failed(http))?;
+    let make = move || {
+        let commands = commands.clone();
+        move |req| admin::handle(commands.clone(), req)
+    };
+    crate::http::start("operators", listen_traffic(admin_address)?, 1, make)
+        .map_err(failed(admin_address))?;
+    Ok(())
+}
+
+impl ControlLoop {
+    async fn run(
+        mut self,
+        mut commands: UnboundedReceiver<Command>,
+        mut inputs: UnboundedReceiver<RouterInput>,
+        mut link_events: UnboundedReceiver<LinkEvent>,
+        drain_limit: Duration,
+    ) {
+        let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+        let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
+        let mut stop_at: Option<Time> = None;
+
+        while !self.drained {
+            let deadline = self.router.next_deadline().unwrap_or_else(|| self.clock.now());
+            let wake = self.clock.instant(deadline).into();
+            if stop_at.is_some_and(|stop_at| stop_at <= self.clock.now()) {
+                log::warn!("the time to drain is over; requests are cut");
+                return;
+            }
+            tokio::select! {
+                Some(command) = commands.recv() => self.on_command(command),
+                Some(input) = inputs.recv() => self.handle(input),
+                Some(event) = link_events.recv() => self.handle(input_of(event)),
+                () = tokio::time::sleep_until(wake) => self.handle(RouterInput::Tick),
+                _ = terminate.recv() => stop_at = Some(self.drain(drain_limit)),
+                _ = interrupt.recv() => stop_at = Some(self.drain(drain_limit)),
+            }
+        }
+
+        // Whole answers leave the process before it ends.
+        tokio::time::sleep(LINGER).await;
+    }
+
+    fn drain(&mut self, limit: Duration) -> Time {
+        log::info!("the router drains");
+        self.handle(RouterInput::Drain);
+
+        self.clock.now() + limit
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Request { id, head, reply } => {
+                self.replies.insert(id, reply);
+                self.handle(RouterInput::Request { id, head });
+            }
+            Command::Attempt { id, attempt, event } => {
+                let is_finished = event == AttemptEvent::Finished;
+                self.handle(RouterInput::Attempt { id, attempt, event });
+                if is_finished {
+                    self.replies.remove(&id);
+                }
+            }
+            Command::Cancelled { id } => {
+                self.replies.remove(&id);
+                self.handle(RouterInput::Cancelled { id });
+            }
+            // Whoever asked may have gone; then nobody needs the answer.
+            Command::Status { reply } => {
+                let _ = reply.send(self.router.status(self.clock.now()));
+            }
+            Command::Models { key_digest, reply } => {
+                let _ = reply.send(self.models(key_digest.as_deref()));
+            }
+        }
+    }
+
+    fn models(&self, key_digest: Option<&str>) -> Option<Vec<String>> {
+        let config = self.router.config();
+        let key_digest = key_digest?;
+        let is_known = config
+            .workspaces
+            .values()
+            .any(|workspace| workspace.key_digests.iter().any(|digest| digest == key_digest));
+
+        is_known.then(|| config.models.keys().map(Name::to_string).collect())
+    }
+
+    fn handle(&mut self, input: RouterInput) {
+        let mut out = Vec::new();
+        self.router.handle(self.clock.now(), input, &mut out);
+        for output in out {
+            self.perform(output);
+        }
+
+        self.ready.store(self.router.is_ready(), Ordering::Relaxed);
+    }
+
+    fn perform(&mut self, output: RouterOutput) {
+        match output {
+            RouterOutput::Send { to, message } => {
+                self.metrics.on_sent(&message);
+                self.links.send(&to, &message);
+            }
+            RouterOutput::Connect { peer, address } => match peer_address(address.as_str()) {
+                Ok(address) => self.links.connect(&peer, address),
+                Err(e) => log::error!(peer = peer.as_str(); "a control address is wrong: {e}"),
+            },
+            RouterOutput::Disconnect { peer } => self.links.disconnect(&peer),
+            RouterOutput::Reconnect { peer } => self.links.reconnect(&peer),
+            RouterOutput::Dispatch(dispatch) => {
+                self.reply(dispatch.id, Reply::Dispatch(dispatch.clone()));
+            }
+            RouterOutput::Refuse { id, refusal } => self.refuse(id, refusal),
+            RouterOutput::Watch(on) => self.watch.set(on, &self.store, &self.inputs),
+            RouterOutput::Event(event) => {
+                log_event(&event);
+                self.listener.on_event(&event);
+            }
+            RouterOutput::Drained => self.drained = true,
+        }
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        self.reply(id, Reply::Refuse(refusal));
+        self.replies.remove(&id);
+    }
+
+    fn reply(&self, id: RequestId, reply: Reply) {
+        if let Some(replies) = self.replies.get(&id) {
+            // A caller that hung up is told of by its own command.
+            let _ = replies.send(reply);
+        }
+    }
+}
+
+fn input_of(event: LinkEvent) -> RouterInput {
+    match event {
+        LinkEvent::Up { peer } => RouterInput::LinkUp { peer },
+        LinkEvent::Down { peer } => RouterInput::LinkDown { peer },
+        LinkEvent::Message { from, message } => RouterInput::Message { from, message },
+    }
+}
+
+fn log_event(event: &Event) {
+    match event {
+        Event::ConfigInForce { revision } => {
+            log::info!(revision = *revision; "a configuration is in force");
+        }
+        Event::ConfigRejected { from } => {
+            log::error!(peer = from.as_str(); "a configuration from a peer is refused");
+        }
+        Event::Refused { request, code } => {
+            log::debug!(request = request.0, code = code.as_str(); "a request is refused");
+        }
+        Event::Retried { request } => {
+            log::info!(request = request.0; "a request is tried again");
+        }
+        Event::PhaseChanged { .. }
+        | Event::Dispatched { .. }
+        | Event::Completed { .. }
+        | Event::FirstToken { .. }
+        | Event::Served { .. } => {}
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/router/platform.rs
@@ -0,0 +1,122 @@
+//! Tasks of a router that ask the platform.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use sapphirespur_core::router::RouterInput;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinHandle;
+
+use crate::platform::{ConfigStore, ROOT_KEY, Store, VmList};
+
+/// Time between two looks at the VM list.
+const VM_LIST_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Pause before a failed call is made again.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest time between two looks at the configuration while watching, should a watch go silent.
+const WATCH_REFRESH: Duration = Duration::from_secs(5);
+
+/// Follows the VM list.
+pub(super) async fn follow_vm_list(list: VmList, inputs: UnboundedSender<RouterInput>) {
+    let mut last = None;
+    loop {
+        match list.get().await {
+            Ok(vms) if last.as_ref() != Some(&vms) => {
+                last = Some(vms.clone());
+                if inputs.send(RouterInput::Members(vms)).is_err() {
+                    return;
+                }
+            }
+            Ok(_) => {}
+            Err(e) => log::warn!("the VM list cannot be read: {e}"),
+        }
+        tokio::time::sleep(VM_LIST_INTERVAL).await;
+    }
+}
+
+/// Reads the configuration once, as soon as the platform answers.
+pub(super) async fn read_config(store: ConfigStore, inputs: UnboundedSender<RouterInput>) {
+    while !report_config(&store, &inputs).await {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Follows the configuration by a watch and by a regular look at its revision.
+pub(super) async fn watch_config(store: Store, inputs: UnboundedSender<RouterInput>) {
+    let config_store = ConfigStore::new(store.clone());
+    loop {
+        let changes = store.watch(ROOT_KEY).await;
+        let mut known = 0;
+        report_newer(&config_store, &inputs, &mut known).await;
+        let Ok(mut changes) = changes else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+
+        loop {
+            let change = tokio::time::timeout(WATCH_REFRESH, changes.next()).await;
+            if matches!(change, Ok(None | Some(Err(_)))) {
+                break;
+            }
+            if !report_newer(&config_store, &inputs, &mut known).await {
+                break;
+            }
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the configuration when its revision is above `known`, and tells whether that worked.
+async fn report_newer(
+    store: &ConfigStore,
+    inputs: &UnboundedSender<RouterInput>,
+    known: &mut u64,
+) -> bool {
+    match store.revision().await {
+        Ok(revision) if revision > *known => {
+            *known = revision;
+            report_config(store, inputs).await
+        }
+        Ok(_) => true,
+        Err(e) => {
+            log::warn!("the configuration's revision cannot be read: {e}");
+            false
+        }
+    }
+}
+
+async fn report_config(store: &ConfigStore, inputs: &UnboundedSender<RouterInput>) -> bool {
+    match store.load().await {
+        Ok(stored) => {
+            if stored.config.revision > 0 {
+                // The control thread ends only with the process.
+                let _ = inputs.send(RouterInput::Configured(stored.config));
+            }
+            true
+        }
+        Err(e) => {
+            log::warn!("the configuration cannot be read: {e}");
+            false
+        }
+    }
+}
+
+/// Watch of the configuration, on while this router is one of the watchers.
+#[derive(Default)]
+pub(super) struct Watch {
+    task: Option<JoinHandle<()>>,
+}
+
+impl Watch {
+    /// Starts or stops watching.
+    pub fn set(&mut self, on: bool, store: &Store, inputs: &UnboundedSender<RouterInput>) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+        if on {
+            self.task = Some(actix_rt::spawn(watch_config(store.clone(), inputs.clone())));
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/router/traffic.rs
@@ -0,0 +1,160 @@
+//! Callers' requests on a traffic thread.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Request, Response, StatusCode};
+use awc::Client;
+use bytes::Bytes;
+use futures::stream;
+use sapphirespur_core::request::{Refusal, RefusalCode, RequestHead, RequestId};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::clock::Clock;
+use crate::http::{BodyError, header_text, problem, read_body, respond, wire};
+use crate::router::caller::{AnswerStart, Caller, CallerConnection};
+use crate::router::command::Command;
+use crate::router::listing;
+use crate::router::parse::{self, Route, UpstreamCall};
+use crate::router::serve::Serving;
+
+/// Longest accepted identifier of a request, in bytes.
+const MAX_REQUEST_ID_BYTES: usize = 64;
+
+/// What the traffic threads share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    /// Way to the control thread.
+    pub commands: UnboundedSender<Command>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Whether the router takes requests.
+    pub ready: Arc<AtomicBool>,
+    /// Number of the next request.
+    pub next_id: Arc<AtomicU64>,
+    /// Incarnation, which starts the identifiers of requests.
+    pub incarnation: u64,
+    /// Largest body, in bytes.
+    pub max_body_bytes: usize,
+}
+
+/// Traffic of one thread.
+#[derive(Clone)]
+pub(super) struct Traffic {
+    shared: Shared,
+    client: Client,
+}
+
+impl Traffic {
+    /// Creates the traffic of a thread.
+    pub fn new(shared: Shared, client: Client) -> Self {
+        Self { shared, client }
+    }
+
+    /// Answers a request.
+    pub async fn handle(self, mut req: Request) -> Response<BoxBody> {
+        let id = RequestId(self.shared.next_id.fetch_add(1, Ordering::Relaxed));
+        let request_id = self.request_id(&req, id);
+        let payload = req.take_payload();
+
+        let route = match parse::route(req.head()) {
+            Ok(Route::Health) => return respond(StatusCode::OK, "ok\n"),
+            Ok(Route::Ready) => return self.readiness(),
+            Ok(Route::Models) => {
+                return listing::models(&self.shared.commands, req.head(), &request_id).await;
+            }
+            Ok(route) => route,
+            Err(code) => return problem(&Refusal::rejected(code), &request_id),
+        };
+        let body = match read_body(payload, self.shared.max_body_bytes).await {
+            Ok(body) => body,
+            Err(e) => return problem(&Refusal::rejected(body_refusal(&e)), &request_id),
+        };
+        match split(&req, route, body) {
+            Ok((head, call)) => self.serve(id, request_id, head, call).await,
+            Err(code) => problem(&Refusal::rejected(code), &request_id),
+        }
+    }
+
+    async fn serve(
+        self,
+        id: RequestId,
+        request_id: String,
+        head: RequestHead,
+        call: UpstreamCall,
+    ) -> Response<BoxBody> {
+        let (caller, connection) = Caller::new();
+        let serving = Serving {
+            client: self.client,
+            clock: self.shared.clock,
+            commands: self.shared.commands,
+            id,
+            request_id: request_id.clone(),
+            call,
+        };
+        actix_rt::spawn(serving.run(head, caller));
+
+        answer(connection, &request_id).await
+    }
+
+    fn readiness(&self) -> Response<BoxBody> {
+        if self.shared.ready.load(Ordering::Relaxed) {
+            respond(StatusCode::OK, "ready\n")
+        } else {
+            respond(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+
+    /// Returns the caller's identifier of the request, or a new one.
+    fn request_id(&self, req: &Request, id: RequestId) -> String {
+        let is_plain = |text: &&str| {
+            !text.is_empty()
+                && text.len() <= MAX_REQUEST_ID_BYTES
+                && text.bytes().all(|b| b.is_ascii_graphic())
+        };
+
+        header_text(req.head().headers(), wire::REQUEST_ID)
+            .filter(is_plain)
+            .map_or_else(|| format!("{:x}-{:x}", self.shared.incarnation, id.0), str::to_owned)
+    }
+}
+
+fn split(
+    req: &Request,
+    route: Route,
+    body: Bytes,
+) -> Result<(RequestHead, UpstreamCall), RefusalCode> {
+    match route {
+        Route::Model => parse::model_call(req.head(), body),
+        Route::Service { name, path } => Ok(parse::service_call(req.head(), name, path, body)),
+        Route::Models | Route::Health | Route::Ready => Err(RefusalCode::UnknownTarget),
+    }
+}
+
+fn body_refusal(e: &BodyError) -> RefusalCode {
+    match e {
+        BodyError::TooLarge(_) => RefusalCode::BodyTooLarge,
+        BodyError::Malformed(_) => RefusalCode::MalformedRequest,
+    }
+}
+
+/// Returns the response once the answer has started.
+async fn answer(connection: CallerConnection, request_id: &str) -> Response<BoxBody> {
+    let (status, content_type) = match connection.start.await {
+        Ok(AnswerStart::Head { status, content_type }) => (status, content_type),
+        Ok(AnswerStart::Refused(refusal)) => return problem(&refusal, request_id),
+        // The serving task ended with the process.
+        Err(_) => return problem(&Refusal::unknown(RefusalCode::AnswerLost), request_id),
+    };
+
+    let chunks = stream::unfold(connection.chunks, |mut chunks| async move {
+        chunks.recv().await.map(|chunk| (chunk, chunks))
+    });
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    Response::build(status)
+        .insert_header(("content-type", content_type))
+        .insert_header((wire::REQUEST_ID, request_id))
+        .body(BodyStream::new(Box::pin(chunks)))
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/sapphirespur_node/src/settings/file.rs
@@ -0,0 +1,219 @@
+//! Settings file with checked access to its values.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+
+use ini::Ini;
+use sapphirespur_core::name::Name;
+
+use crate::settings::SettingsError;
+
+/// Section with its known keys.
+pub type SectionSchema = (&'static str, &'static [&'static str]);
+
+/// Parsed settings file.
+#[derive(Clone, Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+    text: String,
+    ini: Ini,
+}
+
+impl SettingsFile {
+    /// Reads a file and refuses sections and keys that `schema` does not know.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be read, is not INI or has unknown parts.
+    pub fn read(path: &Path, schema: &[SectionSchema]) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path)
+            .map_err(|source| SettingsError::Unreadable { path: path.to_owned(), source })?;
+
+        Self::parse(path, text, schema)
+    }
+
+    /// Parses the text of a file, as `read` does.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the text is not INI or has unknown parts.
+    pub fn parse(
+        path: &Path,
+        text: String,
+        schema: &[SectionSchema],
+    ) -> Result<Self, SettingsError> {
+        let ini = Ini::load_from_str(&text).map_err(|source| SettingsError::Syntax {
+            path: path.to_owned(),
+            line: source.line,
+            source,
+        })?;
+
+        let file = Self { path: path.to_owned(), text, ini };
+        file.check_known(schema)?;
+        Ok(file)
+    }
+
+    /// Returns a text, when the key is present.
+    pub fn optional(&self, section: &str, key: &str) -> Option<&str> {
+        self.ini.get_from(Some(section), key)
+    }
+
+    /// Returns a text that must be present.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the key and `expected` when the key is missing.
+    pub fn required(
+        &self,
+        section: &str,
+        key: &str,
+        expected: &str,
+    ) -> Result<&str, SettingsError> {
+        self.optional(section, key).ok_or_else(|| SettingsError::MissingKey {
+            path: self.path.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            expected: expected.to_owned(),
+        })
+    }
+
+    /// Returns a name that must be present.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key is missing or not a valid name.
+    pub fn name(&self, section: &str, key: &str) -> Result<Name, SettingsError> {
+        const EXPECTED: &str = "1 to 64 letters, digits, '-', '_', '.' or ':'";
+
+        let name = Name::new(self.required(section, key, EXPECTED)?);
+        if name.is_valid() { Ok(name) } else { Err(self.invalid(section, key, EXPECTED)) }
+    }
+
+    /// Returns an address that must be present.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key is missing or not an address.
+    pub fn address(&self, section: &str, key: &str) -> Result<SocketAddr, SettingsError> {
+        const EXPECTED: &str = "an address as ip:port";
+
+        let text = self.required(section, key, EXPECTED)?;
+        text.parse().map_err(|_| self.invalid(section, key, EXPECTED))
+    }
+
+    /// Returns an address, when the key is present.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the value is not an address.
+    pub fn optional_address(
+        &self,
+        section: &str,
+        key: &str,
+    ) -> Result<Option<SocketAddr>, SettingsError> {
+        self.optional(section, key).map(|_| self.address(section, key)).transpose()
+    }
+
+    /// Returns an HTTP URL that must be present, without a trailing slash.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key is missing or not an HTTP URL.
+    pub fn url(&self, section: &str, key: &str) -> Result<String, SettingsError> {
+        const EXPECTED: &str = "a URL that starts with http://";
+
+        let text = self.required(section, key, EXPECTED)?.trim_end_matches('/');
+        let has_host = text.strip_prefix("http://").is_some_and(|rest| !rest.is_empty());
+        if has_host { Ok(text.to_owned()) } else { Err(self.invalid(section, key, EXPECTED)) }
+    }
+
+    /// Returns a number within `range`, or `default` when the key is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the value is not a number or out of range.
+    pub fn number(
+        &self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: u64,
+    ) -> Result<u64, SettingsError> {
+        let Some(text) = self.optional(section, key) else { return Ok(default) };
+
+        text.parse().ok().filter(|number| range.contains(number)).ok_or_else(|| {
+            let expected = format!("a number from {} to {}", range.start(), range.end());
+            self.invalid(section, key, &expected)
+        })
+    }
+
+    /// Returns the error for a value that is not allowed.
+    pub fn invalid(&self, section: &str, key: &str, expected: &str) -> SettingsError {
+        SettingsError::InvalidValue {
+            path: self.path.clone(),
+            line: line_of(&self.text, section, Some(key)),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: self.optional(section, key).unwrap_or_default().to_owned(),
+            expected: expected.to_owned(),
+        }
+    }
+
+    fn check_known(&self, schema: &[SectionSchema]) -> Result<(), SettingsError> {
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default();
+            if section.is_empty() && properties.is_empty() {
+                continue;
+            }
+            let Some((_, keys)) = schema.iter().find(|(known, _)| *known == section) else {
+                return Err(self.unknown_section(section, schema));
+            };
+            if let Some((key, _)) = properties.iter().find(|(key, _)| !keys.contains(key)) {
+                return Err(SettingsError::UnknownKey {
+                    path: self.path.clone(),
+                    line: line_of(&self.text, section, Some(key)),
+                    section: section.to_owned(),
+                    key: key.to_owned(),
+                    allowed: keys.join(", "),
+                });
+            }
+        }
+
+        Ok(())
+    }
+
+    fn unknown_section(&self, section: &str, schema: &[SectionSchema]) -> SettingsError {
+        let allowed: Vec<&str> = schema.iter().map(|(known, _)| *known).collect();
+
+        SettingsError::UnknownSection {
+            path: self.path.clone(),
+            line: line_of(&self.text, section, None),
+            section: section.to_owned(),
+            allowed: allowed.join(", "),
+        }
+    }
+}
+
+/// Returns the line, from one, of a section or of a key in it; the INI library keeps no positions.
+pub fn line_of(text: &str, section: &str, key: Option<&str>) -> usize {
+    let mut current = "";
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(header) = line.strip_prefix('[') {
+            current = header.split(']').next().unwrap_or_default().trim();
+            if key.is_none() && current == section {
+                return index + 1;
+            }
+            continue;
+        }
+
+        let written = line.split(['=', ':']).next().map(str::trim);
+        if current == section && key.is_some() && written == key {
+            return index + 1;
+        }
+    }
+
+    1
+}
--- /dev/null
+++ b/sapphirespur_node/src/settings/limits.rs
@@ -0,0 +1,110 @@
+//! Section `[limits]`.
+
+use std::time::Duration;
+
+use sapphirespur_core::router::RouterPolicy;
+use sapphirespur_core::sidecar::SidecarPolicy;
+
+use crate::settings::{SettingsError, SettingsFile};
+
+/// Limits of a router.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouterLimits {
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time from a request to stop until the process ends.
+    pub drain: Duration,
+    /// Limits of the decisions.
+    pub policy: RouterPolicy,
+}
+
+impl RouterLimits {
+    /// Known keys.
+    pub const KEYS: &[&str] = &["max-body-bytes", "max-wait-s", "max-waiting", "drain-s"];
+
+    /// Reads the section.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a value is not allowed.
+    pub fn read(f: &SettingsFile) -> Result<Self, SettingsError> {
+        let default = Self::default();
+        let max_wait = default.policy.max_wait.as_secs();
+        let max_waiting = default.policy.max_waiting as u64;
+        let max_body = default.max_body_bytes as u64;
+
+        Ok(Self {
+            max_body_bytes: f.number("limits", "max-body-bytes", 1..=67_108_864, max_body)?
+                as usize,
+            drain: read_drain(f, default.drain)?,
+            policy: RouterPolicy {
+                max_wait: Duration::from_secs(f.number(
+                    "limits",
+                    "max-wait-s",
+                    1..=600,
+                    max_wait,
+                )?),
+                max_waiting: f.number("limits", "max-waiting", 1..=1_000_000, max_waiting)?
+                    as usize,
+                ..default.policy
+            },
+        })
+    }
+}
+
+impl Default for RouterLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            drain: Duration::from_secs(60),
+            policy: RouterPolicy::default(),
+        }
+    }
+}
+
+/// Limits of a sidecar.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SidecarLimits {
+    /// Longest time from a request to stop until the process ends.
+    pub drain: Duration,
+    /// Limits of the decisions.
+    pub policy: SidecarPolicy,
+}
+
+impl SidecarLimits {
+    /// Known keys.
+    pub const KEYS: &[&str] = &["drain-s", "report-interval-ms"];
+
+    /// Reads the section.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a value is not allowed.
+    pub fn read(f: &SettingsFile) -> Result<Self, SettingsError> {
+        let default = Self::default();
+        let interval = default.policy.report_interval.as_millis() as u64;
+
+        Ok(Self {
+            drain: read_drain(f, default.drain)?,
+            policy: SidecarPolicy {
+                report_interval: Duration::from_millis(f.number(
+                    "limits",
+                    "report-interval-ms",
+                    50..=10_000,
+                    interval,
+                )?),
+                ..default.policy
+            },
+        })
+    }
+}
+
+impl Default for SidecarLimits {
+    fn default() -> Self {
+        Self { drain: Duration::from_secs(60), policy: SidecarPolicy::default() }
+    }
+}
+
+fn read_drain(f: &SettingsFile, default: Duration) -> Result<Duration, SettingsError> {
+    Ok(Duration::from_secs(f.number("limits", "drain-s", 1..=3_600, default.as_secs())?))
+}
--- /dev/null
+++ b/sapphirespur_node/src/sidecar/control.rs
@@ -0,0 +1,326 @@
+//! Control thread of a sidecar.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use sapphirespur_core::collections::HashMap;
+use sapphirespur_core::event::{Event, EventListener};
+use sapphirespur_core::limiter::Phase;
+use sapphirespur_core::once::{LedgerBatch, LedgerFailure};
+use sapphirespur_core::request::AttemptId;
+use sapphirespur_core::sidecar::{
+    AttemptFate, Sidecar, SidecarInput, SidecarOutput, UpstreamEvent,
+};
+use sapphirespur_core::time::Time;
+use serde::Deserialize;
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+
+use crate::clock::{Clock, wall_s, wall_us};
+use crate::link::{LinkEvent, Links};
+use crate::logging;
+use crate::metrics::Metrics;
+use crate::platform::{LedgerStore, Store};
+use crate::settings::{SidecarSettings, UpstreamSettings};
+use crate::sidecar::command::{Command, Reply};
+use crate::sidecar::registry::Registry;
+use crate::sidecar::traffic::{self, Shared, Traffic};
+use crate::sidecar::upstream;
+use crate::start::{StartError, listen_control, listen_traffic};
+
+/// Time between two looks at the upstream's load report.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time between two deletions of expired ledger entries.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
+
+/// Time for which the process stays after its last attempt ended.
+const LINGER: Duration = Duration::from_millis(200);
+
+/// Load report of an upstream, as far as decisions need it.
+#[derive(Debug, Deserialize)]
+struct LoadReport {
+    #[serde(default)]
+    cold: bool,
+}
+
+/// Control thread with all it drives.
+struct ControlLoop {
+    clock: Clock,
+    sidecar: Sidecar,
+    links: Links,
+    metrics: Rc<Metrics>,
+    listener: Metrics,
+    replies: HashMap<AttemptId, UnboundedSender<Reply>>,
+    asked: HashMap<AttemptId, Vec<oneshot::Sender<AttemptFate>>>,
+    ledger: LedgerStore,
+    has_ledger: bool,
+    inputs: UnboundedSender<SidecarInput>,
+    drained: bool,
+}
+
+/// Runs a sidecar until it is asked to stop and has drained.
+///
+/// # Errors
+///
+/// Returns an error when the sidecar cannot start.
+pub async fn run(settings: SidecarSettings) -> Result<(), StartError> {
+    let node = settings.node.name.as_str().to_owned();
+    logging::start(&settings.log, &node)?;
+    let metrics = Rc::new(Metrics::start(&settings.metrics, &node)?);
+    let listener = Metrics::start(&settings.metrics, &node)?;
+
+    let clock = Clock::start();
+    let (commands_tx, commands) = mpsc::unbounded_channel();
+    let (inputs_tx, inputs) = mpsc::unbounded_channel();
+    let (links_tx, link_events) = mpsc::unbounded_channel();
+    let links = Links::new(settings.node.name.clone(), links_tx);
+    links.accept(listen_control(settings.listen.control).await?);
+    start_servers(&settings, commands_tx)?;
+    if let Some(path) = &settings.upstream.load_path {
+        actix_rt::spawn(follow_load(settings.upstream.clone(), path.clone(), inputs_tx.clone()));
+    }
+
+    let store = Store::new(&settings.platform.store, Some(metrics.clone()));
+    let policy = settings.limits.policy;
+    let sidecar = Sidecar::new(clock.now(), settings.node.name.clone(), wall_us(), policy);
+    log::info!("the sidecar starts");
+    let control = ControlLoop {
+        clock,
+        sidecar,
+        links,
+        metrics,
+        listener,
+        replies: HashMap::default(),
+        asked: HashMap::default(),
+        ledger: LedgerStore::new(store),
+        has_ledger: false,
+        inputs: inputs_tx,
+        drained: false,
+    };
+    control.run(commands, inputs, link_events, settings.limits.drain).await;
+    log::info!("the sidecar stops");
+    Ok(())
+}
+
+fn start_servers(
+    settings: &SidecarSettings,
+    commands: UnboundedSender<Command>,
+) -> Result<(), StartError> {
+    let failed = |address| move |source| StartError::Listen { address, source };
+    let (attempts, admin) = (settings.listen.attempts, settings.listen.admin);
+    let shared = Shared {
+        commands: commands.clone(),
+        registry: Registry::default(),
+        base: Arc::from(settings.upstream.url.as_str()),
+    };
+
+    let make = move || {
+        let traffic = Traffic::new(shared.clone(), upstream::new_client());
+        move |req| traffic.clone().handle(req)
+    };
+    crate::http::start("attempts", listen_traffic(attempts)?, settings.listen.workers, make)
+        .map_err(failed(attempts))?;
+    let make = move || {
+        let commands = commands.clone();
+        move |req| traffic::admin(commands.clone(), req)
+    };
+    crate::http::start("operators", listen_traffic(admin)?, 1, make).map_err(failed(admin))?;
+    Ok(())
+}
+
+/// Follows the upstream's load report.
+async fn follow_load(
+    settings: UpstreamSettings,
+    path: String,
+    inputs: UnboundedSender<SidecarInput>,
+) {
+    let client = awc::Client::builder().timeout(LOAD_INTERVAL).finish();
+    let url = format!("{}{path}", settings.url);
+    loop {
+        tokio::time::sleep(LOAD_INTERVAL).await;
+        let Ok(mut response) = client.get(&url).send().await else { continue };
+        let Ok(body) = response.body().await else { continue };
+
+        // A report of an unknown form is no evidence.
+        if let Ok(report) = serde_json::from_slice::<LoadReport>(&body)
+            && inputs.send(SidecarInput::Load { cold: report.cold }).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Deletes expired ledger entries from time to time.
+async fn expire_ledger(ledger: LedgerStore) {
+    const DAY_S: u64 = 86_400;
+
+    loop {
+        if let Err(e) = ledger.delete_expired(wall_s() / DAY_S).await {
+            log::warn!("expired ledger entries cannot be deleted: {e}");
+        }
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+    }
+}
+
+impl ControlLoop {
+    async fn run(
+        mut self,
+        mut commands: UnboundedReceiver<Command>,
+        mut inputs: UnboundedReceiver<SidecarInput>,
+        mut link_events: UnboundedReceiver<LinkEvent>,
+        drain_limit: Duration,
+    ) {
+        let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
+        let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
+        let mut stop_at: Option<Time> = None;
+
+        while !self.drained {
+            let deadline = self.sidecar.next_deadline().unwrap_or_else(|| self.clock.now());
+            let wake = self.clock.instant(deadline).into();
+            if stop_at.is_some_and(|stop_at| stop_at <= self.clock.now()) {
+                log::warn!("the time to drain is over; attempts are cut");
+                return;
+            }
+            tokio::select! {
+                Some(command) = commands.recv() => self.on_command(command),
+                Some(input) = inputs.recv() => self.handle(input),
+                Some(event) = link_events.recv() => self.handle(input_of(event)),
+                () = tokio::time::sleep_until(wake) => self.handle(SidecarInput::Tick),
+                _ = terminate.recv() => stop_at = Some(self.drain(drain_limit)),
+                _ = interrupt.recv() => stop_at = Some(self.drain(drain_limit)),
+            }
+        }
+
+        // Whole answers leave the process before it ends.
+        tokio::time::sleep(LINGER).await;
+    }
+
+    fn drain(&mut self, limit: Duration) -> Time {
+        log::info!("the sidecar drains");
+        self.handle(SidecarInput::Drain);
+
+        self.clock.now() + limit
+    }
+
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Start { start, reply } => {
+                self.replies.insert(start.attempt, reply);
+                self.handle(SidecarInput::Start(start));
+            }
+            Command::Upstream { attempt, event } => {
+                let is_finished = matches!(event, UpstreamEvent::Finished { .. });
+                self.handle(SidecarInput::Upstream { attempt, event });
+                if is_finished {
+                    self.replies.remove(&attempt);
+                }
+            }
+            Command::Ask { attempt, permit, reply } => {
+                self.asked.entry(attempt).or_default().push(reply);
+                self.handle(SidecarInput::Ask { attempt, permit });
+            }
+            Command::Cancel { attempt } => self.handle(SidecarInput::Cancel { attempt }),
+            Command::Status { reply } => {
+                // Whoever asked may have gone; then nobody needs the answer.
+                let _ = reply.send(self.sidecar.status(self.clock.now()));
+            }
+        }
+    }
+
+    fn handle(&mut self, input: SidecarInput) {
+        let mut out = Vec::new();
+        self.sidecar.handle(self.clock.now(), input, &mut out);
+        for output in out {
+            self.perform(output);
+        }
+    }
+
+    fn perform(&mut self, output: SidecarOutput) {
+        match output {
+            SidecarOutput::Send { to, message } => {
+                self.metrics.on_sent(&message);
+                self.links.send(&to, &message);
+            }
+            SidecarOutput::Call { attempt } => self.reply(attempt, Reply::Call),
+            SidecarOutput::Replay { attempt, answer } => {
+                self.last_reply(attempt, Reply::Replay(answer));
+            }
+            SidecarOutput::Refuse { attempt, refusal } => {
+                self.last_reply(attempt, Reply::Refuse(refusal));
+            }
+            SidecarOutput::Abort { attempt } => self.last_reply(attempt, Reply::Abort),
+            SidecarOutput::Asked { attempt, fate } => {
+                for reply in self.asked.remove(&attempt).unwrap_or_default() {
+                    // A router that hung up asks again.
+                    let _ = reply.send(fate);
+                }
+            }
+            SidecarOutput::Commit(batch) => self.commit(batch),
+            SidecarOutput::Reconnect { peer } => self.links.reconnect(&peer),
+            SidecarOutput::Event(event) => {
+                log_event(&event);
+                self.listener.on_event(&event);
+            }
+            SidecarOutput::Drained => self.drained = true,
+        }
+    }
+
+    fn commit(&mut self, batch: LedgerBatch) {
+        if !self.has_ledger {
+            self.has_ledger = true;
+            actix_rt::spawn(expire_ledger(self.ledger.clone()));
+        }
+
+        let (ledger, inputs) = (self.ledger.clone(), self.inputs.clone());
+        actix_rt::spawn(async move {
+            let answer = ledger.commit(&batch).await.map_err(|e| {
+                log::warn!("a ledger batch has no answer: {e}");
+                LedgerFailure::Unknown
+            });
+            // The control thread ends only with the process.
+            let _ = inputs.send(SidecarInput::Ledger { batch: batch.id, answer });
+        });
+    }
+
+    fn reply(&self, attempt: AttemptId, reply: Reply) {
+        if let Some(replies) = self.replies.get(&attempt) {
+            // A task that ended needs no word.
+            let _ = replies.send(reply);
+        }
+    }
+
+    fn last_reply(&mut self, attempt: AttemptId, reply: Reply) {
+        self.reply(attempt, reply);
+        self.replies.remove(&attempt);
+    }
+}
+
+fn input_of(event: LinkEvent) -> SidecarInput {
+    match event {
+        LinkEvent::Up { peer } => SidecarInput::LinkUp { peer },
+        LinkEvent::Down { peer } => SidecarInput::LinkDown { peer },
+        LinkEvent::Message { from, message } => SidecarInput::Message { from, message },
+    }
+}
+
+fn log_event(event: &Event) {
+    match event {
+        Event::ConfigInForce { revision } => {
+            log::info!(revision = *revision; "a configuration is in force");
+        }
+        Event::ConfigRejected { from } => {
+            log::error!(peer = from.as_str(); "a configuration from a peer is refused");
+        }
+        Event::PhaseChanged { phase: Phase::Cold } => log::warn!("the upstream is cold"),
+        Event::PhaseChanged { phase: Phase::Warm } => log::info!("the upstream is warm"),
+        Event::Refused { .. }
+        | Event::Retried { .. }
+        | Event::Dispatched { .. }
+        | Event::Completed { .. }
+        | Event::FirstToken { .. }
+        | Event::Served { .. } => {}
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/sidecar/registry.rs
@@ -0,0 +1,43 @@
+//! Answers of the attempts, shared by the traffic threads.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sapphirespur_core::collections::HashMap;
+use sapphirespur_core::request::AttemptId;
+
+use crate::sidecar::channel::AnswerChannel;
+
+/// Answers by attempt.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Registry {
+    answers: Arc<Mutex<HashMap<AttemptId, Arc<AnswerChannel>>>>,
+}
+
+impl Registry {
+    /// Adds an attempt, unless it is there.
+    pub fn add(&self, attempt: AttemptId) -> Option<Arc<AnswerChannel>> {
+        let mut answers = self.lock();
+        if answers.contains_key(&attempt) {
+            return None;
+        }
+
+        let answer = Arc::new(AnswerChannel::new());
+        answers.insert(attempt, answer.clone());
+        Some(answer)
+    }
+
+    /// Returns the answer of an attempt.
+    pub fn get(&self, attempt: AttemptId) -> Option<Arc<AnswerChannel>> {
+        self.lock().get(&attempt).cloned()
+    }
+
+    /// Forgets an attempt.
+    pub fn remove(&self, attempt: AttemptId) {
+        self.lock().remove(&attempt);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<AttemptId, Arc<AnswerChannel>>> {
+        // A panic while the lock is held leaves the map usable.
+        self.answers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/sidecar/serve.rs
@@ -0,0 +1,109 @@
+//! Task that serves one attempt, whether or not a router's connection lives.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use awc::Client;
+use sapphirespur_core::once::RecordedAnswer;
+use sapphirespur_core::request::{AttemptId, Refusal};
+use sapphirespur_core::sidecar::{Start, UpstreamEvent};
+use sapphirespur_wire::FrameBody;
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+
+use crate::sidecar::channel::AnswerChannel;
+use crate::sidecar::command::{Command, Reply};
+use crate::sidecar::registry::Registry;
+use crate::sidecar::upstream::{self, Call};
+
+/// Time between two looks whether somebody still reads.
+const READER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which an ended answer is kept for resuming.
+const KEPT_AFTER_END: Duration = Duration::from_secs(15);
+
+/// Attempt with all that serving it needs.
+pub(super) struct Serving {
+    /// Client of the traffic thread.
+    pub client: Client,
+    /// URL of the upstream.
+    pub base: Arc<str>,
+    /// Way to the control thread.
+    pub commands: mpsc::UnboundedSender<Command>,
+    /// Answers of all attempts.
+    pub registry: Registry,
+    /// Answer of this attempt.
+    pub answer: Arc<AnswerChannel>,
+    /// Call to the upstream.
+    pub call: Call,
+}
+
+impl Serving {
+    /// Serves the attempt as the control thread decides.
+    pub async fn run(self, start: Start) {
+        let attempt = start.attempt;
+        let (reply, mut replies) = mpsc::unbounded_channel();
+        self.tell(Command::Start { start, reply });
+
+        if let Some(reply) = replies.recv().await {
+            match reply {
+                Reply::Call => self.call(attempt, &mut replies).await,
+                Reply::Replay(answer) => self.replay(answer),
+                Reply::Refuse(refusal) => self.refuse(refusal),
+                Reply::Abort => {}
+            }
+        }
+
+        tokio::time::sleep(KEPT_AFTER_END).await;
+        self.registry.remove(attempt);
+    }
+
+    async fn call(&self, attempt: AttemptId, replies: &mut UnboundedReceiver<Reply>) {
+        let on_tokens = |count| {
+            self.tell(Command::Upstream { attempt, event: UpstreamEvent::Tokens(count) });
+        };
+        let call = upstream::run(&self.client, &self.base, &self.call, &self.answer, on_tokens);
+        let event = tokio::select! {
+            event = call => event,
+            // The only word during a call is to break it off.
+            _ = replies.recv() => return,
+            () = self.cancel_when_abandoned(attempt) => return,
+        };
+
+        let is_whole = matches!(event, UpstreamEvent::Finished { .. });
+        if is_whole {
+            self.answer.end();
+        }
+        self.tell(Command::Upstream { attempt, event });
+        if !is_whole && let Some(Reply::Refuse(refusal)) = replies.recv().await {
+            self.refuse(refusal);
+        }
+    }
+
+    /// Asks to break the call off once nobody reads its answer; never returns.
+    async fn cancel_when_abandoned(&self, attempt: AttemptId) {
+        let mut interval = tokio::time::interval(READER_CHECK_INTERVAL);
+        loop {
+            interval.tick().await;
+            if self.answer.is_abandoned() {
+                self.tell(Command::Cancel { attempt });
+            }
+        }
+    }
+
+    fn replay(&self, answer: RecordedAnswer) {
+        let RecordedAnswer { status, content_type, body } = answer;
+        self.answer.push(FrameBody::Head { status, content_type });
+        self.answer.push(FrameBody::Data(body.into_bytes()));
+        self.answer.end();
+    }
+
+    fn refuse(&self, refusal: Refusal) {
+        self.answer.push(FrameBody::Refused(refusal));
+        self.answer.end();
+    }
+
+    fn tell(&self, command: Command) {
+        // The control thread ends only with the process.
+        let _ = self.commands.send(command);
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/sidecar/upstream.rs
@@ -0,0 +1,219 @@
+//! Call of one attempt to the upstream.
+
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::Method;
+use awc::{Client, ClientResponse};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+use sapphirespur_core::once::RecordedAnswer;
+use sapphirespur_core::sidecar::{UpstreamEvent, UpstreamFailure};
+use sapphirespur_wire::FrameBody;
+use serde::Deserialize;
+use tokio_util::codec::{Decoder, LinesCodec};
+
+use crate::http::wire;
+use crate::sidecar::channel::AnswerChannel;
+
+/// Largest answer that is recorded for repeats, in bytes.
+const MAX_RECORDED_BYTES: usize = 16 * 1024;
+
+/// Largest whole answer of a model whose cost is read, in bytes.
+const MAX_USAGE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Time without data after which an upstream counts as silent.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(600);
+
+/// Time within which a connection to the upstream must open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Unit in which an answer is counted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Unit {
+    /// Tokens of a model.
+    Tokens,
+    /// Calls of a plain service.
+    Calls,
+}
+
+/// Call to the upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path: String,
+    /// Content type.
+    pub content_type: Option<String>,
+    /// Idempotency key of the caller.
+    pub idempotency_key: Option<String>,
+    /// Identifier that follows the request.
+    pub request_id: String,
+    /// Unit in which the answer is counted.
+    pub unit: Unit,
+    /// Whether a status of overload means that the call did not run.
+    pub may_repeat: bool,
+    /// Whether the answer is recorded for repeats.
+    pub is_recorded: bool,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Usage in a whole answer of a model.
+#[derive(Debug, Deserialize)]
+struct Usage {
+    completion_tokens: u64,
+}
+
+/// Whole answer of a model, as far as its cost needs.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    usage: Option<Usage>,
+}
+
+/// What an answer holds beside its frames.
+struct Tally {
+    unit: Unit,
+    is_stream: bool,
+    lines: LinesCodec,
+    buf: BytesMut,
+    whole: Option<BytesMut>,
+    is_complete: bool,
+}
+
+/// Returns a client of the upstream.
+pub(super) fn new_client() -> Client {
+    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+
+    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+}
+
+/// Sends the call, passes its answer on and returns how it ended.
+///
+/// `on_tokens` is told of tokens as they come.
+pub(super) async fn run(
+    client: &Client,
+    base: &str,
+    call: &Call,
+    answer: &AnswerChannel,
+    mut on_tokens: impl FnMut(u32),
+) -> UpstreamEvent {
+    let mut response = match send(client, base, call).await {
+        Ok(response) => response,
+        Err(failure) => return UpstreamEvent::Failed(failure),
+    };
+    let status = response.status().as_u16();
+    if call.may_repeat && matches!(status, 429 | 503) {
+        return UpstreamEvent::Failed(UpstreamFailure::Overloaded);
+    }
+
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    answer.push(FrameBody::Head { status, content_type: content_type.clone() });
+    let mut tally = Tally::new(call, &content_type);
+    loop {
+        answer.wait_for_room().await;
+        let Ok(chunk) = tokio::time::timeout(SILENCE_TIMEOUT, response.next()).await else {
+            return UpstreamEvent::Failed(UpstreamFailure::Broken);
+        };
+        match chunk {
+            Some(Ok(chunk)) => {
+                let tokens = tally.on_chunk(&chunk);
+                if tokens > 0 {
+                    on_tokens(tokens);
+                }
+                answer.push(FrameBody::Data(chunk.to_vec()));
+            }
+            Some(Err(_)) => return UpstreamEvent::Failed(UpstreamFailure::Broken),
+            None => break,
+        }
+    }
+
+    tally.finish(call, status, content_type)
+}
+
+async fn send(client: &Client, base: &str, call: &Call) -> Result<ClientResponse, UpstreamFailure> {
+    let mut request = client
+        .request(call.method.clone(), format!("{base}{}", call.path))
+        .insert_header((wire::REQUEST_ID, call.request_id.as_str()));
+    if let Some(content_type) = &call.content_type {
+        request = request.insert_header(("content-type", content_type.as_str()));
+    }
+    if let Some(key) = &call.idempotency_key {
+        request = request.insert_header((wire::IDEMPOTENCY_KEY, key.as_str()));
+    }
+
+    match tokio::time::timeout(SILENCE_TIMEOUT, request.send_body(call.body.clone())).await {
+        Ok(Ok(response)) => Ok(response.timeout(SILENCE_TIMEOUT)),
+        Ok(Err(SendRequestError::Connect(_) | SendRequestError::Url(_))) => {
+            Err(UpstreamFailure::NotSent)
+        }
+        Ok(Err(_)) | Err(_) => Err(UpstreamFailure::Broken),
+    }
+}
+
+impl Tally {
+    fn new(call: &Call, content_type: &str) -> Self {
+        let is_stream = content_type.starts_with("text/event-stream");
+        let keeps_whole = !is_stream && (call.is_recorded || call.unit == Unit::Tokens);
+
+        Self {
+            unit: call.unit,
+            is_stream,
+            lines: LinesCodec::new(),
+            buf: BytesMut::new(),
+            whole: keeps_whole.then(BytesMut::new),
+            is_complete: false,
+        }
+    }
+
+    /// Notes a chunk and returns the number of tokens in it.
+    fn on_chunk(&mut self, chunk: &[u8]) -> u32 {
+        if let Some(whole) = &mut self.whole {
+            whole.extend_from_slice(chunk);
+            if whole.len() > MAX_USAGE_BYTES {
+                self.whole = None;
+            }
+        }
+        if !self.is_stream || self.unit == Unit::Calls {
+            return 0;
+        }
+
+        self.buf.extend_from_slice(chunk);
+        let mut tokens = 0;
+        while let Ok(Some(line)) = self.lines.decode(&mut self.buf) {
+            match line.strip_prefix("data:").map(str::trim) {
+                Some("[DONE]") => self.is_complete = true,
+                Some(_) => tokens += 1,
+                None => {}
+            }
+        }
+        tokens
+    }
+
+    fn finish(self, call: &Call, status: u16, content_type: String) -> UpstreamEvent {
+        // A stream of a model that ends without its mark was cut.
+        if self.is_stream && self.unit == Unit::Tokens && !self.is_complete {
+            return UpstreamEvent::Failed(UpstreamFailure::Broken);
+        }
+
+        let cost = match (&self.whole, self.unit) {
+            (Some(whole), Unit::Tokens) => serde_json::from_slice::<Completion>(whole)
+                .ok()
+                .and_then(|completion| completion.usage)
+                .map(|usage| usage.completion_tokens),
+            _ => None,
+        };
+        let answer = self
+            .whole
+            .filter(|whole| call.is_recorded && whole.len() <= MAX_RECORDED_BYTES)
+            .and_then(|whole| String::from_utf8(whole.to_vec()).ok())
+            .map(|body| RecordedAnswer { status, content_type, body });
+        UpstreamEvent::Finished { cost, answer }
+    }
+}
--- /dev/null
+++ b/sapphirespur_standin/src/client/call.rs
@@ -0,0 +1,188 @@
+//! Single calls.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use awc::Client;
+use futures::StreamExt;
+use serde_json::{Value, json};
+
+/// Way in which a call failed.
+#[derive(Clone, Debug)]
+pub enum CallError {
+    /// No answer came, or it broke off.
+    Broken(String),
+    /// The answer has a status of failure.
+    Status {
+        /// HTTP status.
+        status: u16,
+        /// When to come back, in seconds.
+        retry_after_s: Option<u64>,
+        /// Body.
+        body: String,
+    },
+    /// The answer is not the caller's own, or not whole.
+    Wrong(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(cause) => write!(f, "no whole answer: {cause}"),
+            Self::Status { status, retry_after_s, body } => {
+                write!(f, "status {status}, retry after {retry_after_s:?}: {body}")
+            }
+            Self::Wrong(text) => write!(f, "wrong answer: {text}"),
+        }
+    }
+}
+
+/// Whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Text.
+    pub text: String,
+    /// Time to the first data.
+    pub first: Duration,
+    /// Time to the end.
+    pub whole: Duration,
+}
+
+/// Calls a model and checks that the answer repeats the prompt to its full length.
+///
+/// # Errors
+///
+/// Returns an error when the answer fails, breaks off or is wrong.
+pub async fn complete(
+    client: &Client,
+    base: &str,
+    key: &str,
+    model: &str,
+    prompt: &str,
+    tokens: u64,
+    stream: bool,
+) -> Result<Answer, CallError> {
+    let body = json!({
+        "model": model,
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": tokens,
+        "stream": stream,
+    });
+    let answer = call_model(client, base, key, &body, stream).await?;
+
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let expected: Vec<&str> = (0..tokens).map(|n| words[n as usize % words.len()]).collect();
+    if answer.text.split_whitespace().collect::<Vec<_>>() != expected {
+        return Err(CallError::Wrong(answer.text));
+    }
+    Ok(answer)
+}
+
+/// Calls a model and returns its text.
+///
+/// # Errors
+///
+/// Returns an error when the answer fails or breaks off.
+pub async fn call_model(
+    client: &Client,
+    base: &str,
+    key: &str,
+    body: &Value,
+    stream: bool,
+) -> Result<Answer, CallError> {
+    let url = format!("{base}/v1/chat/completions");
+    let request = client.post(url).bearer_auth(key);
+    let start = Instant::now();
+    let response = request.send_json(body).await;
+    let (data, first, whole) = read(response, start).await?;
+
+    let text = if stream { stream_text(&data)? } else { whole_text(&data)? };
+    Ok(Answer { text, first, whole })
+}
+
+/// Calls a plain service and returns its text.
+///
+/// # Errors
+///
+/// Returns an error when the answer fails or breaks off.
+pub async fn call_service(
+    client: &Client,
+    url: &str,
+    key: &str,
+    idempotency_key: Option<&str>,
+    body: &str,
+) -> Result<Answer, CallError> {
+    let mut request = client.post(url).bearer_auth(key);
+    if let Some(idempotency_key) = idempotency_key {
+        request = request.insert_header(("idempotency-key", idempotency_key));
+    }
+    let start = Instant::now();
+    let response = request.send_body(body.to_owned()).await;
+    let (data, first, whole) = read(response, start).await?;
+
+    Ok(Answer { text: String::from_utf8_lossy(&data).into_owned(), first, whole })
+}
+
+async fn read(
+    response: Result<awc::ClientResponse, awc::error::SendRequestError>,
+    start: Instant,
+) -> Result<(Vec<u8>, Duration, Duration), CallError> {
+    let broken = |e: &dyn fmt::Display| CallError::Broken(e.to_string());
+    let mut response = response.map_err(|e| broken(&e))?.timeout(Duration::from_secs(600));
+    let mut data = Vec::new();
+    let mut first = None;
+    while let Some(chunk) = response.next().await {
+        data.extend_from_slice(&chunk.map_err(|e| broken(&e))?);
+        first.get_or_insert_with(|| start.elapsed());
+    }
+
+    let whole = start.elapsed();
+    if response.status().is_success() {
+        return Ok((data, first.unwrap_or(whole), whole));
+    }
+    let header = response.headers().get("retry-after").and_then(|value| value.to_str().ok());
+    Err(CallError::Status {
+        status: response.status().as_u16(),
+        retry_after_s: header.and_then(|text| text.parse().ok()),
+        body: String::from_utf8_lossy(&data).into_owned(),
+    })
+}
+
+fn stream_text(data: &[u8]) -> Result<String, CallError> {
+    let mut text = String::new();
+    for line in String::from_utf8_lossy(data).lines() {
+        let Some(event) = line.strip_prefix("data: ") else { continue };
+        if event == "[DONE]" {
+            return Ok(text);
+        }
+        let chunk: Value =
+            serde_json::from_str(event).map_err(|e| CallError::Wrong(e.to_string()))?;
+        text.push_str(chunk["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+
+    Err(CallError::Wrong(format!("the stream ends without its mark: {text}")))
+}
+
+fn whole_text(data: &[u8]) -> Result<String, CallError> {
+    let answer: Value =
+        serde_json::from_slice(data).map_err(|e| CallError::Wrong(e.to_string()))?;
+
+    Ok(answer["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned())
+}
+
+/// Returns how often the calls that start with `prefix` ran at the plain service at `url`.
+///
+/// # Errors
+///
+/// Returns an error when the service gives no proper answer.
+pub async fn runs(url: &str, prefix: &str) -> Result<u64, CallError> {
+    let client = Client::default();
+    let start = Instant::now();
+    let response = client.get(format!("{url}/standin/runs")).send().await;
+    let (data, ..) = read(response, start).await?;
+
+    let runs: BTreeMap<String, u64> =
+        serde_json::from_slice(&data).map_err(|e| CallError::Wrong(e.to_string()))?;
+    Ok(runs.iter().filter(|(call, _)| call.starts_with(prefix)).map(|(_, count)| count).sum())
+}
--- a/sapphirespur_standin/src/lib.rs
+++ b/sapphirespur_standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what a sapphirespur fleet runs against, for the demo and the tests.
+//!
+//! No product crate depends on this one.
+
+pub mod client;
+pub mod engine;
+pub mod ports;
+pub mod serve;
+pub mod service;
+pub mod store;
+pub mod vm_list;
--- /dev/null
+++ b/sapphirespur_standin/src/serve.rs
@@ -0,0 +1,68 @@
+//! Small HTTP servers.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::TcpListener;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_server::Server;
+use actix_service::fn_service;
+use bytes::BytesMut;
+use futures::StreamExt;
+use serde::Serialize;
+
+/// Serves `handler` on `listener` with one thread until the process ends.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub async fn serve<H, F>(listener: TcpListener, workers: usize, handler: H) -> io::Result<()>
+where
+    H: Fn(Request) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    Server::build()
+        .workers(workers)
+        .shutdown_timeout(1)
+        .listen("standin", listener, move || {
+            let handler = handler.clone();
+            HttpService::build()
+                .h1_allow_half_closed(false)
+                .tcp_nodelay(true)
+                .h1(fn_service(move |req: Request| {
+                    let response = handler(req);
+                    async move { Ok::<_, Infallible>(response.await) }
+                }))
+                .tcp()
+        })?
+        .run()
+        .await
+}
+
+/// Reads the body of a request; a broken one counts as empty.
+pub async fn body_of(req: &mut Request) -> Vec<u8> {
+    let mut payload = req.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(Ok(chunk)) = payload.next().await {
+        body.extend_from_slice(&chunk);
+    }
+
+    body.to_vec()
+}
+
+/// Returns a response with a JSON value.
+pub fn json(value: &impl Serialize) -> Response<BoxBody> {
+    Response::build(StatusCode::OK)
+        .insert_header(("content-type", "application/json"))
+        .body(serde_json::to_vec(value).unwrap_or_default())
+        .map_into_boxed_body()
+}
+
+/// Returns a response with a status and a text.
+pub fn text(status: StatusCode, text: &str) -> Response<BoxBody> {
+    Response::build(status)
+        .insert_header(("content-type", "text/plain"))
+        .body(text.to_owned())
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/sapphirespur_standin/src/service.rs
@@ -0,0 +1,47 @@
+//! Plain service that counts how often each request ran.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use serde_json::json;
+
+use crate::serve::{body_of, json as respond, serve, text};
+
+/// Runs of each request, by method, path and body.
+type Runs = Arc<Mutex<BTreeMap<String, u64>>>;
+
+/// Serves until the process ends; each call takes `latency`. `GET /standin/runs` counts the runs.
+///
+/// # Errors
+///
+/// Returns an error when the listener cannot be used.
+pub async fn run(listener: TcpListener, latency: Duration) -> io::Result<()> {
+    let runs = Runs::default();
+
+    serve(listener, 1, move |req| handle(runs.clone(), latency, req)).await
+}
+
+async fn handle(runs: Runs, latency: Duration, mut req: Request) -> Response<BoxBody> {
+    let body = String::from_utf8_lossy(&body_of(&mut req).await).into_owned();
+    if req.path() == "/standin/runs" {
+        return respond(&*runs.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+    if req.path() == "/standin/fail" {
+        return text(StatusCode::INTERNAL_SERVER_ERROR, "failed\n");
+    }
+
+    let call = format!("{} {} {body}", req.method(), req.uri());
+    let run = {
+        let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = runs.entry(call.clone()).or_default();
+        *count += 1;
+        *count
+    };
+    tokio::time::sleep(latency).await;
+    respond(&json!({ "call": call, "run": run }))
+}
--- /dev/null
+++ b/sapphirespur_standin/src/store/data.rs
@@ -0,0 +1,203 @@
+//! Keys, leases and transactions of the service.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Map, Value, json};
+
+/// Value of a key.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision at which the key was created.
+    pub create_revision: u64,
+    /// Revision at which the key was last changed.
+    pub mod_revision: u64,
+    /// Lease to which the key is bound; zero for none.
+    pub lease: u64,
+}
+
+/// Contents of the service.
+#[derive(Debug, Default)]
+pub struct Data {
+    revision: u64,
+    keys: BTreeMap<Vec<u8>, Entry>,
+    leases: BTreeMap<u64, Instant>,
+    next_lease: u64,
+}
+
+impl Data {
+    /// Returns the revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Drops the keys of leases that ended.
+    pub fn expire(&mut self, now: Instant) {
+        let leases = &self.leases;
+        let is_live = |entry: &Entry| {
+            entry.lease == 0 || leases.get(&entry.lease).is_some_and(|end| *end > now)
+        };
+        let before = self.keys.len();
+        self.keys.retain(|_, entry| is_live(entry));
+        if self.keys.len() != before {
+            self.revision += 1;
+        }
+    }
+
+    /// Grants a lease and returns its identifier.
+    pub fn grant(&mut self, now: Instant, ttl_s: u64) -> u64 {
+        self.next_lease += 1;
+        self.leases.insert(self.next_lease, now + Duration::from_secs(ttl_s));
+        self.next_lease
+    }
+
+    /// Prolongs a lease, and tells whether it is live.
+    pub fn keep_alive(&mut self, now: Instant, lease: u64, ttl_s: u64) -> bool {
+        match self.leases.get_mut(&lease) {
+            Some(end) if *end > now => {
+                *end = now + Duration::from_secs(ttl_s);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends a lease and drops its keys.
+    pub fn revoke(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        self.keys.retain(|_, entry| entry.lease != lease);
+        self.revision += 1;
+    }
+
+    /// Answers a range request.
+    pub fn range(&self, request: &Value) -> Value {
+        let kvs: Vec<Value> = self
+            .select(request)
+            .map(|(key, entry)| {
+                json!({
+                    "key": STANDARD.encode(key),
+                    "value": STANDARD.encode(&entry.value),
+                    "create_revision": entry.create_revision.to_string(),
+                    "mod_revision": entry.mod_revision.to_string(),
+                })
+            })
+            .collect();
+
+        let count = kvs.len().to_string();
+        json!({ "header": self.header(), "kvs": kvs, "count": count })
+    }
+
+    /// Answers a put request as a transaction of its own.
+    pub fn put(&mut self, request: &Value) -> Value {
+        self.revision += 1;
+        self.write(request);
+        json!({ "header": self.header() })
+    }
+
+    /// Answers a deletion as a transaction of its own.
+    pub fn delete(&mut self, request: &Value) -> Value {
+        self.revision += 1;
+        let deleted = self.remove(request);
+        json!({ "header": self.header(), "deleted": deleted.to_string() })
+    }
+
+    /// Answers a transaction.
+    pub fn txn(&mut self, request: &Value) -> Value {
+        self.revision += 1;
+        let mut answer = self.run_txn(request);
+        answer.insert("header".to_owned(), self.header());
+        Value::Object(answer)
+    }
+
+    fn run_txn(&mut self, request: &Value) -> Map<String, Value> {
+        let compares = request["compare"].as_array().cloned().unwrap_or_default();
+        let succeeded = compares.iter().all(|compare| self.holds(compare));
+        let branch = if succeeded { "success" } else { "failure" };
+        let operations = request[branch].as_array().cloned().unwrap_or_default();
+
+        let responses: Vec<Value> =
+            operations.iter().map(|operation| self.run_operation(operation)).collect();
+        let mut answer = Map::new();
+        answer.insert("succeeded".to_owned(), json!(succeeded));
+        answer.insert("responses".to_owned(), json!(responses));
+        answer
+    }
+
+    fn run_operation(&mut self, operation: &Value) -> Value {
+        if operation["request_put"].is_object() {
+            self.write(&operation["request_put"]);
+            return json!({ "response_put": {} });
+        }
+        if operation["request_delete_range"].is_object() {
+            let deleted = self.remove(&operation["request_delete_range"]);
+            return json!({ "response_delete_range": { "deleted": deleted.to_string() } });
+        }
+        if operation["request_txn"].is_object() {
+            return json!({ "response_txn": self.run_txn(&operation["request_txn"]) });
+        }
+        json!({ "response_range": self.range(&operation["request_range"]) })
+    }
+
+    fn holds(&self, compare: &Value) -> bool {
+        let entry = self.keys.get(&bytes(&compare["key"]));
+        match compare["target"].as_str() {
+            Some("CREATE") => {
+                entry.map_or(0, |entry| entry.create_revision)
+                    == number(&compare["create_revision"])
+            }
+            Some("MOD") => {
+                entry.map_or(0, |entry| entry.mod_revision) == number(&compare["mod_revision"])
+            }
+            Some("VALUE") => entry.is_some_and(|entry| entry.value == bytes(&compare["value"])),
+            _ => false,
+        }
+    }
+
+    fn write(&mut self, request: &Value) {
+        let key = bytes(&request["key"]);
+        let create_revision =
+            self.keys.get(&key).map_or(self.revision, |entry| entry.create_revision);
+        let entry = Entry {
+            value: bytes(&request["value"]),
+            create_revision,
+            mod_revision: self.revision,
+            lease: number(&request["lease"]),
+        };
+        self.keys.insert(key, entry);
+    }
+
+    fn remove(&mut self, request: &Value) -> usize {
+        let keys: Vec<Vec<u8>> = self.select(request).map(|(key, _)| key.clone()).collect();
+        for key in &keys {
+            self.keys.remove(key);
+        }
+        keys.len()
+    }
+
+    fn select<'a>(&'a self, request: &Value) -> impl Iterator<Item = (&'a Vec<u8>, &'a Entry)> {
+        let first = bytes(&request["key"]);
+        let end = bytes(&request["range_end"]);
+        let is_single = end.is_empty();
+        self.keys
+            .range(first.clone()..)
+            .take_while(move |(key, _)| if is_single { **key == first } else { **key < end })
+    }
+
+    fn header(&self) -> Value {
+        json!({ "revision": self.revision.to_string() })
+    }
+}
+
+/// Reads base64; what is not counts as empty.
+pub(super) fn bytes(value: &Value) -> Vec<u8> {
+    STANDARD.decode(value.as_str().unwrap_or_default()).unwrap_or_default()
+}
+
+/// Reads a number, written as text or not.
+pub(super) fn number(value: &Value) -> u64 {
+    value.as_str().and_then(|text| text.parse().ok()).or_else(|| value.as_u64()).unwrap_or(0)
+}
--- a/sapphirespur_wire/src/decode.rs
+++ b/sapphirespur_wire/src/decode.rs
@@ -73,11 +73,7 @@
         }),
     };
 
-    Ok(Heartbeat {
-        incarnation: reader.get_incarnation(),
-        revision: reader.get_revision(),
-        state,
-    })
+    Ok(Heartbeat { incarnation: reader.get_incarnation(), revision: reader.get_revision(), state })
 }
 
 fn decode_demand(reader: schema::demand::Reader<'_>) -> Result<Demand, WireError> {
