--- a/sapphirespur_cli/src/describe.rs
+++ b/sapphirespur_cli/src/describe.rs
@@ -73,16 +73,16 @@
     }
 }
 
-fn field(key: &'static str, value: impl ToString) -> Field {
+fn field(key: &'static str, value: &(impl ToString + ?Sized)) -> Field {
     Field { key, value: value.to_string() }
 }
 
 fn of_workspace(workspace: &Workspace) -> Vec<Field> {
-    vec![field("share", workspace.share), field("key-digests", workspace.key_digests.join(", "))]
+    vec![field("share", &workspace.share), field("key-digests", &workspace.key_digests.join(", "))]
 }
 
 fn of_class(class: &Class) -> Vec<Field> {
-    vec![field("weight", class.weight), field("default", class.default)]
+    vec![field("weight", &class.weight), field("default", &class.default)]
 }
 
 fn of_centre(data_centre: &DataCentre) -> Vec<Field> {
@@ -101,7 +101,7 @@
         .map(|pattern| format!("{} {}", pattern.method, pattern.path))
         .collect();
 
-    vec![field("idempotent", patterns.join(", "))]
+    vec![field("idempotent", &patterns.join(", "))]
 }
 
 fn of_upstream(upstream: &Upstream) -> Vec<Field> {
@@ -119,8 +119,8 @@
         field("data-centre", &upstream.data_centre),
         field("address", &upstream.address),
         field("control", &upstream.control),
-        field("slots", upstream.slots),
-        field("cold-slots", upstream.cold_slots),
+        field("slots", &upstream.slots),
+        field("cold-slots", &upstream.cold_slots),
         field("state", state),
     ]
 }
