Order service by each sidecar's own lead, corrected by the fleet

Change: a workspace's place is its lead at the sidecar (own charges times competitors, at most two requests ahead) plus four times its service over the fleet. Demand is told again only when a queue has doubled, halved, come or gone.

--- /dev/null
+++ b/sapphirespur_bench/src/lib.rs
@@ -0,0 +1,17 @@
+//! Runs the decisions of many routers and sidecars in one process and in virtual time.
+//!
+//! The fakes at the interfaces are small: links that lose, repeat and delay messages, engines with
+//! slots and cold starts, a key-value service that is down, slow or loses answers. The same seed
+//! leads to the same run.
+
+pub mod check;
+pub mod client;
+pub mod engine;
+pub mod fleet;
+pub mod happening;
+pub mod history;
+pub mod link;
+pub mod measure;
+pub mod platform;
+pub mod rng;
+pub mod topology;
--- /dev/null
+++ b/sapphirespur_bench/src/measure/load.rs
@@ -0,0 +1,77 @@
+//! Loads of the measures.
+
+use std::time::Duration;
+
+use sapphirespur_core::config::Target;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::time::Time;
+
+use crate::client::{CallKind, Client};
+use crate::fleet::{Fleet, START};
+use crate::topology::{CLASSES, MODEL, SERVICE, Topology};
+
+/// Fewest and most tokens of an answer.
+pub const TOKENS: (u32, u32) = (40, 400);
+
+/// Time far after every run.
+pub const NEVER: Time = Time::from_micros(START.as_micros() * 2);
+
+/// Returns a client of the model for a workspace, spread unevenly over the routers.
+pub fn model_client(
+    fleet: &mut Fleet,
+    topology: &Topology,
+    workspace: &Name,
+    class: usize,
+    under_way: usize,
+) -> Client {
+    Client {
+        workspace: workspace.clone(),
+        class: Name::new(CLASSES[class % CLASSES.len()].0),
+        target: Target::Model(Name::new(MODEL)),
+        kind: CallKind::Idempotent,
+        under_way,
+        tokens: TOKENS,
+        hint_percent: 100,
+        spread: uneven_spread(fleet, topology),
+        think: Duration::ZERO,
+        until: NEVER,
+        repeats: 0,
+    }
+}
+
+/// Returns a client of the service whose calls must not repeat.
+pub fn booking_client(
+    fleet: &mut Fleet,
+    topology: &Topology,
+    workspace: &Name,
+    under_way: usize,
+) -> Client {
+    Client {
+        target: Target::Service(Name::new(SERVICE)),
+        kind: CallKind::Once,
+        tokens: (1, 8),
+        think: Duration::from_millis(20),
+        repeats: 3,
+        ..model_client(fleet, topology, workspace, 3, under_way)
+    }
+}
+
+/// Adds a client for each workspace that keeps it backlogged.
+pub fn add_backlog(fleet: &mut Fleet, topology: &Topology, under_way: usize) {
+    for (index, workspace) in topology.workspace_names().iter().enumerate() {
+        let client = model_client(fleet, topology, workspace, index, under_way);
+        fleet.add_client(client);
+    }
+}
+
+/// Returns weights that send most of a workspace's requests to one or two routers.
+fn uneven_spread(fleet: &mut Fleet, topology: &Topology) -> Vec<u32> {
+    let routers = topology.router_names().len();
+    let mut spread = vec![1; routers];
+    for _ in 0..2 {
+        let favourite = fleet.rng.below(routers as u64) as usize;
+        spread[favourite] += 20;
+    }
+
+    spread
+}
--- /dev/null
+++ b/sapphirespur_bench/src/rng.rs
@@ -0,0 +1,60 @@
+//! Seeded source of chance.
+
+use std::time::Duration;
+
+/// Source of chance (SplitMix64).
+///
+/// Source: Steele, Lea and Flood, "Fast Splittable Pseudorandom Number Generators", 2014.
+#[derive(Clone, Debug)]
+pub struct Rng(u64);
+
+impl Rng {
+    /// Creates a source from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    /// Draws a number.
+    pub fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Returns a number below `bound`.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.draw() % bound.max(1)
+    }
+
+    /// Returns a number from `low` to `high`.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.below(high - low + 1)
+    }
+
+    /// Tells whether an event of so many per mille happens.
+    pub fn per_mille(&mut self, chance: u32) -> bool {
+        self.below(1_000) < u64::from(chance)
+    }
+
+    /// Returns `span` plus up to a tenth.
+    pub fn jitter(&mut self, span: Duration) -> Duration {
+        span + Duration::from_micros(self.below(span.as_micros() as u64 / 10 + 1))
+    }
+
+    /// Returns an index, drawn in proportion to `weights`.
+    pub fn weighted(&mut self, weights: &[u32]) -> usize {
+        let total: u64 = weights.iter().map(|weight| u64::from(*weight)).sum();
+        let mut point = self.below(total);
+        for (index, weight) in weights.iter().enumerate() {
+            let weight = u64::from(*weight);
+            if point < weight {
+                return index;
+            }
+            point -= weight;
+        }
+
+        0
+    }
+}
--- /dev/null
+++ b/sapphirespur_bench/src/topology.rs
@@ -0,0 +1,236 @@
+//! Fleets of the sizes that operators run.
+
+use std::time::Duration;
+
+use sapphirespur_core::config::{
+    CallPattern, Change, Class, DataCentre, DataCentreState, Model, Service, Target, Upstream,
+    UpstreamState, Workspace,
+};
+use sapphirespur_core::hash::sha256_hex;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::vm::{Vm, VmRole, VmState};
+
+use crate::engine::EngineShape;
+use crate::fleet::{Fleet, FleetOptions};
+
+/// Model of every topology.
+pub const MODEL: &str = "writer";
+
+/// Plain service of every topology.
+pub const SERVICE: &str = "registry";
+
+/// Classes with their weights, the last one the default.
+pub const CLASSES: [(&str, u32); 4] =
+    [("dossier", 8), ("tuning", 4), ("label", 1), ("ordinary", 2)];
+
+/// Sizes of a fleet.
+#[derive(Clone, Debug)]
+pub struct Topology {
+    /// Data centres.
+    pub data_centres: Vec<&'static str>,
+    /// Routers in each.
+    pub routers: usize,
+    /// Model runners in all.
+    pub runners: usize,
+    /// Service runners in all.
+    pub services: usize,
+    /// Shares of the workspaces, which are called `w0`, `w1` and so on.
+    pub shares: Vec<u32>,
+    /// Model runners' behaviour.
+    pub runner: EngineShape,
+    /// Service runners' behaviour.
+    pub service: EngineShape,
+    /// One way between data centres.
+    pub latency: Duration,
+}
+
+impl Topology {
+    /// Returns the size of the Agenzia.
+    pub fn agenzia() -> Self {
+        Self {
+            data_centres: vec!["milano", "torino", "bologna"],
+            routers: 2,
+            runners: 20,
+            services: 3,
+            shares: vec![8, 8, 4, 4, 2, 2, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1],
+            runner: runner_shape(),
+            service: service_shape(),
+            latency: Duration::from_millis(1),
+        }
+    }
+
+    /// Returns the size of Katharotis.
+    pub fn katharotis() -> Self {
+        Self {
+            data_centres: vec!["piraeus", "marousi", "glyfada"],
+            runners: 10,
+            latency: Duration::from_micros(1_500),
+            ..Self::agenzia()
+        }
+    }
+
+    /// Returns a small fleet for tests of one failure.
+    pub fn small() -> Self {
+        Self {
+            data_centres: vec!["east", "west"],
+            routers: 2,
+            runners: 2,
+            services: 2,
+            shares: vec![1, 1],
+            ..Self::agenzia()
+        }
+    }
+
+    /// Returns the names of the routers.
+    pub fn router_names(&self) -> Vec<Name> {
+        let names = self.data_centres.iter().flat_map(|dc| {
+            (0..self.routers).map(move |index| Name::new(&format!("{dc}-r{index}")))
+        });
+
+        names.collect()
+    }
+
+    /// Returns the names of the model runners.
+    pub fn runner_names(&self) -> Vec<Name> {
+        (0..self.runners).map(|n| Name::new(&format!("{}-m{n}", self.data_centre(n)))).collect()
+    }
+
+    /// Returns the names of the service runners.
+    pub fn service_names(&self) -> Vec<Name> {
+        (0..self.services).map(|n| Name::new(&format!("{}-s{n}", self.data_centre(n)))).collect()
+    }
+
+    /// Returns the names of the workspaces.
+    pub fn workspace_names(&self) -> Vec<Name> {
+        (0..self.shares.len()).map(|index| Name::new(&format!("w{index}"))).collect()
+    }
+
+    /// Starts the fleet and lets it settle; the upstreams are still as cold as their shape says.
+    pub fn start(&self, options: FleetOptions) -> Fleet {
+        let mut fleet = Fleet::new(FleetOptions { latency: self.latency, ..options });
+        fleet.set_members(self.members());
+        let accepted = fleet.confirm(&self.changes());
+        assert!(accepted, "the first configuration is accepted");
+
+        for name in self.router_names() {
+            fleet.add_router(&name, &data_centre_of(&name));
+        }
+        for name in self.runner_names() {
+            fleet.add_upstream(&name, &data_centre_of(&name), self.runner);
+        }
+        for name in self.service_names() {
+            fleet.add_upstream(&name, &data_centre_of(&name), self.service);
+        }
+        fleet.run_for(Duration::from_secs(3));
+        fleet
+    }
+
+    /// Returns the list of the VMs.
+    pub fn members(&self) -> Vec<Vm> {
+        let vm = |name: &Name, role| Vm {
+            name: name.clone(),
+            data_centre: data_centre_of(name),
+            role,
+            state: VmState::Live,
+            control: name.clone(),
+            admin: name.clone(),
+        };
+        let routers = self.router_names();
+        let sidecars = self.runner_names().into_iter().chain(self.service_names());
+
+        routers
+            .iter()
+            .map(|name| vm(name, VmRole::Router))
+            .chain(sidecars.map(|name| vm(&name, VmRole::Sidecar)))
+            .collect()
+    }
+
+    /// Returns the changes that lead to the first configuration.
+    pub fn changes(&self) -> Vec<Change> {
+        let mut changes = vec![
+            Change::SetModel(Name::new(MODEL), Model {}),
+            Change::SetService(
+                Name::new(SERVICE),
+                Service {
+                    idempotent: vec![CallPattern {
+                        method: "POST".to_owned(),
+                        path: "/lookup".to_owned(),
+                    }],
+                },
+            ),
+        ];
+        changes.extend(CLASSES.iter().map(|(name, weight)| {
+            let default = *name == "ordinary";
+            Change::SetClass(Name::new(name), Class { weight: *weight, default })
+        }));
+        changes.extend(self.data_centres.iter().map(|name| set_state(name, DataCentreState::In)));
+        changes.extend(self.workspace_names().into_iter().zip(&self.shares).map(
+            |(name, share)| {
+                let key_digests = vec![sha256_hex(name.as_str().as_bytes())];
+                Change::SetWorkspace(name, Workspace { share: *share, key_digests })
+            },
+        ));
+        let runners = self
+            .runner_names()
+            .into_iter()
+            .map(|name| set_upstream(name, Target::Model(Name::new(MODEL)), self.runner));
+        let services = self
+            .service_names()
+            .into_iter()
+            .map(|name| set_upstream(name, Target::Service(Name::new(SERVICE)), self.service));
+        changes.extend(runners);
+        changes.extend(services);
+
+        changes
+    }
+
+    fn data_centre(&self, index: usize) -> &'static str {
+        self.data_centres[index % self.data_centres.len()]
+    }
+}
+
+/// Returns the change that takes a data centre out or in.
+pub fn set_state(name: &str, state: DataCentreState) -> Change {
+    Change::SetDataCentre(Name::new(name), DataCentre { state })
+}
+
+/// Returns the data centre that starts a node's name.
+pub fn data_centre_of(name: &Name) -> Name {
+    Name::new(name.as_str().split('-').next().unwrap_or_default())
+}
+
+fn set_upstream(name: Name, target: Target, shape: EngineShape) -> Change {
+    let upstream = Upstream {
+        target,
+        data_centre: data_centre_of(&name),
+        address: name.clone(),
+        control: name.clone(),
+        slots: shape.slots,
+        cold_slots: shape.cold_slots,
+        state: UpstreamState::Active,
+    };
+
+    Change::SetUpstream(name, upstream)
+}
+
+fn runner_shape() -> EngineShape {
+    EngineShape {
+        slots: 8,
+        cold_slots: 2,
+        cold_for: Duration::ZERO,
+        fallen_for: Duration::from_secs(1),
+        first_token: Duration::from_millis(200),
+        step: Duration::from_millis(160),
+    }
+}
+
+fn service_shape() -> EngineShape {
+    EngineShape {
+        slots: 8,
+        cold_slots: 2,
+        cold_for: Duration::ZERO,
+        fallen_for: Duration::from_secs(1),
+        first_token: Duration::from_millis(20),
+        step: Duration::from_millis(10),
+    }
+}
--- a/sapphirespur_core/src/fair.rs
+++ b/sapphirespur_core/src/fair.rs
@@ -15,6 +15,12 @@
 /// Time without work after which a workspace without open charges is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 
+/// Weight of the service over the fleet against the sidecar's own lead.
+const CORRECTION_GAIN: i64 = 4;
+
+/// Requests of its own by which a workspace may lead at one sidecar.
+const MAX_LEAD_REQUESTS: i64 = 2;
+
 /// Class within a workspace, ordered by its own virtual time.
 #[derive(Clone, Debug, Default)]
 struct ClassOrder {
@@ -36,6 +42,10 @@
     competitors: u32,
     /// Start that the home has not yet confirmed.
     floor: Option<i64>,
+    /// Service at this sidecar, as if each competing sidecar gave as much, in virtual time.
+    lead: i64,
+    /// Cost units of the last charge of a whole request.
+    last_cost: i64,
     waiting: bool,
     reported_waiting: bool,
     last_use: Time,
@@ -43,14 +53,13 @@
     classes: HashMap<Name, ClassOrder>,
 }
 
-/// How unreported charges are weighed until the home answers.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Extrapolation {
-    /// As if each competing sidecar had charged as much.
-    #[default]
-    Competitors,
-    /// Only the sidecar's own charges.
-    OwnOnly,
+/// Place of a workspace in the order.
+#[derive(Clone, Copy, Debug, Default)]
+struct Place {
+    /// Service at this sidecar, as if each competing sidecar gave as much, in virtual time.
+    lead: i64,
+    /// Service over the whole fleet, in virtual time.
+    fleet_time: i64,
 }
 
 /// Queue that is served next.
@@ -66,26 +75,20 @@
 #[derive(Clone, Debug)]
 pub struct FairOrder {
     workspaces: HashMap<Name, WorkspaceOrder>,
-    /// Virtual time at which the last choice started.
-    virtual_time: i64,
+    /// Furthest place at which a choice started.
+    last: Place,
     next_session: u64,
-    extrapolation: Extrapolation,
 }
 
 impl FairOrder {
     /// Creates an order whose report sessions start at `first_session`.
-    pub fn new(first_session: u64, extrapolation: Extrapolation) -> Self {
-        Self {
-            workspaces: HashMap::default(),
-            virtual_time: 0,
-            next_session: first_session,
-            extrapolation,
-        }
+    pub fn new(first_session: u64) -> Self {
+        Self { workspaces: HashMap::default(), last: Place::default(), next_session: first_session }
     }
 
     /// Marks a queue as waiting; a workspace that was idle starts at the current virtual time.
     pub fn set_waiting(&mut self, now: Time, choice: &Choice, share: u32, weight: u32) {
-        let floor = self.current_virtual_time();
+        let floor = self.floor();
         let session = &mut self.next_session;
         let order = self.workspaces.entry(choice.workspace.clone()).or_insert_with(|| {
             *session += 1;
@@ -96,7 +99,7 @@
         order.last_use = now;
         if !order.waiting {
             order.waiting = true;
-            order.start_at(floor, self.extrapolation);
+            order.start_at(floor);
         }
         order.set_class_waiting(&choice.class, weight);
     }
@@ -113,31 +116,42 @@
 
     /// Chooses the queue to serve next among the waiting ones that `available` accepts.
     pub fn choose(&mut self, available: impl Fn(&Name, &Name) -> bool) -> Option<Choice> {
-        let extrapolation = self.extrapolation;
-        let (tag, workspace, class) = self
+        let (_, workspace, class) = self
             .workspaces
             .iter()
             .filter(|(_, order)| order.waiting)
             .filter_map(|(name, order)| {
                 let class = order.first_class(|class| available(name, class))?;
-                Some((order.tag(extrapolation), name, class))
+                Some((order.tag(), name, class))
             })
             .min()?;
 
         let choice = Choice { workspace: workspace.clone(), class: class.clone() };
-        self.virtual_time = self.virtual_time.max(tag);
+        if let Some(order) = self.workspaces.get(&choice.workspace) {
+            self.last.lead = self.last.lead.max(order.lead);
+            self.last.fleet_time = self.last.fleet_time.max(order.fleet_time());
+        }
         if let Some(order) = self.workspaces.get_mut(&choice.workspace) {
             order.note_class(&choice.class);
         }
         Some(choice)
     }
 
+    /// Charges the expected cost of a whole request to a queue.
+    pub fn charge_request(&mut self, now: Time, choice: &Choice, cost: i64) {
+        if let Some(order) = self.workspaces.get_mut(&choice.workspace) {
+            order.last_cost = cost;
+        }
+        self.charge(now, choice, cost);
+    }
+
     /// Charges `cost` cost units to a queue; a negative cost is a refund.
     pub fn charge(&mut self, now: Time, choice: &Choice, cost: i64) {
         let Some(order) = self.workspaces.get_mut(&choice.workspace) else { return };
 
         order.last_use = now;
         order.charged += cost;
+        order.lead += order.lead_of(cost);
         if let Some(class) = order.classes.get_mut(&choice.class) {
             class.virtual_time += to_virtual_time(cost, class.weight);
         }
@@ -148,6 +162,7 @@
         &mut self,
         home_of: impl Fn(&Name) -> Option<Name>,
     ) -> HashMap<Name, Vec<ReportEntry>> {
+        self.limit_leads();
         let mut reports: HashMap<Name, Vec<ReportEntry>> = HashMap::default();
         for (name, order) in &mut self.workspaces {
             let Some(home) = home_of(name) else { continue };
@@ -174,10 +189,7 @@
             return;
         }
 
-        order.known = entry.virtual_time;
-        order.acknowledged = entry.acknowledged;
-        order.competitors = entry.competitors.max(1);
-        order.floor = None;
+        order.on_account(entry);
     }
 
     /// Forgets workspaces that have been idle for long.
@@ -189,9 +201,9 @@
         });
     }
 
-    /// Returns the virtual time of a workspace, when it is known.
-    pub fn tag(&self, workspace: &Name) -> Option<i64> {
-        self.workspaces.get(workspace).map(|order| order.tag(self.extrapolation))
+    /// Returns the service of a workspace over the fleet in virtual time, when it is known.
+    pub fn fleet_time(&self, workspace: &Name) -> Option<i64> {
+        self.workspaces.get(workspace).map(WorkspaceOrder::fleet_time)
     }
 
     /// Returns the number of workspaces.
@@ -204,10 +216,24 @@
         self.workspaces.is_empty()
     }
 
-    fn current_virtual_time(&self) -> i64 {
-        let waiting = self.workspaces.values().filter(|order| order.waiting);
+    /// Returns the place at which a workspace starts that was idle.
+    fn floor(&self) -> Place {
+        let waiting = || self.workspaces.values().filter(|order| order.waiting);
+        let lead = waiting().map(|order| order.lead).min();
+        let fleet_time = waiting().map(WorkspaceOrder::fleet_time).min();
 
-        waiting.map(|order| order.tag(self.extrapolation)).min().unwrap_or(self.virtual_time)
+        Place {
+            lead: lead.unwrap_or(self.last.lead),
+            fleet_time: fleet_time.unwrap_or(self.last.fleet_time),
+        }
+    }
+
+    fn limit_leads(&mut self) {
+        let least = self.floor().lead;
+        for order in self.workspaces.values_mut().filter(|order| order.waiting) {
+            let request = order.lead_of(order.last_cost);
+            order.lead = order.lead.min(least + request.saturating_mul(MAX_LEAD_REQUESTS));
+        }
     }
 }
 
@@ -231,6 +257,8 @@
             acknowledged: 0,
             competitors: 1,
             floor: None,
+            lead: 0,
+            last_cost: 0,
             waiting: false,
             reported_waiting: false,
             last_use: Time::default(),
@@ -239,21 +267,38 @@
         }
     }
 
-    fn tag(&self, extrapolation: Extrapolation) -> i64 {
-        let open = self.charged - self.acknowledged;
-        let factor = match extrapolation {
-            Extrapolation::Competitors => i64::from(self.competitors),
-            Extrapolation::OwnOnly => 1,
-        };
+    /// Returns the place in the order; the lowest is served next.
+    ///
+    /// Sidecars with the same knowledge would all choose alike until their next reports. So each
+    /// keeps its own lead, in which the sidecars differ, and the fleet's view only corrects it.
+    fn tag(&self) -> i64 {
+        self.lead.saturating_add(self.fleet_time().saturating_mul(CORRECTION_GAIN))
+    }
+
+    /// Returns by how much a charge of this sidecar moves its lead.
+    fn lead_of(&self, cost: i64) -> i64 {
+        to_virtual_time(cost.saturating_mul(i64::from(self.competitors)), self.share)
+    }
+
+    /// Returns the service over the whole fleet, as far as it is known here.
+    fn fleet_time(&self) -> i64 {
+        self.known + to_virtual_time(self.charged - self.acknowledged, self.share)
+    }
 
-        self.known + to_virtual_time(open.saturating_mul(factor), self.share)
+    fn on_account(&mut self, entry: &AccountEntry) {
+        self.known = entry.virtual_time;
+        self.acknowledged = entry.acknowledged;
+        self.competitors = entry.competitors.max(1);
+        self.floor = None;
     }
 
-    fn start_at(&mut self, floor: i64, extrapolation: Extrapolation) {
-        let lift = floor - self.tag(extrapolation);
+    /// Starts at `floor` where the workspace is behind it, so that idleness earns no credit.
+    fn start_at(&mut self, floor: Place) {
+        self.lead = self.lead.max(floor.lead);
+        let lift = floor.fleet_time - self.fleet_time();
         if lift > 0 {
             self.known += lift;
-            self.floor = Some(floor);
+            self.floor = Some(floor.fleet_time);
         }
     }
 
--- a/sapphirespur_core/src/router/sidecar_view.rs
+++ b/sapphirespur_core/src/router/sidecar_view.rs
@@ -142,11 +142,12 @@
     }
 }
 
-/// Tells whether a change from `told` to `count` is worth a message of its own.
+/// Tells whether a change from `told` to `count` is worth a message.
+///
+/// A sidecar needs to know whether there is work and roughly how much; after each of its permits it
+/// counts down by itself, as `on_permit` does here.
 fn is_due(told: u32, count: u32, refresh: bool) -> bool {
-    if told == count {
-        return false;
-    }
+    let is_first_or_last = (told == 0) != (count == 0);
 
-    refresh || told == 0 || count == 0 || count < told / 2
+    is_first_or_last || count < told / 2 || (refresh && count / 2 > told)
 }
--- a/sapphirespur_core/src/sidecar/policy.rs
+++ b/sapphirespur_core/src/sidecar/policy.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use crate::fair::Extrapolation;
-
 /// Limits of a sidecar.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SidecarPolicy {
@@ -11,8 +9,6 @@
     pub report_interval: Duration,
     /// Time between two heartbeats on a link.
     pub heartbeat_interval: Duration,
-    /// How unreported charges are weighed.
-    pub extrapolation: Extrapolation,
 }
 
 impl Default for SidecarPolicy {
@@ -20,7 +16,6 @@
         Self {
             report_interval: Duration::from_millis(500),
             heartbeat_interval: Duration::from_secs(1),
-            extrapolation: Extrapolation::Competitors,
         }
     }
 }
--- a/sapphirespur_core/src/sidecar/sidecar.rs
+++ b/sapphirespur_core/src/sidecar/sidecar.rs
@@ -94,7 +94,7 @@
             config: ConfigController::default(),
             routers: BTreeMap::new(),
             demand: DemandBook::default(),
-            fair: FairOrder::new(incarnation, policy.extrapolation),
+            fair: FairOrder::new(incarnation),
             limiter: Limiter::new(1, 1),
             permits: Permits::new(incarnation),
             attempts: Attempts::default(),
@@ -153,7 +153,7 @@
 
     /// Returns the virtual time of a workspace, when it is known.
     pub fn virtual_time(&self, workspace: &Name) -> Option<i64> {
-        self.fair.tag(workspace)
+        self.fair.fleet_time(workspace)
     }
 
     /// Returns the state as operators see it.
@@ -518,7 +518,7 @@
             }
 
             let cost = self.ratios.estimate(&choice, claim.cost);
-            self.fair.charge(now, &choice, cost as i64);
+            self.fair.charge_request(now, &choice, cost as i64);
             let router = claim.router.clone();
             let id = self.permits.issue(now, claim.router, choice.clone(), cost);
             let message =
