--- a/sapphirespur_bench/src/fleet.rs
+++ b/sapphirespur_bench/src/fleet.rs
@@ -165,6 +165,7 @@
     sequence: u64,
     connections: BTreeMap<AttemptId, Connection>,
     members: Vec<Vm>,
+    client_of: BTreeMap<u64, usize>,
     next_request: u64,
     next_incarnation: u64,
     asked: BTreeSet<AttemptId>,
@@ -188,6 +189,7 @@
             sequence: 0,
             connections: BTreeMap::new(),
             members: Vec::new(),
+            client_of: BTreeMap::new(),
             next_request: 0,
             next_incarnation: 1_000_000_000,
             asked: BTreeSet::new(),
@@ -407,6 +409,34 @@
         }
     }
 
+    /// Tells whether a request is on its way to a sidecar or further.
+    pub fn is_dispatched(&self, request: u64) -> bool {
+        self.connections.values().any(|connection| connection.id.0 == request)
+    }
+
+    /// Returns the class of a request that was ever sent.
+    pub fn class_of(&self, request: u64) -> Option<Name> {
+        let client = *self.client_of.get(&request)?;
+
+        Some(self.clients[client].class.clone())
+    }
+
+    /// Tells whether a sidecar serves a request.
+    pub fn is_admitted(&self, request: u64) -> bool {
+        let mut connections = self.connections.values().filter(|c| c.id.0 == request);
+
+        connections.any(|c| {
+            self.is_running(&c.sidecar) && self.sidecar(&c.sidecar).status(self.now).attempts > 0
+        })
+    }
+
+    /// Returns the sidecar to which a request was sent.
+    pub fn sidecar_of(&self, request: u64) -> Option<Name> {
+        let connection = self.connections.values().find(|c| c.id.0 == request);
+
+        connection.map(|connection| connection.sidecar.clone())
+    }
+
     fn see(&mut self, seen: Seen) {
         self.history.push(self.now, seen);
     }
@@ -752,6 +782,7 @@
 
         self.next_request += 1;
         let request = self.next_request;
+        self.client_of.insert(request, index);
         let router = self.pick_router(&client);
         let tokens = match &again {
             Some(again) => again.tokens,
--- /dev/null
+++ b/sapphirespur_bench/tests/random_faults.rs
@@ -0,0 +1,163 @@
+//! Random orders of faults; what must always hold does.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{add_mixed_clients, small_fleet};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use sapphirespur_bench::check::{all_answered, always};
+use sapphirespur_bench::fleet::{Fleet, PLATFORM};
+use sapphirespur_bench::topology::{Topology, set_state};
+use sapphirespur_core::config::DataCentreState;
+use sapphirespur_core::name::Name;
+
+/// Seed of the orders of faults.
+const SEED: u64 = 2026;
+
+/// Orders that are tried.
+const ORDERS: u64 = 60;
+
+/// Fault at one node or at the platform.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Restart(u8),
+    Freeze(u8),
+    CutOff(u8),
+    CutFromPlatform(u8),
+    Silence(u8),
+    PlatformDown,
+    LostPlatformAnswers(u8),
+    SlowPlatform,
+    Chill(u8),
+    DataCentreOut,
+    Lossy,
+    Repeating,
+}
+
+/// Fault with the time until it comes and for which it lasts.
+#[derive(Clone, Copy, Debug)]
+struct Strike {
+    fault: Fault,
+    pause_ms: u16,
+    lasts_ms: u16,
+}
+
+impl Arbitrary for Strike {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let node = u8::arbitrary(g);
+        let faults = [
+            Fault::Restart(node),
+            Fault::Freeze(node),
+            Fault::CutOff(node),
+            Fault::CutFromPlatform(node),
+            Fault::Silence(node),
+            Fault::PlatformDown,
+            Fault::LostPlatformAnswers(node % 4),
+            Fault::SlowPlatform,
+            Fault::Chill(node),
+            Fault::DataCentreOut,
+            Fault::Lossy,
+            Fault::Repeating,
+        ];
+        let fault = *g.choose(&faults).expect("there are faults");
+
+        Self { fault, pause_ms: u16::arbitrary(g) % 3_000, lasts_ms: u16::arbitrary(g) % 8_000 }
+    }
+}
+
+impl Strike {
+    fn strike(self, fleet: &mut Fleet) {
+        let lasts = Duration::from_millis(self.lasts_ms.into());
+        let names: Vec<Name> = fleet.nodes.keys().cloned().collect();
+        let pick = |index: u8| names[usize::from(index) % names.len()].clone();
+        match self.fault {
+            Fault::Restart(node) => {
+                let name = pick(node);
+                fleet.kill(&name);
+                fleet.act(lasts, move |fleet| {
+                    if !fleet.nodes[&name].is_alive {
+                        fleet.restart(&name);
+                    }
+                });
+            }
+            Fault::Freeze(node) => {
+                let name = pick(node);
+                fleet.freeze(&name);
+                fleet.act(lasts, move |fleet| fleet.thaw(&name));
+            }
+            Fault::CutOff(node) => {
+                fleet.cut(&[pick(node)], &names);
+                fleet.act(lasts, Fleet::heal);
+            }
+            Fault::CutFromPlatform(node) => {
+                fleet.cut(&[pick(node)], &[Name::new(PLATFORM)]);
+                fleet.act(lasts, Fleet::heal);
+            }
+            Fault::Silence(node) => fleet.silence(&pick(node)),
+            Fault::PlatformDown => {
+                fleet.platform.fault.down = true;
+                fleet.act(lasts, |fleet| fleet.platform.fault.down = false);
+            }
+            Fault::LostPlatformAnswers(count) => {
+                fleet.platform.fault.lose_answers = count.into();
+            }
+            Fault::SlowPlatform => {
+                fleet.platform.fault.slow = Duration::from_millis(900);
+                fleet.act(lasts, |fleet| fleet.platform.fault.slow = Duration::ZERO);
+            }
+            Fault::Chill(node) => {
+                let now = fleet.now;
+                let name = pick(node);
+                if let Some(engine) = fleet.engines.get_mut(&name) {
+                    engine.shape.cold_for = lasts;
+                    engine.chill(now);
+                }
+            }
+            Fault::DataCentreOut => {
+                fleet.confirm(&[set_state("west", DataCentreState::Out)]);
+                fleet.act(lasts, |fleet| {
+                    fleet.confirm(&[set_state("west", DataCentreState::In)]);
+                });
+            }
+            Fault::Lossy => {
+                fleet.links.loss = 150;
+                fleet.act(lasts, |fleet| fleet.links.loss = 0);
+            }
+            Fault::Repeating => {
+                fleet.links.repeat = 150;
+                fleet.act(lasts, |fleet| fleet.links.repeat = 0);
+            }
+        }
+    }
+}
+
+fn holds(strikes: &[Strike], seed: u64) -> bool {
+    let (topology, mut fleet): (Topology, Fleet) = small_fleet(seed);
+    add_mixed_clients(&mut fleet, &topology, Duration::from_secs(40));
+    fleet.run_for(Duration::from_secs(3));
+    for strike in strikes {
+        fleet.run_for(Duration::from_millis(strike.pause_ms.into()));
+        strike.strike(&mut fleet);
+    }
+    fleet.run_for(Duration::from_secs(120));
+
+    let mut violations = always(&fleet.history);
+    violations.extend(all_answered(&fleet.history, fleet.now));
+    if !violations.is_empty() {
+        eprintln!("seed {seed}, {strikes:?}: {:?}", &violations[..violations.len().min(5)]);
+    }
+    violations.is_empty()
+}
+
+#[test]
+fn any_order_of_faults_keeps_what_must_always_hold() {
+    fn property(strikes: Vec<Strike>, seed: u8) -> bool {
+        holds(&strikes[..strikes.len().min(8)], seed.into())
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(10, SEED))
+        .tests(ORDERS)
+        .quickcheck(property as fn(Vec<Strike>, u8) -> bool);
+}
--- /dev/null
+++ b/sapphirespur_bench/tests/request_faults.rs
@@ -0,0 +1,309 @@
+//! Every fault at every step of a request.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    add_mixed_clients, assert_always, assert_none, has_ended, has_run, last_request, run_until,
+    runner_of, small_fleet, whole_after,
+};
+use sapphirespur_bench::check::all_answered;
+use sapphirespur_bench::client::CallKind;
+use sapphirespur_bench::fleet::{Fleet, PLATFORM};
+use sapphirespur_bench::measure::load::{booking_client, model_client};
+use sapphirespur_bench::topology::Topology;
+use sapphirespur_core::name::Name;
+
+/// Time for which a passing fault lasts.
+const FAULT: Duration = Duration::from_secs(8);
+
+/// Time after which everything must have ended.
+const SETTLED: Duration = Duration::from_secs(90);
+
+/// Seeds of each cell.
+const SEEDS: [u64; 2] = [11, 12];
+
+/// Step of a request.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// It came to its router.
+    Waiting,
+    /// It was sent to its sidecar.
+    Dispatched,
+    /// Its sidecar has it, and the upstream has not.
+    Admitted,
+    /// The upstream runs it.
+    Running,
+    /// It has its final answer.
+    Ended,
+}
+
+/// Fault.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    KillSidecar,
+    RestartSidecar,
+    FreezeSidecar,
+    KillRouter,
+    RestartRouter,
+    FreezeRouter,
+    CutRouterFromSidecars,
+    CutSidecarFromPlatform,
+    SilenceSidecar,
+    SilenceRouter,
+    PlatformDown,
+    PlatformSlow,
+    LostPlatformAnswers,
+    SuddenCold,
+    UpstreamGone,
+    Flood,
+    LossyLinks,
+    RepeatingLinks,
+}
+
+/// What a fault is done to.
+struct Scene {
+    router: Name,
+    sidecar: Name,
+}
+
+impl Fault {
+    fn strike(self, fleet: &mut Fleet, topology: &Topology, scene: &Scene) {
+        let (router, sidecar) = (scene.router.clone(), scene.sidecar.clone());
+        match self {
+            Self::KillSidecar => fleet.kill(&sidecar),
+            Self::RestartSidecar => {
+                fleet.kill(&sidecar);
+                fleet.act(Duration::from_millis(300), move |fleet| fleet.restart(&sidecar));
+            }
+            Self::FreezeSidecar => {
+                fleet.freeze(&sidecar);
+                fleet.act(FAULT, move |fleet| fleet.thaw(&sidecar));
+            }
+            Self::KillRouter => fleet.kill(&router),
+            Self::RestartRouter => {
+                fleet.kill(&router);
+                fleet.act(Duration::from_millis(300), move |fleet| fleet.restart(&router));
+            }
+            Self::FreezeRouter => {
+                fleet.freeze(&router);
+                fleet.act(FAULT, move |fleet| fleet.thaw(&router));
+            }
+            Self::CutRouterFromSidecars => {
+                let sidecars = [topology.runner_names(), topology.service_names()].concat();
+                fleet.cut(&[router], &sidecars);
+                fleet.act(FAULT, Fleet::heal);
+            }
+            Self::CutSidecarFromPlatform => {
+                fleet.cut(&[sidecar], &[Name::new(PLATFORM)]);
+                fleet.act(FAULT, Fleet::heal);
+            }
+            Self::SilenceSidecar => fleet.silence(&sidecar),
+            Self::SilenceRouter => fleet.silence(&router),
+            Self::PlatformDown => {
+                fleet.platform.fault.down = true;
+                fleet.act(FAULT, |fleet| fleet.platform.fault.down = false);
+            }
+            Self::PlatformSlow => {
+                fleet.platform.fault.slow = Duration::from_millis(1_400);
+                fleet.act(FAULT, |fleet| fleet.platform.fault.slow = Duration::ZERO);
+            }
+            Self::LostPlatformAnswers => fleet.platform.fault.lose_answers = 3,
+            Self::SuddenCold => {
+                let now = fleet.now;
+                for engine in fleet.engines.values_mut() {
+                    engine.shape.cold_for = FAULT;
+                    engine.chill(now);
+                }
+            }
+            Self::UpstreamGone => {
+                set_engine(fleet, &sidecar, false);
+                fleet.act(FAULT, move |fleet| set_engine(fleet, &sidecar, true));
+            }
+            Self::Flood => {
+                let workspace = topology.workspace_names().remove(0);
+                let mut flood = model_client(fleet, topology, &workspace, 0, 400);
+                flood.until = fleet.now + FAULT;
+                flood.tokens = (8, 80);
+                fleet.add_client(flood);
+            }
+            Self::LossyLinks => {
+                fleet.links.loss = 200;
+                fleet.act(FAULT, |fleet| fleet.links.loss = 0);
+            }
+            Self::RepeatingLinks => {
+                fleet.links.repeat = 300;
+                fleet.act(FAULT, |fleet| fleet.links.repeat = 0);
+            }
+        }
+    }
+
+    /// Tells whether the struck node stays away, so that its callers need another one.
+    fn is_lasting(self) -> bool {
+        matches!(self, Self::KillSidecar | Self::KillRouter)
+    }
+}
+
+fn set_engine(fleet: &mut Fleet, sidecar: &Name, is_up: bool) {
+    if let Some(engine) = fleet.engines.get_mut(sidecar) {
+        engine.is_up = is_up;
+    }
+}
+
+/// Runs one cell: a request of its own is brought to `step`, then `faults` strike.
+fn run_cell(kind: CallKind, step: Step, faults: &[Fault], seed: u64) {
+    let what = format!("{kind:?} {step:?} {faults:?} seed {seed}");
+    let (topology, mut fleet) = small_fleet(seed);
+    add_mixed_clients(&mut fleet, &topology, Duration::from_secs(40));
+    fleet.run_for(Duration::from_secs(5));
+    let request = send_own(&mut fleet, &topology, kind);
+    let is_reached =
+        run_until(&mut fleet, Duration::from_secs(20), |fleet| is_at(fleet, request, step));
+    assert!(is_reached, "{what}: the step was not reached");
+
+    let scene = scene_of(&fleet, &topology, request, kind);
+    for fault in faults {
+        fault.strike(&mut fleet, &topology, &scene);
+    }
+    fleet.run_for(FAULT);
+    let healed = fleet.now;
+    fleet.run_for(SETTLED);
+
+    assert_always(&fleet, &what);
+    assert_none(&all_answered(&fleet.history, healed), &what);
+    let whole = whole_after(&fleet, healed);
+    let lasting = faults.iter().filter(|fault| fault.is_lasting()).count();
+    assert!(whole > 20 || lasting > 1, "{what}: only {whole} answers after the fault");
+}
+
+/// Sends the request that the cell is about and returns its number.
+fn send_own(fleet: &mut Fleet, topology: &Topology, kind: CallKind) -> u64 {
+    let workspace = topology.workspace_names().remove(1);
+    let mut client = match kind {
+        CallKind::Idempotent => model_client(fleet, topology, &workspace, 1, 1),
+        CallKind::Once => booking_client(fleet, topology, &workspace, 1),
+    };
+    client.tokens = (64, 64);
+    client.until = fleet.now + Duration::from_millis(100);
+    let before = last_request(fleet);
+    let is_own = |fleet: &Fleet| {
+        let request = last_request(fleet)?;
+        let entry = fleet.requests.get(&request)?;
+        (Some(request) > before && entry.tokens == 64).then_some(request)
+    };
+    fleet.add_client(client);
+    let mut found = None;
+    run_until(fleet, Duration::from_secs(1), |fleet| {
+        found = is_own(fleet);
+        found.is_some()
+    });
+
+    found.expect("the request is sent")
+}
+
+fn is_at(fleet: &Fleet, request: u64, step: Step) -> bool {
+    match step {
+        Step::Waiting => fleet.requests.contains_key(&request),
+        Step::Dispatched => fleet.is_dispatched(request),
+        Step::Admitted => fleet.is_admitted(request) || has_run(fleet, request),
+        Step::Running => has_run(fleet, request),
+        Step::Ended => has_ended(fleet, request),
+    }
+}
+
+fn scene_of(fleet: &Fleet, topology: &Topology, request: u64, kind: CallKind) -> Scene {
+    let some_sidecar = match kind {
+        CallKind::Idempotent => topology.runner_names().remove(0),
+        CallKind::Once => topology.service_names().remove(0),
+    };
+    let entry = fleet.requests.get(&request);
+    let router = entry.map_or_else(|| topology.router_names().remove(0), |r| r.router.clone());
+    let sidecar =
+        fleet.sidecar_of(request).or_else(|| runner_of(fleet, request)).unwrap_or(some_sidecar);
+
+    Scene { router, sidecar }
+}
+
+macro_rules! matrix {
+    ($($fault:ident: $name:ident;)*) => {
+        $(
+            mod $name {
+                use super::*;
+
+                #[test]
+                fn at_every_step_of_a_model_call() {
+                    run_row(CallKind::Idempotent, &[Fault::$fault]);
+                }
+
+                #[test]
+                fn at_every_step_of_a_booking() {
+                    run_row(CallKind::Once, &[Fault::$fault]);
+                }
+            }
+        )*
+    };
+}
+
+fn run_row(kind: CallKind, faults: &[Fault]) {
+    for step in [Step::Waiting, Step::Dispatched, Step::Admitted, Step::Running, Step::Ended] {
+        for seed in SEEDS {
+            run_cell(kind, step, faults, seed);
+        }
+    }
+}
+
+matrix! {
+    KillSidecar: kill_sidecar;
+    RestartSidecar: restart_sidecar;
+    FreezeSidecar: freeze_sidecar;
+    KillRouter: kill_router;
+    RestartRouter: restart_router;
+    FreezeRouter: freeze_router;
+    CutRouterFromSidecars: cut_router_from_sidecars;
+    CutSidecarFromPlatform: cut_sidecar_from_platform;
+    SilenceSidecar: silence_sidecar;
+    SilenceRouter: silence_router;
+    PlatformDown: platform_down;
+    PlatformSlow: platform_slow;
+    LostPlatformAnswers: lost_platform_answers;
+    SuddenCold: sudden_cold;
+    UpstreamGone: upstream_gone;
+    Flood: flood;
+    LossyLinks: lossy_links;
+    RepeatingLinks: repeating_links;
+}
+
+/// Faults whose pairs strike bookings.
+const PAIRED: [Fault; 9] = [
+    Fault::KillSidecar,
+    Fault::RestartSidecar,
+    Fault::FreezeSidecar,
+    Fault::RestartRouter,
+    Fault::CutRouterFromSidecars,
+    Fault::SilenceSidecar,
+    Fault::PlatformDown,
+    Fault::PlatformSlow,
+    Fault::LostPlatformAnswers,
+];
+
+macro_rules! pairs {
+    ($($name:ident: $step:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                for (index, first) in PAIRED.into_iter().enumerate() {
+                    for second in PAIRED.into_iter().skip(index + 1) {
+                        run_cell(CallKind::Once, Step::$step, &[first, second], 21);
+                    }
+                }
+            }
+        )*
+    };
+}
+
+pairs! {
+    pairs_of_faults_while_a_booking_is_dispatched: Dispatched;
+    pairs_of_faults_while_a_booking_is_admitted: Admitted;
+    pairs_of_faults_while_a_booking_runs: Running;
+}
