Let an upstream grow out of its cold start only on lasting word, and widen the lead

Ruled out: permits above the limit (never seen in the traces). Change: once an upstream sends load reports, the limit leaves the cold slots only after they have said warm for 3 s without a break and without a failure, and then doubles each round; a report of cold makes a warm upstream cold. Reports still never raise the limit by themselves.

Cause: the bound of two requests on a sidecar's lead cut its memory, which brought the choice in step again. Chosen: 4 and 16; the larger bound weakens the correction of a workspace that few sidecars see, which no full mesh shows.

--- a/sapphirespur_bench/src/fleet.rs
+++ b/sapphirespur_bench/src/fleet.rs
@@ -56,6 +56,12 @@
 /// Time after which a sidecar gives an answer up that nobody reads.
 const ABANDONED_AFTER: Duration = Duration::from_secs(10);
 
+/// Time between two load reports of an upstream.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time by which a load report is late.
+const LOAD_LAG: Duration = Duration::from_secs(2);
+
 /// Wall clock at the start, in seconds since the Unix epoch.
 const WALL_START_S: u64 = 1_800_000_000;
 
@@ -204,6 +210,7 @@
     /// Adds an upstream and starts its sidecar.
     pub fn add_upstream(&mut self, name: &Name, data_centre: &Name, shape: EngineShape) {
         self.engines.insert(name.clone(), Engine::new(self.now, shape));
+        self.after(Duration::ZERO, Happening::TakeStock(name.clone()));
         self.start_sidecar(name, data_centre);
     }
 
@@ -525,6 +532,10 @@
                     self.input(&sidecar, Input::Sidecar(SidecarInput::Ledger { batch, answer }));
                 }
             }
+            Happening::TakeStock(sidecar) => self.on_take_stock(sidecar),
+            Happening::Load { sidecar, cold } => {
+                self.input(&sidecar, Input::Sidecar(SidecarInput::Load { cold }));
+            }
             Happening::ReadConfig(name) => self.on_read_config(&name),
             Happening::ReadMembers(name) => {
                 if self.is_running(&name) {
@@ -1163,6 +1174,17 @@
         self.input(sidecar, Input::Sidecar(SidecarInput::Upstream { attempt, event }));
     }
 
+    fn on_take_stock(&mut self, sidecar: Name) {
+        let now = self.now;
+        let Some(engine) = self.engines.get(&sidecar) else { return };
+        if engine.is_up {
+            let cold = now < engine.cold_until;
+            self.after(LOAD_LAG, Happening::Load { sidecar: sidecar.clone(), cold });
+        }
+
+        self.after(LOAD_INTERVAL, Happening::TakeStock(sidecar));
+    }
+
     fn on_send_batch(&mut self, sidecar: &Name, batch: LedgerBatch) {
         let incarnation = self.nodes[sidecar].incarnation;
         let reaches = self.links.passes(sidecar, &Name::new(PLATFORM));
--- a/sapphirespur_bench/src/happening.rs
+++ b/sapphirespur_bench/src/happening.rs
@@ -96,6 +96,15 @@
         /// Answer.
         answer: Result<Vec<LedgerResult>, LedgerFailure>,
     },
+    /// An upstream takes stock for its next load report.
+    TakeStock(Name),
+    /// A load report arrives.
+    Load {
+        /// Sidecar beside the upstream.
+        sidecar: Name,
+        /// Whether the upstream was cold when it took stock.
+        cold: bool,
+    },
     /// A router reads the configuration.
     ReadConfig(Name),
     /// A router reads the VM list.
--- a/sapphirespur_bench/tests/random_faults.rs
+++ b/sapphirespur_bench/tests/random_faults.rs
@@ -152,8 +152,9 @@
 
 #[test]
 fn any_order_of_faults_keeps_what_must_always_hold() {
-    fn property(strikes: Vec<Strike>, seed: u8) -> bool {
-        holds(&strikes[..strikes.len().min(8)], seed.into())
+    fn property(mut strikes: Vec<Strike>, seed: u8) -> bool {
+        strikes.truncate(8);
+        holds(&strikes, seed.into())
     }
 
     QuickCheck::new()
--- a/sapphirespur_core/src/fair.rs
+++ b/sapphirespur_core/src/fair.rs
@@ -19,7 +19,7 @@
 const CORRECTION_GAIN: i64 = 4;
 
 /// Requests of its own by which a workspace may lead at one sidecar.
-const MAX_LEAD_REQUESTS: i64 = 2;
+const MAX_LEAD_REQUESTS: i64 = 16;
 
 /// Class within a workspace, ordered by its own virtual time.
 #[derive(Clone, Debug, Default)]
--- a/sapphirespur_core/src/limiter.rs
+++ b/sapphirespur_core/src/limiter.rs
@@ -22,6 +22,20 @@
 /// Longest pause before the next trial.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
+/// Longest time by which a load report lags behind the upstream.
+pub const REPORT_LAG: Duration = Duration::from_secs(3);
+
+/// What the load reports have said since the last failure.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reported {
+    /// The upstream sends no reports.
+    Nothing,
+    /// The last report said cold.
+    Cold,
+    /// All reports since a time said warm.
+    WarmSince(Time),
+}
+
 /// Phase of an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -56,6 +70,7 @@
     failures: u32,
     paused_until: Time,
     last_reduction: Time,
+    reported: Reported,
 }
 
 impl Limiter {
@@ -71,6 +86,7 @@
             failures: 0,
             paused_until: Time::default(),
             last_reduction: Time::default(),
+            reported: Reported::Nothing,
         }
     }
 
@@ -112,7 +128,7 @@
 
         self.failures = 0;
         if sample.is_healthy() {
-            self.on_healthy(saturated);
+            self.on_healthy(now, saturated);
         } else {
             self.on_slow(now);
         }
@@ -126,14 +142,37 @@
 
         let doublings = self.failures.min(16);
         self.paused_until = now + (FIRST_PAUSE * (1 << doublings)).min(MAX_PAUSE);
+        if self.reported != Reported::Nothing {
+            // A report of before the failure must not count.
+            self.reported = Reported::Cold;
+        }
         self.failures += 1;
         self.fall_back();
     }
 
-    /// Takes a report of the upstream that it is cold; a hint, for it may be stale.
-    pub fn on_reported_cold(&mut self) {
-        if self.phase == Phase::Warm {
-            self.fall_back();
+    /// Takes a load report, which may be stale: it can hold the limit down, and never raises it.
+    pub fn on_report(&mut self, now: Time, cold: bool) {
+        if cold {
+            self.reported = Reported::Cold;
+            if self.phase == Phase::Warm {
+                self.fall_back();
+            }
+            return;
+        }
+
+        if !matches!(self.reported, Reported::WarmSince(_)) {
+            self.reported = Reported::WarmSince(now);
+        }
+    }
+
+    /// Tells whether an upstream that was cold may get more work than it bears when cold.
+    ///
+    /// Healthy answers alone don't show that: a cold upstream is healthy within its bounds.
+    fn may_grow(&self, now: Time) -> bool {
+        match self.reported {
+            Reported::Nothing => true,
+            Reported::Cold => false,
+            Reported::WarmSince(since) => now.since(since) >= REPORT_LAG,
         }
     }
 
@@ -144,18 +183,18 @@
         self.round.0 += 1;
     }
 
-    fn on_healthy(&mut self, saturated: bool) {
+    fn on_healthy(&mut self, now: Time, saturated: bool) {
         if !saturated && self.phase == Phase::Warm {
             return;
         }
         self.healthy += 1;
-        if self.healthy < self.limit {
+        if self.healthy < self.limit || (self.phase == Phase::Cold && !self.may_grow(now)) {
             return;
         }
 
         self.healthy = 0;
         let step = match self.phase {
-            Phase::Cold => (self.limit / 2).max(1),
+            Phase::Cold => self.limit,
             Phase::Warm => 1,
         };
         self.limit = (self.limit + step).min(self.slots);
--- a/sapphirespur_core/src/sidecar/sidecar.rs
+++ b/sapphirespur_core/src/sidecar/sidecar.rs
@@ -125,11 +125,7 @@
                 let verdicts = self.ledger.on_answer(now, batch, answer);
                 self.on_verdicts(now, verdicts, out);
             }
-            SidecarInput::Load { cold } => {
-                if cold {
-                    self.limiter.on_reported_cold();
-                }
-            }
+            SidecarInput::Load { cold } => self.limiter.on_report(now, cold),
             SidecarInput::Drain => self.draining = true,
         }
 
