--- a/sapphirespur_bench/src/fleet.rs
+++ b/sapphirespur_bench/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::answer::SILENCE_TIMEOUT;
-use sapphirespur_core::config::{Change, Target};
+use sapphirespur_core::config::{Change, Config, DataCentreState, Target, Upstream, UpstreamState};
 use sapphirespur_core::event::Event;
 use sapphirespur_core::hash::sha256_hex;
 use sapphirespur_core::message::Message;
@@ -139,7 +139,7 @@
             seed: 1,
             latency: Duration::from_millis(1),
             router: RouterPolicy::default(),
-            sidecar: SidecarPolicy::default(),
+            sidecar: SidecarPolicy { has_load_reports: true, ..SidecarPolicy::default() },
             members_lag: Duration::ZERO,
         }
     }
@@ -268,8 +268,8 @@
         let after = self.platform.config.clone();
         self.see(Seen::Accepted { revision: after.revision });
         for (name, upstream) in &after.upstreams {
-            let open = after.takes_work(upstream);
-            let was_open = before.upstreams.get(name).is_some_and(|u| before.takes_work(u));
+            let open = is_open(&after, upstream);
+            let was_open = before.upstreams.get(name).is_some_and(|u| is_open(&before, u));
             match (was_open, open) {
                 (true, false) => self.see(Seen::Closed { upstream: name.clone() }),
                 (false, true) => self.see(Seen::Opened { upstream: name.clone() }),
@@ -774,7 +774,13 @@
 
         let config = self.platform.config.clone();
         if config.revision > 0 {
-            self.input(name, Input::Router(RouterInput::Configured(config)));
+            // A slow platform answers later reads before earlier ones.
+            let slow = self.platform.fault.slow.as_micros() as u64;
+            let delay = Duration::from_micros(self.rng.below(slow + 1));
+            let name = name.clone();
+            self.act(delay, move |fleet| {
+                fleet.input(&name, Input::Router(RouterInput::Configured(config)));
+            });
         } else {
             self.after(READ_RETRY, Happening::ReadConfig(name.clone()));
             return;
@@ -1222,6 +1228,14 @@
     }
 }
 
+/// Tells whether operators let an upstream take work, without the code that is checked.
+fn is_open(config: &Config, upstream: &Upstream) -> bool {
+    let data_centre = config.data_centres.get(&upstream.data_centre);
+
+    upstream.state == UpstreamState::Active
+        && data_centre.is_some_and(|data_centre| data_centre.state == DataCentreState::In)
+}
+
 fn head_of(client: &Client, tokens: u32, key: Option<String>) -> RequestHead {
     let path = match client.kind {
         CallKind::Idempotent => "/lookup",
--- a/sapphirespur_bench/src/measure/fairness.rs
+++ b/sapphirespur_bench/src/measure/fairness.rs
@@ -50,8 +50,9 @@
         Order::Fleet { interval } => interval,
         Order::SidecarAlone => Duration::from_secs(1_000_000),
     };
-    let sidecar = SidecarPolicy { report_interval, ..SidecarPolicy::default() };
-    let mut fleet = topology.start(FleetOptions { seed, sidecar, ..FleetOptions::default() });
+    let options = FleetOptions::default();
+    let sidecar = SidecarPolicy { report_interval, ..options.sidecar };
+    let mut fleet = topology.start(FleetOptions { seed, sidecar, ..options });
     add_backlog(&mut fleet, topology, UNDER_WAY);
     fleet.run_for(WARM_UP);
 
--- a/sapphirespur_bench/tests/config_faults.rs
+++ b/sapphirespur_bench/tests/config_faults.rs
@@ -42,6 +42,7 @@
     CutWatchersFromPlatform,
     SilenceRouters,
     PlatformDown,
+    PlatformSlow,
     StaleVmList,
     LossyLinks,
     RepeatingLinks,
@@ -81,6 +82,16 @@
                 fleet.platform.fault.down = true;
                 fleet.act(FAULT, |fleet| fleet.platform.fault.down = false);
             }
+            Self::PlatformSlow => {
+                fleet.platform.fault.slow = Duration::from_secs(2);
+                fleet.act(FAULT, |fleet| fleet.platform.fault.slow = Duration::ZERO);
+                for later in 1..8_u32 {
+                    let span = Duration::from_millis(300) * later;
+                    fleet.act(span, move |fleet| {
+                        fleet.confirm(&[share("w1", later)]);
+                    });
+                }
+            }
             Self::StaleVmList => {
                 let mut stale = topology.members();
                 stale.retain(|vm| vm.name != routers[0]);
@@ -194,6 +205,7 @@
     CutWatchersFromPlatform: cut_watchers_from_platform;
     SilenceRouters: silence_routers;
     PlatformDown: platform_down;
+    PlatformSlow: platform_slow;
     StaleVmList: stale_vm_list;
     LossyLinks: lossy_links;
     RepeatingLinks: repeating_links;
--- a/sapphirespur_bench/tests/request_faults.rs
+++ b/sapphirespur_bench/tests/request_faults.rs
@@ -10,7 +10,7 @@
 };
 use sapphirespur_bench::check::all_answered;
 use sapphirespur_bench::client::CallKind;
-use sapphirespur_bench::fleet::{Fleet, PLATFORM};
+use sapphirespur_bench::fleet::{Fleet, FleetOptions, PLATFORM};
 use sapphirespur_bench::measure::load::{booking_client, model_client};
 use sapphirespur_bench::topology::Topology;
 use sapphirespur_core::name::Name;
@@ -307,3 +307,38 @@
     pairs_of_faults_while_a_booking_is_admitted: Admitted;
     pairs_of_faults_while_a_booking_runs: Running;
 }
+
+/// A request does not wait for the sidecars that were asked first and answer nothing.
+#[test]
+fn a_request_is_served_though_the_sidecars_that_seem_free_are_frozen() {
+    let topology = Topology { runners: 6, ..Topology::small() };
+    let options = FleetOptions { seed: 22, ..FleetOptions::default() };
+    let mut fleet = topology.start(options);
+    for name in &topology.runner_names()[1..] {
+        fleet.freeze(name);
+    }
+    let request = send_own(&mut fleet, &topology, CallKind::Idempotent);
+    // Well before the silence of the frozen ones is noticed.
+    let is_running = run_until(&mut fleet, Duration::from_secs(1), |fleet| has_run(fleet, request));
+
+    assert!(is_running, "the request waits for frozen sidecars");
+}
+
+/// A request for an upstream that is gone for good ends soon and as not run.
+#[test]
+fn a_request_for_the_only_upstream_which_is_gone_is_refused() {
+    for kind in [CallKind::Idempotent, CallKind::Once] {
+        let topology = Topology { runners: 1, services: 1, ..Topology::small() };
+        let options = FleetOptions { seed: 23, ..FleetOptions::default() };
+        let mut fleet = topology.start(options);
+        for engine in fleet.engines.values_mut() {
+            engine.is_up = false;
+        }
+        let request = send_own(&mut fleet, &topology, kind);
+        let limit = Duration::from_secs(15);
+        let is_ended = run_until(&mut fleet, limit, |fleet| has_ended(fleet, request));
+
+        assert!(is_ended, "{kind:?} has no answer");
+        assert_always(&fleet, "gone");
+    }
+}
--- a/sapphirespur_core/src/limiter.rs
+++ b/sapphirespur_core/src/limiter.rs
@@ -74,8 +74,11 @@
 }
 
 impl Limiter {
-    /// Creates a limiter for an upstream that may be cold.
-    pub fn new(cold_slots: u32, slots: u32) -> Self {
+    /// Creates a limiter for an upstream that may be cold, and that may send load reports.
+    pub fn new(cold_slots: u32, slots: u32, has_load_reports: bool) -> Self {
+        // Until its first report, a reporting upstream counts as cold.
+        let reported = if has_load_reports { Reported::Cold } else { Reported::Nothing };
+
         Self {
             cold_slots,
             slots,
@@ -86,7 +89,7 @@
             failures: 0,
             paused_until: Time::default(),
             last_reduction: Time::default(),
-            reported: Reported::Nothing,
+            reported,
         }
     }
 
--- a/sapphirespur_core/src/router/requests.rs
+++ b/sapphirespur_core/src/router/requests.rs
@@ -16,8 +16,8 @@
 /// Length up to which a queue is accepted whatever its expected wait.
 const SHORT_QUEUE: usize = 32;
 
-/// Attempts of one request that sidecars may refuse before it is given up.
-const MAX_REFUSED_ATTEMPTS: u32 = 8;
+/// Time from the first refused attempt of a request until it is given up.
+const REFUSED_GRACE: Duration = Duration::from_secs(5);
 
 /// Time after which a caller may come back when no upstream can serve.
 pub(super) const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
@@ -44,7 +44,15 @@
     pub since: Time,
     /// Attempt under way; none while the request waits.
     pub attempt: Option<Attempt>,
-    refused_attempts: u32,
+    first_refused: Option<Time>,
+    may_have_run: bool,
+}
+
+impl Request {
+    /// Returns a refusal that is true of all attempts that were made.
+    pub fn refused_with(&self, refusal: Refusal) -> Refusal {
+        if self.may_have_run { Refusal { outcome: Outcome::Unknown, ..refusal } } else { refusal }
+    }
 }
 
 /// What follows from the end of an attempt.
@@ -117,7 +125,8 @@
         let waiting = Waiting { id, since: now, cost: meta.cost };
         self.count_waiting(&meta.queue, 1);
         self.queues.entry(meta.queue.clone()).or_insert_with(Queue::new).push(waiting);
-        let request = Request { meta, since: now, attempt: None, refused_attempts: 0 };
+        let request =
+            Request { meta, since: now, attempt: None, first_refused: None, may_have_run: false };
         self.requests.insert(id, request);
         Ok(())
     }
@@ -140,32 +149,33 @@
         }
     }
 
-    /// Ends an attempt that was refused before it ran, or whose refusal tells its outcome.
-    pub fn on_refused(&mut self, id: RequestId, attempt: AttemptId, refusal: Refusal) -> Next {
+    /// Ends an attempt that a sidecar refused.
+    pub fn on_refused(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        refusal: Refusal,
+    ) -> Next {
         let Some(request) = self.current(id, attempt) else { return Next::Ignore };
 
-        request.refused_attempts += 1;
-        let is_transient =
-            refusal.outcome == Outcome::NotRun && refusal.code == RefusalCode::NoUpstream;
-        let may_wait = is_transient && request.refused_attempts < MAX_REFUSED_ATTEMPTS;
-        if may_wait {
-            self.requeue(id);
-            return Next::Requeued;
-        }
-        if self.may_retry_failure(id, refusal) {
+        request.may_have_run |= refusal.outcome == Outcome::Unknown;
+        let refusal = request.refused_with(refusal);
+        let first_refused = *request.first_refused.get_or_insert(now);
+        let may_wait =
+            refusal.code == RefusalCode::NoUpstream && now.since(first_refused) < REFUSED_GRACE;
+        if may_wait || self.may_retry_failure(id, refusal) {
             self.requeue(id);
             return Next::Requeued;
         }
-
         Next::Refuse(refusal)
     }
 
     /// Ends an attempt whose answer was lost.
     pub fn on_lost(&mut self, id: RequestId, attempt: AttemptId) -> Next {
-        if self.current(id, attempt).is_none() {
-            return Next::Ignore;
-        }
+        let Some(request) = self.current(id, attempt) else { return Next::Ignore };
 
+        request.may_have_run = true;
         let refusal = Refusal::unknown(RefusalCode::AnswerLost);
         if self.may_retry_failure(id, refusal) {
             self.requeue(id);
@@ -236,7 +246,9 @@
         let request = self.requests.remove(&id)?;
         self.count_waiting(&request.meta.queue, -1);
 
-        Some((id, request, Refusal::later(RefusalCode::WaitedTooLong, retry_after)))
+        let refusal = Refusal::later(RefusalCode::WaitedTooLong, retry_after);
+        let refusal = request.refused_with(refusal);
+        Some((id, request, refusal))
     }
 
     fn check_room(&self, key: &QueueKey) -> Result<(), Refusal> {
@@ -267,10 +279,8 @@
     /// Tells whether a request whose attempt failed may be tried again within the budget.
     fn may_retry_failure(&mut self, id: RequestId, refusal: Refusal) -> bool {
         let Some(request) = self.requests.get(&id) else { return false };
-        let is_failure = matches!(
-            refusal.code,
-            RefusalCode::AnswerLost | RefusalCode::UpstreamFailed | RefusalCode::NoUpstream
-        );
+        let is_failure =
+            matches!(refusal.code, RefusalCode::AnswerLost | RefusalCode::UpstreamFailed);
         let may_repeat =
             request.meta.call == Call::Idempotent || refusal.outcome == Outcome::NotRun;
         let delivering = request.attempt.as_ref().is_some_and(|attempt| attempt.delivering);
--- a/sapphirespur_core/src/router/router.rs
+++ b/sapphirespur_core/src/router/router.rs
@@ -410,10 +410,10 @@
                 self.on_finished(now, id, attempt, out);
                 return;
             }
-            AttemptEvent::Refused(refusal) => self.requests.on_refused(id, attempt, refusal),
+            AttemptEvent::Refused(refusal) => self.requests.on_refused(now, id, attempt, refusal),
             AttemptEvent::NeverStarted => {
                 let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
-                self.requests.on_refused(id, attempt, refusal)
+                self.requests.on_refused(now, id, attempt, refusal)
             }
             AttemptEvent::Lost => self.requests.on_lost(id, attempt),
         };
@@ -553,10 +553,11 @@
 
     fn refuse_waiting(&mut self, target: &Target, out: &mut Vec<RouterOutput>) {
         for id in self.requests.waiting_for(target) {
-            if let Some(request) = self.requests.remove(id) {
-                self.demand.on_queue_changed(&request.meta.queue);
-            }
-            refuse(id, Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY), out);
+            let Some(request) = self.requests.remove(id) else { continue };
+
+            self.demand.on_queue_changed(&request.meta.queue);
+            let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
+            refuse(id, request.refused_with(refusal), out);
         }
     }
 
--- a/sapphirespur_core/src/sidecar/policy.rs
+++ b/sapphirespur_core/src/sidecar/policy.rs
@@ -9,6 +9,8 @@
     pub report_interval: Duration,
     /// Time between two heartbeats on a link.
     pub heartbeat_interval: Duration,
+    /// Whether the upstream sends load reports.
+    pub has_load_reports: bool,
 }
 
 impl Default for SidecarPolicy {
@@ -16,6 +18,7 @@
         Self {
             report_interval: Duration::from_millis(500),
             heartbeat_interval: Duration::from_secs(1),
+            has_load_reports: false,
         }
     }
 }
--- a/sapphirespur_core/src/sidecar/sidecar.rs
+++ b/sapphirespur_core/src/sidecar/sidecar.rs
@@ -95,7 +95,7 @@
             routers: BTreeMap::new(),
             demand: DemandBook::default(),
             fair: FairOrder::new(incarnation),
-            limiter: Limiter::new(1, 1),
+            limiter: Limiter::new(1, 1, policy.has_load_reports),
             permits: Permits::new(incarnation),
             attempts: Attempts::default(),
             ledger: OnceLedger::default(),
--- /dev/null
+++ b/sapphirespur_core/tests/answer.rs
@@ -0,0 +1,139 @@
+//! Whole answers: order, loss, repeats and crossings of frames.
+
+use std::time::Duration;
+
+use quickcheck::{Gen, QuickCheck};
+use sapphirespur_core::answer::{
+    AnswerLog, AnswerReader, FrameKind, FrameVerdict, Recovery, SILENCE_TIMEOUT,
+};
+use sapphirespur_core::request::AttemptId;
+use sapphirespur_core::time::Time;
+
+const OWN: AttemptId = AttemptId { incarnation: 1, counter: 1 };
+const FOREIGN: AttemptId = AttemptId { incarnation: 1, counter: 2 };
+const NOW: Time = Time::from_micros(1_000_000);
+
+macro_rules! cases {
+    ($($name:ident: [$(($attempt:expr, $number:expr, $kind:ident)),*] => $verdict:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut reader = AnswerReader::new(NOW, OWN);
+                let frames = [$(($attempt, $number, FrameKind::$kind)),*];
+                let verdicts = frames.map(|(a, n, kind)| reader.on_frame(NOW, a, n, kind));
+                assert_eq!(verdicts.last(), Some(&FrameVerdict::$verdict));
+            }
+        )*
+    };
+}
+
+cases! {
+    the_first_frame_is_delivered: [(OWN, 0, Content)] => Deliver;
+    the_next_frame_is_delivered: [(OWN, 0, Content), (OWN, 1, Content)] => Deliver;
+    a_repeated_frame_is_dropped: [(OWN, 0, Content), (OWN, 0, Content)] => Drop;
+    a_gap_is_resumed: [(OWN, 0, Content), (OWN, 2, Content)] => Resume;
+    a_foreign_frame_is_dropped: [(FOREIGN, 0, Content)] => Drop;
+    a_foreign_end_is_dropped: [(OWN, 0, Content), (FOREIGN, 1, End)] => Drop;
+    an_end_with_the_right_count_completes: [(OWN, 0, Content), (OWN, 1, End)] => Complete;
+    an_end_after_a_gap_is_resumed: [(OWN, 0, Content), (OWN, 2, End)] => Resume;
+    an_end_of_before_is_dropped: [(OWN, 0, Content), (OWN, 0, End)] => Drop;
+    a_keep_alive_is_dropped: [(OWN, 0, KeepAlive)] => Drop;
+    a_keep_alive_shows_a_gap: [(OWN, 1, KeepAlive)] => Resume;
+}
+
+#[test]
+fn a_broken_connection_is_resumed_until_there_is_no_progress() {
+    let mut reader = AnswerReader::new(NOW, OWN);
+    reader.on_frame(NOW, OWN, 0, FrameKind::Content);
+    for _ in 0..3 {
+        assert_eq!(reader.on_broken(NOW), Recovery::Resume { from: 1 });
+    }
+    assert_eq!(reader.on_broken(NOW), Recovery::GiveUp);
+}
+
+#[test]
+fn progress_allows_further_resumes() {
+    let mut reader = AnswerReader::new(NOW, OWN);
+    for number in 0..20 {
+        assert_eq!(reader.on_broken(NOW), Recovery::Resume { from: number });
+        assert_eq!(reader.on_frame(NOW, OWN, number, FrameKind::Content), FrameVerdict::Deliver);
+    }
+}
+
+#[test]
+fn silence_counts_from_the_last_own_frame() {
+    let mut reader = AnswerReader::new(NOW, OWN);
+    let later = NOW + Duration::from_secs(1);
+    reader.on_frame(later, FOREIGN, 0, FrameKind::KeepAlive);
+    assert_eq!(reader.silent_at(), NOW + SILENCE_TIMEOUT);
+    reader.on_frame(later, OWN, 0, FrameKind::KeepAlive);
+    assert_eq!(reader.silent_at(), later + SILENCE_TIMEOUT);
+}
+
+/// Whatever a connection does to the frames, a whole answer is the written one, and only that.
+#[test]
+fn a_complete_answer_is_the_written_one() {
+    fn property(count: u8, noise: Vec<(u8, u8)>) -> bool {
+        let mut log = AnswerLog::new(usize::MAX);
+        for number in 0..u64::from(count) {
+            log.push(1, number);
+        }
+
+        let mut reader = AnswerReader::new(NOW, OWN);
+        let mut read = Vec::new();
+        let mut noise = noise.into_iter();
+        let mut next = 0_u64;
+        loop {
+            // Loses, repeats or crosses a frame, or sends one of another attempt.
+            let (attempt, number) = match noise.next() {
+                Some((0..=63, _)) => (OWN, next + 1),
+                Some((64..=127, back)) => (OWN, next.saturating_sub(u64::from(back % 3))),
+                Some((128..=191, _)) => (FOREIGN, next),
+                Some(_) | None => (OWN, next),
+            };
+            let kind = if number >= log.next() { FrameKind::End } else { FrameKind::Content };
+            let number = number.min(log.next());
+            match reader.on_frame(NOW, attempt, number, kind) {
+                FrameVerdict::Deliver => {
+                    read.push(log.get(number));
+                    next = number + 1;
+                }
+                FrameVerdict::Drop => {}
+                FrameVerdict::Resume => match reader.on_broken(NOW) {
+                    Recovery::Resume { from } => next = from,
+                    Recovery::GiveUp => return true,
+                },
+                FrameVerdict::Complete => break,
+            }
+        }
+
+        read == (0..u64::from(count)).map(Some).collect::<Vec<_>>()
+    }
+
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 7))
+        .tests(500)
+        .quickcheck(property as fn(u8, Vec<(u8, u8)>) -> bool);
+}
+
+#[test]
+fn the_log_keeps_the_last_frames_within_its_bound() {
+    let mut log = AnswerLog::new(10);
+    for number in 0..5 {
+        assert_eq!(log.push(4, number), number);
+    }
+
+    assert_eq!(log.get(2), None);
+    assert_eq!(log.get(3), Some(3));
+    assert!(!log.can_resume(2));
+    assert!(log.can_resume(3));
+    assert!(log.can_resume(5));
+    assert!(!log.can_resume(6));
+}
+
+#[test]
+fn the_log_keeps_a_frame_that_is_larger_than_its_bound() {
+    let mut log = AnswerLog::new(10);
+    log.push(100, "large");
+    assert_eq!(log.get(0), Some("large"));
+}
--- /dev/null
+++ b/sapphirespur_core/tests/filter.rs
@@ -0,0 +1,131 @@
+//! The filter chain of requests.
+
+use sapphirespur_core::config::{CallPattern, Class, Config, Model, Service, Target, Workspace};
+use sapphirespur_core::filter::{FilterContext, run};
+use sapphirespur_core::hash::sha256_hex;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::request::{Call, Outcome, RefusalCode, RequestHead, RequestMeta};
+
+fn config() -> Config {
+    let mut config = Config { revision: 1, ..Config::default() };
+    config.classes.insert(Name::new("label"), Class { weight: 1, default: false });
+    config.classes.insert(Name::new("ordinary"), Class { weight: 2, default: true });
+    config.models.insert(Name::new("writer"), Model {});
+    let idempotent = vec![CallPattern { method: "GET".to_owned(), path: "/catalogue".to_owned() }];
+    config.services.insert(Name::new("registry"), Service { idempotent });
+    let key_digests = vec![sha256_hex(b"secret")];
+    config.workspaces.insert(Name::new("agenzia"), Workspace { share: 1, key_digests });
+    config
+}
+
+fn model_head() -> RequestHead {
+    RequestHead {
+        key_digest: Some(sha256_hex(b"secret")),
+        target: Target::Model(Name::new("writer")),
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        class: None,
+        cost_hint: Some(100),
+        idempotency_key: None,
+        fingerprint: "f".to_owned(),
+    }
+}
+
+fn service_head(method: &str, path: &str, key: Option<&str>) -> RequestHead {
+    RequestHead {
+        target: Target::Service(Name::new("registry")),
+        method: method.to_owned(),
+        path: path.to_owned(),
+        idempotency_key: key.map(str::to_owned),
+        ..model_head()
+    }
+}
+
+fn check(head: &RequestHead) -> Result<RequestMeta, RefusalCode> {
+    let config = config();
+    let keys = config.key_index();
+    run(head, FilterContext { config: &config, keys: &keys }).map_err(|refusal| {
+        assert_eq!(refusal.outcome, Outcome::NotRun);
+        refusal.code
+    })
+}
+
+macro_rules! refused {
+    ($($name:ident: $head:expr => $code:ident;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                assert_eq!(check(&$head), Err(RefusalCode::$code));
+            }
+        )*
+    };
+}
+
+refused! {
+    a_missing_key_is_refused: RequestHead { key_digest: None, ..model_head() } => InvalidKey;
+    an_unknown_key_is_refused:
+        RequestHead { key_digest: Some(sha256_hex(b"other")), ..model_head() } => InvalidKey;
+    an_unknown_model_is_refused:
+        RequestHead { target: Target::Model(Name::new("other")), ..model_head() }
+        => UnknownTarget;
+    a_model_is_no_service:
+        RequestHead { target: Target::Service(Name::new("writer")), ..model_head() }
+        => UnknownTarget;
+    an_unknown_class_is_refused:
+        RequestHead { class: Some("other".to_owned()), ..model_head() } => UnknownClass;
+    an_empty_idempotency_key_is_refused:
+        service_head("POST", "/bookings", Some("")) => MalformedRequest;
+    a_long_idempotency_key_is_refused:
+        service_head("POST", "/bookings", Some(&"k".repeat(256))) => MalformedRequest;
+    an_unknown_key_learns_nothing_of_the_model:
+        RequestHead {
+            key_digest: None, target: Target::Model(Name::new("other")), ..model_head()
+        } => InvalidKey;
+}
+
+macro_rules! calls {
+    ($($name:ident: $head:expr => $call:pat,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let call = check(&$head).map(|meta| meta.call);
+                assert!(matches!(call, Ok($call)), "{call:?}");
+            }
+        )*
+    };
+}
+
+calls! {
+    a_model_call_may_repeat: model_head() => Call::Idempotent,
+    a_listed_call_may_repeat: service_head("GET", "/catalogue", None) => Call::Idempotent,
+    a_call_below_a_listed_one_may_repeat:
+        service_head("GET", "/catalogue/7?full", None) => Call::Idempotent,
+    a_call_beside_a_listed_one_may_not: service_head("GET", "/catalogues", None) => Call::Single,
+    a_dot_segment_leads_out_of_no_prefix:
+        service_head("GET", "/catalogue/../approvals", None) => Call::Single,
+    another_method_may_not: service_head("POST", "/catalogue", None) => Call::Single,
+    a_key_makes_a_call_run_once:
+        service_head("POST", "/approvals", Some("k")) => Call::Once { .. },
+}
+
+#[test]
+fn the_class_and_the_cost_are_found() {
+    let head = RequestHead { class: Some("label".to_owned()), ..model_head() };
+    let meta = check(&head).expect("the request passes");
+    assert_eq!((meta.queue.class.as_str(), meta.cost), ("label", 100));
+    let meta = check(&model_head()).expect("the request passes");
+    assert_eq!(meta.queue.class.as_str(), "ordinary");
+}
+
+#[test]
+fn keys_of_two_workspaces_are_apart() {
+    let mut config = config();
+    let key_digests = vec![sha256_hex(b"other")];
+    config.workspaces.insert(Name::new("katharotis"), Workspace { share: 1, key_digests });
+    let keys = config.key_index();
+    let cx = FilterContext { config: &config, keys: &keys };
+    let own = service_head("POST", "/approvals", Some("k"));
+    let other = RequestHead { key_digest: Some(sha256_hex(b"other")), ..own.clone() };
+
+    assert_ne!(run(&own, cx).expect("passes").call, run(&other, cx).expect("passes").call);
+}
--- /dev/null
+++ b/sapphirespur_core/tests/limiter.rs
@@ -0,0 +1,138 @@
+//! Limits of one upstream.
+
+use std::time::Duration;
+
+use sapphirespur_core::limiter::{Limiter, Phase, REPORT_LAG, Sample};
+use sapphirespur_core::time::Time;
+
+const NOW: Time = Time::from_micros(1_000_000_000);
+const HEALTHY: Sample = Sample {
+    first_token: Some(Duration::from_millis(300)),
+    token_gap: Some(Duration::from_millis(20)),
+};
+const SLOW: Sample = Sample {
+    first_token: Some(Duration::from_millis(300)),
+    token_gap: Some(Duration::from_millis(60)),
+};
+
+/// Finishes so many requests with a sample.
+fn finish(limiter: &mut Limiter, now: Time, count: u32, sample: Sample) {
+    for _ in 0..count {
+        let round = limiter.round();
+        limiter.on_finished(now, round, sample, true);
+    }
+}
+
+fn warm() -> Limiter {
+    let mut limiter = Limiter::new(2, 16, false);
+    finish(&mut limiter, NOW, 200, HEALTHY);
+    assert_eq!((limiter.phase(), limiter.limit(NOW)), (Phase::Warm, 16));
+    limiter
+}
+
+#[test]
+fn a_new_limiter_takes_its_upstream_for_cold() {
+    let limiter = Limiter::new(2, 16, false);
+    assert_eq!((limiter.phase(), limiter.limit(NOW)), (Phase::Cold, 2));
+}
+
+#[test]
+fn the_limit_doubles_with_each_round_of_healthy_answers() {
+    let mut limiter = Limiter::new(2, 16, false);
+    for expected in [4, 8, 16] {
+        let limit = limiter.limit(NOW);
+        finish(&mut limiter, NOW, limit, HEALTHY);
+        assert_eq!(limiter.limit(NOW), expected);
+    }
+}
+
+#[test]
+fn a_reported_cold_start_holds_the_limit_until_warm_reports_last() {
+    let mut limiter = Limiter::new(2, 16, false);
+    limiter.on_report(NOW, true);
+    finish(&mut limiter, NOW, 100, HEALTHY);
+    assert_eq!(limiter.limit(NOW), 2);
+
+    limiter.on_report(NOW, false);
+    finish(&mut limiter, NOW, 100, HEALTHY);
+    assert_eq!(limiter.limit(NOW), 2);
+    finish(&mut limiter, NOW + REPORT_LAG, 100, HEALTHY);
+    assert_eq!(limiter.limit(NOW + REPORT_LAG), 16);
+}
+
+#[test]
+fn one_failure_leads_back_to_the_cold_slots_after_a_pause() {
+    let mut limiter = warm();
+    let round = limiter.round();
+    limiter.on_failed(NOW, round);
+    assert_eq!((limiter.phase(), limiter.limit(NOW)), (Phase::Cold, 0));
+    let after = limiter.paused_until(NOW).expect("there is a pause");
+    assert_eq!(limiter.limit(after), 2);
+}
+
+#[test]
+fn failures_of_one_fall_count_once() {
+    let mut limiter = warm();
+    let round = limiter.round();
+    limiter.on_failed(NOW, round);
+    let pause = limiter.paused_until(NOW);
+    for _ in 0..16 {
+        limiter.on_failed(NOW, round);
+    }
+    assert_eq!(limiter.paused_until(NOW), pause);
+}
+
+#[test]
+fn repeated_failures_lengthen_the_pause_up_to_a_bound() {
+    let mut limiter = Limiter::new(1, 4, false);
+    let mut pauses = Vec::new();
+    for _ in 0..12 {
+        let round = limiter.round();
+        limiter.on_failed(NOW, round);
+        pauses.push(limiter.paused_until(NOW).expect("there is a pause").since(NOW));
+    }
+
+    assert!(pauses.is_sorted());
+    assert_eq!(pauses.last(), Some(&Duration::from_secs(3)));
+}
+
+#[test]
+fn slow_answers_lower_the_limit_once_a_second() {
+    let mut limiter = warm();
+    finish(&mut limiter, NOW, 50, SLOW);
+    assert_eq!(limiter.limit(NOW), 15);
+    finish(&mut limiter, NOW + Duration::from_secs(1), 50, SLOW);
+    assert_eq!(limiter.limit(NOW), 14);
+}
+
+#[test]
+fn an_unused_limit_does_not_grow() {
+    let mut limiter = warm();
+    finish(&mut limiter, NOW, 1, SLOW);
+    let round = limiter.round();
+    for _ in 0..100 {
+        limiter.on_finished(NOW, round, HEALTHY, false);
+    }
+    assert_eq!(limiter.limit(NOW), 15);
+}
+
+#[test]
+fn a_cold_report_makes_a_warm_upstream_cold_without_a_pause() {
+    let mut limiter = warm();
+    limiter.on_report(NOW, true);
+    assert_eq!((limiter.phase(), limiter.limit(NOW)), (Phase::Cold, 2));
+}
+
+#[test]
+fn lower_slots_lower_the_limit() {
+    let mut limiter = warm();
+    limiter.set_bounds(1, 4);
+    assert_eq!(limiter.limit(NOW), 4);
+}
+
+#[test]
+fn an_upstream_that_will_report_counts_as_cold_until_it_does() {
+    let mut limiter = Limiter::new(2, 16, true);
+    finish(&mut limiter, NOW, 100, HEALTHY);
+    assert_eq!(limiter.limit(NOW), 2);
+}
--- /dev/null
+++ b/sapphirespur_core/tests/once.rs
@@ -0,0 +1,222 @@
+//! The once-ledger: every order of answers, losses and deadlines of one or two attempts.
+
+use std::time::Duration;
+
+use sapphirespur_core::once::{
+    Expectation, LedgerBatch, LedgerEntry, LedgerFailure, LedgerOperation, LedgerResult,
+    LedgerState, OnceLedger, RecordedAnswer, Verdict,
+};
+use sapphirespur_core::request::{AttemptId, Outcome, RefusalCode};
+use sapphirespur_core::time::Time;
+
+const NOW: Time = Time::from_micros(1_000_000_000);
+const WALL_S: u64 = 1_800_000_000;
+const FIRST: AttemptId = AttemptId { incarnation: 1, counter: 1 };
+const SECOND: AttemptId = AttemptId { incarnation: 2, counter: 1 };
+
+/// Store of one key with its revision.
+#[derive(Default)]
+struct OneKey {
+    entry: Option<(u64, LedgerEntry)>,
+    revision: u64,
+}
+
+impl OneKey {
+    fn apply(&mut self, operation: &LedgerOperation) -> LedgerResult {
+        self.revision += 1;
+        let holds = match (operation.expect, &self.entry) {
+            (Expectation::Absent, None) => true,
+            (Expectation::At { revision }, Some((at, _))) => revision == *at,
+            _ => false,
+        };
+        if holds {
+            self.entry = Some((self.revision, operation.entry.clone()));
+            return LedgerResult::Written { revision: self.revision };
+        }
+
+        match &self.entry {
+            Some((revision, entry)) => LedgerResult::Found {
+                day: operation.day,
+                revision: *revision,
+                entry: entry.clone(),
+            },
+            None => LedgerResult::Missing,
+        }
+    }
+
+    fn apply_all(&mut self, batch: &LedgerBatch) -> Vec<LedgerResult> {
+        batch.operations.iter().map(|operation| self.apply(operation)).collect()
+    }
+
+    fn state(&self) -> Option<&LedgerState> {
+        self.entry.as_ref().map(|(_, entry)| &entry.state)
+    }
+}
+
+fn begin(ledger: &mut OnceLedger, now: Time, attempt: AttemptId, fingerprint: &str) {
+    ledger.begin(now, WALL_S, attempt, "key", fingerprint);
+}
+
+/// Sends the next batch and returns the verdict on its first operation.
+fn commit(ledger: &mut OnceLedger, store: &mut OneKey, now: Time) -> Option<Verdict> {
+    let batch = ledger.next_batch(now)?;
+    let results = store.apply_all(&batch);
+
+    ledger.on_answer(now, batch.id, Ok(results)).pop().map(|verdict| verdict.verdict)
+}
+
+fn settle(ledger: &mut OnceLedger, store: &mut OneKey, now: Time) {
+    for second in 0..5 {
+        commit(ledger, store, now + Duration::from_secs(second));
+    }
+}
+
+fn answer() -> RecordedAnswer {
+    RecordedAnswer { status: 200, content_type: "text/plain".to_owned(), body: "booked".to_owned() }
+}
+
+fn refusal_of(verdict: Option<Verdict>) -> (RefusalCode, Outcome) {
+    match verdict {
+        Some(Verdict::Refuse(refusal)) => (refusal.code, refusal.outcome),
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+#[test]
+fn a_fresh_key_proceeds_once_its_intent_is_recorded() {
+    let (mut ledger, mut store) = (OnceLedger::default(), OneKey::default());
+    begin(&mut ledger, NOW, FIRST, "f");
+    assert_eq!(commit(&mut ledger, &mut store, NOW), Some(Verdict::Proceed));
+    assert_eq!(store.state(), Some(&LedgerState::Intent));
+}
+
+macro_rules! repeats {
+    ($($name:ident: $conclude:expr, $later_s:expr, $fingerprint:expr => $expected:pat,)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let (mut ledger, mut store) = (OnceLedger::default(), OneKey::default());
+                begin(&mut ledger, NOW, FIRST, "f");
+                commit(&mut ledger, &mut store, NOW);
+                let conclude: fn(&mut OnceLedger) = $conclude;
+                conclude(&mut ledger);
+                commit(&mut ledger, &mut store, NOW);
+
+                let mut other = OnceLedger::default();
+                other.begin(NOW, WALL_S + $later_s, SECOND, "key", $fingerprint);
+                let mut verdict = commit(&mut other, &mut store, NOW);
+                if verdict.is_none() {
+                    verdict = commit(&mut other, &mut store, NOW);
+                }
+                assert!(matches!(verdict, Some($expected)), "{verdict:?}");
+            }
+        )*
+    };
+}
+
+repeats! {
+    a_repeat_of_a_finished_call_gets_its_answer:
+        |ledger| ledger.finish(FIRST, LedgerState::Finished(answer())), 1, "f"
+        => Verdict::Replay(RecordedAnswer { status: 200, .. }),
+    a_repeat_of_a_running_call_is_told_so: |_| (), 1, "f"
+        => Verdict::Refuse(sapphirespur_core::request::Refusal {
+            code: RefusalCode::InProgress, outcome: Outcome::Unknown, ..
+        }),
+    a_repeat_long_after_an_intent_is_unknown: |_| (), 3_600, "f"
+        => Verdict::Refuse(sapphirespur_core::request::Refusal {
+            code: RefusalCode::EarlierUnknown, outcome: Outcome::Unknown, ..
+        }),
+    a_repeat_of_an_uncertain_call_is_unknown:
+        |ledger| ledger.finish(FIRST, LedgerState::Unknown), 1, "f"
+        => Verdict::Refuse(sapphirespur_core::request::Refusal {
+            code: RefusalCode::EarlierUnknown, outcome: Outcome::Unknown, ..
+        }),
+    a_repeat_of_an_abandoned_call_proceeds: |ledger| ledger.abandon(FIRST), 1, "f"
+        => Verdict::Proceed,
+    another_request_with_the_key_is_refused:
+        |ledger| ledger.finish(FIRST, LedgerState::Finished(answer())), 1, "g"
+        => Verdict::Refuse(sapphirespur_core::request::Refusal {
+            code: RefusalCode::KeyReused, outcome: Outcome::NotRun, ..
+        }),
+}
+
+#[test]
+fn an_answer_lost_after_the_write_is_settled_by_asking_again() {
+    let (mut ledger, mut store) = (OnceLedger::default(), OneKey::default());
+    begin(&mut ledger, NOW, FIRST, "f");
+    let batch = ledger.next_batch(NOW).expect("there is an intent");
+    store.apply_all(&batch);
+    assert!(ledger.on_answer(NOW, batch.id, Err(LedgerFailure::Unknown)).is_empty());
+
+    let later = NOW + Duration::from_millis(200);
+    assert_eq!(commit(&mut ledger, &mut store, later), Some(Verdict::Proceed));
+}
+
+#[test]
+fn an_intent_that_is_late_is_refused_as_not_run_and_never_proceeds() {
+    let (mut ledger, mut store) = (OnceLedger::default(), OneKey::default());
+    begin(&mut ledger, NOW, FIRST, "f");
+    let slow = ledger.next_batch(NOW).expect("there is an intent");
+    let late = NOW + Duration::from_secs(2);
+    let verdict = ledger.on_time(late).pop().map(|verdict| verdict.verdict);
+    assert_eq!(refusal_of(verdict), (RefusalCode::LedgerUnavailable, Outcome::NotRun));
+
+    let results = store.apply_all(&slow);
+    assert!(ledger.on_answer(late, slow.id, Ok(results)).is_empty());
+    settle(&mut ledger, &mut store, late);
+    assert_eq!(store.state(), Some(&LedgerState::Abandoned));
+    assert!(ledger.is_idle());
+}
+
+/// The write of a refused intent lands after its abandonment, and takes no effect.
+#[test]
+fn a_write_that_lands_after_its_abandonment_takes_no_effect() {
+    let (mut ledger, mut store) = (OnceLedger::default(), OneKey::default());
+    begin(&mut ledger, NOW, FIRST, "f");
+    let slow = ledger.next_batch(NOW).expect("there is an intent");
+    let late = NOW + Duration::from_secs(2);
+    ledger.on_time(late);
+    ledger.on_answer(late, slow.id, Err(LedgerFailure::Unknown));
+    settle(&mut ledger, &mut store, late + Duration::from_secs(1));
+    assert_eq!(store.state(), Some(&LedgerState::Abandoned));
+
+    store.apply_all(&slow);
+    assert_eq!(store.state(), Some(&LedgerState::Abandoned));
+}
+
+#[test]
+fn only_one_of_two_attempts_proceeds() {
+    let mut store = OneKey::default();
+    let (mut a, mut b) = (OnceLedger::default(), OnceLedger::default());
+    begin(&mut a, NOW, FIRST, "f");
+    begin(&mut b, NOW, SECOND, "f");
+    assert_eq!(commit(&mut b, &mut store, NOW), Some(Verdict::Proceed));
+    assert_eq!(
+        refusal_of(commit(&mut a, &mut store, NOW)),
+        (RefusalCode::InProgress, Outcome::Unknown)
+    );
+}
+
+#[test]
+fn intents_that_come_during_a_write_share_the_next_one() {
+    let mut ledger = OnceLedger::default();
+    let attempt = |counter| AttemptId { incarnation: 1, counter };
+    ledger.begin(NOW, WALL_S, attempt(0), "key-0", "f");
+    let first = ledger.next_batch(NOW).expect("there is an intent");
+    for counter in 1..=50 {
+        ledger.begin(NOW, WALL_S, attempt(counter), &format!("key-{counter}"), "f");
+    }
+    assert_eq!(ledger.next_batch(NOW), None);
+
+    ledger.on_answer(NOW, first.id, Ok(vec![LedgerResult::Written { revision: 1 }]));
+    let second = ledger.next_batch(NOW).expect("there are intents");
+    assert_eq!(second.operations.len(), 50);
+}
+
+#[test]
+fn a_batch_has_each_key_once() {
+    let mut ledger = OnceLedger::default();
+    begin(&mut ledger, NOW, FIRST, "f");
+    begin(&mut ledger, NOW, SECOND, "f");
+    assert_eq!(ledger.next_batch(NOW).map(|batch| batch.operations.len()), Some(1));
+}
--- a/sapphirespur_node/src/platform/error.rs
+++ b/sapphirespur_node/src/platform/error.rs
@@ -36,6 +36,14 @@
 impl PlatformError {
     /// Tells whether a write that failed so may have taken effect, now or later.
     pub fn is_uncertain(&self) -> bool {
-        matches!(self, Self::NoAnswer(_) | Self::Truncated(_))
+        match self {
+            Self::NoAnswer(_)
+            | Self::Truncated(_)
+            | Self::MissingOutcome
+            | Self::Malformed(_)
+            | Self::Encoding(_) => true,
+            Self::Status(status) => *status >= 500,
+            Self::MissingChunk(_) | Self::Config(_) => false,
+        }
     }
 }
--- a/sapphirespur_node/src/router/attempt.rs
+++ b/sapphirespur_node/src/router/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, ClientResponse};
 use sapphirespur_core::answer::{AnswerReader, FrameVerdict, Recovery};
 use sapphirespur_core::config::Target;
@@ -62,7 +62,7 @@
         let mut reader = AnswerReader::new(self.clock.now(), self.dispatch.attempt);
         let mut connection = match self.open().await {
             Ok(connection) => Some(connection),
-            Err(SendRequestError::Connect(_)) => return AttemptEnd::NeverStarted,
+            Err(e) if is_unsent(&e) => return AttemptEnd::NeverStarted,
             Err(_) => None,
         };
 
@@ -205,3 +205,15 @@
         .timeout(sapphirespur_core::answer::SILENCE_TIMEOUT)
         .finish()
 }
+
+/// Tells whether a failure shows that nothing was sent; a reset after that counts as a connect
+/// error of the client, too.
+fn is_unsent(e: &SendRequestError) -> bool {
+    let SendRequestError::Connect(e) = e else { return false };
+
+    match e {
+        ConnectError::Io(e) => e.kind() == std::io::ErrorKind::ConnectionRefused,
+        ConnectError::Timeout | ConnectError::Unresolved | ConnectError::Resolver(_) => true,
+        _ => false,
+    }
+}
--- a/sapphirespur_node/src/router/control.rs
+++ b/sapphirespur_node/src/router/control.rs
@@ -1,5 +1,6 @@
 //! Control thread of a router.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -25,7 +26,9 @@
 use crate::router::traffic::{Shared, Traffic};
 use crate::router::{admin, attempt};
 use crate::settings::RouterSettings;
-use crate::start::{StartError, listen_control, listen_traffic, peer_address};
+use crate::start::{
+    StartError, bound, listen_control, listen_traffic, log_addresses, peer_address,
+};
 
 /// Time for which the process stays after its last request ended.
 const LINGER: Duration = Duration::from_millis(200);
@@ -62,7 +65,9 @@
     let (inputs_tx, inputs) = mpsc::unbounded_channel();
     let (links_tx, link_events) = mpsc::unbounded_channel();
     let links = Links::new(settings.node.name.clone(), links_tx);
-    links.accept(listen_control(settings.listen.control).await?);
+    let control = listen_control(settings.listen.control).await?;
+    let control_address = bound(settings.listen.control, control.local_addr());
+    links.accept(control);
 
     let shared = Shared {
         commands: commands_tx.clone(),
@@ -73,7 +78,7 @@
         max_body_bytes: settings.limits.max_body_bytes,
     };
     let ready = shared.ready.clone();
-    start_servers(&settings, shared, commands_tx)?;
+    start_servers(&settings, control_address, shared, commands_tx)?;
 
     let store = Store::new(&settings.platform.store, Some(metrics.clone()));
     actix_rt::spawn(follow_vm_list(VmList::new(&settings.platform.vm_list), inputs_tx.clone()));
@@ -107,24 +112,30 @@
 
 fn start_servers(
     settings: &RouterSettings,
+    control_address: SocketAddr,
     shared: Shared,
     commands: UnboundedSender<Command>,
 ) -> Result<(), StartError> {
     let failed = |address| move |source| StartError::Listen { address, source };
-    let (http, admin_address) = (settings.listen.http, settings.listen.admin);
+    let (http, operators) = (settings.listen.http, settings.listen.admin);
+    let (http_listener, operators_listener) = (listen_traffic(http)?, listen_traffic(operators)?);
+    log_addresses(
+        bound(http, http_listener.local_addr()),
+        control_address,
+        bound(operators, operators_listener.local_addr()),
+    );
 
     let make = move || {
         let traffic = Traffic::new(shared.clone(), attempt::new_client());
         move |req| traffic.clone().handle(req)
     };
-    crate::http::start("callers", listen_traffic(http)?, settings.listen.workers, make)
+    crate::http::start("callers", http_listener, settings.listen.workers, make)
         .map_err(failed(http))?;
     let make = move || {
         let commands = commands.clone();
         move |req| admin::handle(commands.clone(), req)
     };
-    crate::http::start("operators", listen_traffic(admin_address)?, 1, make)
-        .map_err(failed(admin_address))?;
+    crate::http::start("operators", operators_listener, 1, make).map_err(failed(operators))?;
     Ok(())
 }
 
--- a/sapphirespur_node/src/sidecar/control.rs
+++ b/sapphirespur_node/src/sidecar/control.rs
@@ -1,5 +1,6 @@
 //! Control thread of a sidecar.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use sapphirespur_core::once::{LedgerBatch, LedgerFailure};
 use sapphirespur_core::request::AttemptId;
 use sapphirespur_core::sidecar::{
-    AttemptFate, Sidecar, SidecarInput, SidecarOutput, UpstreamEvent,
+    AttemptFate, Sidecar, SidecarInput, SidecarOutput, SidecarPolicy, UpstreamEvent,
 };
 use sapphirespur_core::time::Time;
 use serde::Deserialize;
@@ -28,7 +29,7 @@
 use crate::sidecar::registry::Registry;
 use crate::sidecar::traffic::{self, Shared, Traffic};
 use crate::sidecar::upstream;
-use crate::start::{StartError, listen_control, listen_traffic};
+use crate::start::{StartError, bound, listen_control, listen_traffic, log_addresses};
 
 /// Time between two looks at the upstream's load report.
 const LOAD_INTERVAL: Duration = Duration::from_secs(1);
@@ -77,14 +78,17 @@
     let (inputs_tx, inputs) = mpsc::unbounded_channel();
     let (links_tx, link_events) = mpsc::unbounded_channel();
     let links = Links::new(settings.node.name.clone(), links_tx);
-    links.accept(listen_control(settings.listen.control).await?);
-    start_servers(&settings, commands_tx)?;
+    let control = listen_control(settings.listen.control).await?;
+    let control_address = bound(settings.listen.control, control.local_addr());
+    links.accept(control);
+    start_servers(&settings, control_address, commands_tx)?;
     if let Some(path) = &settings.upstream.load_path {
         actix_rt::spawn(follow_load(settings.upstream.clone(), path.clone(), inputs_tx.clone()));
     }
 
     let store = Store::new(&settings.platform.store, Some(metrics.clone()));
-    let policy = settings.limits.policy;
+    let has_load_reports = settings.upstream.load_path.is_some();
+    let policy = SidecarPolicy { has_load_reports, ..settings.limits.policy };
     let sidecar = Sidecar::new(clock.now(), settings.node.name.clone(), wall_us(), policy);
     log::info!("the sidecar starts");
     let control = ControlLoop {
@@ -107,10 +111,18 @@
 
 fn start_servers(
     settings: &SidecarSettings,
+    control_address: SocketAddr,
     commands: UnboundedSender<Command>,
 ) -> Result<(), StartError> {
     let failed = |address| move |source| StartError::Listen { address, source };
-    let (attempts, admin) = (settings.listen.attempts, settings.listen.admin);
+    let (attempts, operators) = (settings.listen.attempts, settings.listen.admin);
+    let (attempts_listener, operators_listener) =
+        (listen_traffic(attempts)?, listen_traffic(operators)?);
+    log_addresses(
+        bound(attempts, attempts_listener.local_addr()),
+        control_address,
+        bound(operators, operators_listener.local_addr()),
+    );
     let shared = Shared {
         commands: commands.clone(),
         registry: Registry::default(),
@@ -121,13 +133,13 @@
         let traffic = Traffic::new(shared.clone(), upstream::new_client());
         move |req| traffic.clone().handle(req)
     };
-    crate::http::start("attempts", listen_traffic(attempts)?, settings.listen.workers, make)
+    crate::http::start("attempts", attempts_listener, settings.listen.workers, make)
         .map_err(failed(attempts))?;
     let make = move || {
         let commands = commands.clone();
         move |req| traffic::admin(commands.clone(), req)
     };
-    crate::http::start("operators", listen_traffic(admin)?, 1, make).map_err(failed(admin))?;
+    crate::http::start("operators", operators_listener, 1, make).map_err(failed(operators))?;
     Ok(())
 }
 
--- a/sapphirespur_node/src/sidecar/serve.rs
+++ b/sapphirespur_node/src/sidecar/serve.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use awc::Client;
 use sapphirespur_core::once::RecordedAnswer;
 use sapphirespur_core::request::{AttemptId, Refusal};
 use sapphirespur_core::sidecar::{Start, UpstreamEvent};
@@ -13,7 +12,7 @@
 use crate::sidecar::channel::AnswerChannel;
 use crate::sidecar::command::{Command, Reply};
 use crate::sidecar::registry::Registry;
-use crate::sidecar::upstream::{self, Call};
+use crate::sidecar::upstream::{self, Call, Client};
 
 /// Time between two looks whether somebody still reads.
 const READER_CHECK_INTERVAL: Duration = Duration::from_secs(1);
--- a/sapphirespur_node/src/sidecar/traffic.rs
+++ b/sapphirespur_node/src/sidecar/traffic.rs
@@ -5,7 +5,6 @@
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Request, Response, StatusCode};
-use awc::Client;
 use bytes::{Bytes, BytesMut};
 use futures::{Stream, stream};
 use sapphirespur_core::answer::KEEP_ALIVE_INTERVAL;
@@ -23,7 +22,7 @@
 use crate::sidecar::command::Command;
 use crate::sidecar::registry::Registry;
 use crate::sidecar::serve::Serving;
-use crate::sidecar::upstream::{Call, Unit};
+use crate::sidecar::upstream::{Call, Client, Unit};
 
 /// Largest body of an attempt, in bytes; routers have their own, lower limit.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -181,7 +180,7 @@
     };
 
     let upstream_call = Call {
-        method: Method::from_bytes(text(wire::METHOD)?.as_bytes()).ok()?,
+        method: hyper::Method::from_bytes(text(wire::METHOD)?.as_bytes()).ok()?,
         path: text(wire::PATH)?.to_owned(),
         content_type: text("content-type").map(str::to_owned),
         idempotency_key: text(wire::IDEMPOTENCY_KEY).map(str::to_owned),
--- a/sapphirespur_node/src/sidecar/upstream.rs
+++ b/sapphirespur_node/src/sidecar/upstream.rs
@@ -1,12 +1,17 @@
 //! Call of one attempt to the upstream.
+//!
+//! The calls go through `hyper`, for `awc` takes a body whose connection ends before its last chunk
+//! for a whole one.
 
 use std::time::Duration;
 
-use awc::error::SendRequestError;
-use awc::http::Method;
-use awc::{Client, ClientResponse};
 use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client as LegacyClient;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
 use sapphirespur_core::once::RecordedAnswer;
 use sapphirespur_core::sidecar::{UpstreamEvent, UpstreamFailure};
 use sapphirespur_wire::FrameBody;
@@ -28,6 +33,9 @@
 /// Time within which a connection to the upstream must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Client of the upstream.
+pub(super) type Client = LegacyClient<HttpConnector, Full<Bytes>>;
+
 /// Unit in which an answer is counted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Unit {
@@ -84,9 +92,11 @@
 
 /// Returns a client of the upstream.
 pub(super) fn new_client() -> Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
 
-    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+    LegacyClient::builder(TokioExecutor::new()).build(connector)
 }
 
 /// Sends the call, passes its answer on and returns how it ended.
@@ -118,41 +128,46 @@
     let mut tally = Tally::new(call, &content_type);
     loop {
         answer.wait_for_room().await;
-        let Ok(chunk) = tokio::time::timeout(SILENCE_TIMEOUT, response.next()).await else {
-            return UpstreamEvent::Failed(UpstreamFailure::Broken);
-        };
-        match chunk {
-            Some(Ok(chunk)) => {
+        let frame = tokio::time::timeout(SILENCE_TIMEOUT, response.body_mut().frame()).await;
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                let Ok(chunk) = frame.into_data() else { continue };
                 let tokens = tally.on_chunk(&chunk);
                 if tokens > 0 {
                     on_tokens(tokens);
                 }
                 answer.push(FrameBody::Data(chunk.to_vec()));
             }
-            Some(Err(_)) => return UpstreamEvent::Failed(UpstreamFailure::Broken),
-            None => break,
+            Ok(Some(Err(_))) | Err(_) => return UpstreamEvent::Failed(UpstreamFailure::Broken),
+            Ok(None) => break,
         }
     }
 
     tally.finish(call, status, content_type)
 }
 
-async fn send(client: &Client, base: &str, call: &Call) -> Result<ClientResponse, UpstreamFailure> {
-    let mut request = client
-        .request(call.method.clone(), format!("{base}{}", call.path))
-        .insert_header((wire::REQUEST_ID, call.request_id.as_str()));
+async fn send(
+    client: &Client,
+    base: &str,
+    call: &Call,
+) -> Result<Response<Incoming>, UpstreamFailure> {
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(format!("{base}{}", call.path))
+        .header(wire::REQUEST_ID, call.request_id.as_str());
     if let Some(content_type) = &call.content_type {
-        request = request.insert_header(("content-type", content_type.as_str()));
+        request = request.header("content-type", content_type.as_str());
     }
     if let Some(key) = &call.idempotency_key {
-        request = request.insert_header((wire::IDEMPOTENCY_KEY, key.as_str()));
+        request = request.header(wire::IDEMPOTENCY_KEY, key.as_str());
     }
+    // A path or header that cannot be sent was not sent.
+    let request =
+        request.body(Full::new(call.body.clone())).map_err(|_| UpstreamFailure::NotSent)?;
 
-    match tokio::time::timeout(SILENCE_TIMEOUT, request.send_body(call.body.clone())).await {
-        Ok(Ok(response)) => Ok(response.timeout(SILENCE_TIMEOUT)),
-        Ok(Err(SendRequestError::Connect(_) | SendRequestError::Url(_))) => {
-            Err(UpstreamFailure::NotSent)
-        }
+    match tokio::time::timeout(SILENCE_TIMEOUT, client.request(request)).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(e)) if e.is_connect() => Err(UpstreamFailure::NotSent),
         Ok(Err(_)) | Err(_) => Err(UpstreamFailure::Broken),
     }
 }
--- a/sapphirespur_node/src/start.rs
+++ b/sapphirespur_node/src/start.rs
@@ -50,6 +50,21 @@
     std::net::TcpListener::bind(address).map_err(|source| StartError::Listen { address, source })
 }
 
+/// Logs the addresses on which a process listens, of which the system may have chosen the ports.
+pub fn log_addresses(traffic: SocketAddr, control: SocketAddr, admin: SocketAddr) {
+    log::info!(
+        traffic = traffic.to_string().as_str(),
+        control = control.to_string().as_str(),
+        admin = admin.to_string().as_str();
+        "listening"
+    );
+}
+
+/// Returns the address of a bound listener, or the one that was asked for.
+pub fn bound(asked: SocketAddr, bound: io::Result<SocketAddr>) -> SocketAddr {
+    bound.unwrap_or(asked)
+}
+
 /// Parses the address of a peer from the configuration or the VM list.
 ///
 /// # Errors
--- /dev/null
+++ b/sapphirespur_standin/src/demo.rs
@@ -0,0 +1,134 @@
+//! Demo of a whole fleet.
+
+use std::fmt;
+use std::path::Path;
+use std::time::Duration;
+
+use actix_rt::signal::unix::{SignalKind, signal};
+use awc::Client;
+
+use crate::client::{CallError, call_service, complete, runs};
+use crate::processes::{Layout, ProcessError, ProcessFleet};
+
+/// Model of the demo.
+const MODEL: &str = "profile-writer";
+
+/// Tokens of an answer.
+const TOKENS: u64 = 12;
+
+/// Workspaces of the demo.
+const WORKSPACES: [&str; 2] = ["agenzia", "katharotis"];
+
+/// Reason why the demo fails.
+#[derive(Debug)]
+pub enum DemoError {
+    /// A process failed.
+    Process(ProcessError),
+    /// A call failed.
+    Call(CallError),
+    /// Bookings ran more or less than once.
+    Runs {
+        /// Runs that were seen.
+        seen: u64,
+        /// Runs that were right.
+        expected: u64,
+    },
+}
+
+impl fmt::Display for DemoError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Process(e) => write!(f, "{e}"),
+            Self::Call(e) => write!(f, "{e}"),
+            Self::Runs { seen, expected } => {
+                write!(f, "bookings ran {seen} times instead of {expected}")
+            }
+        }
+    }
+}
+
+impl From<ProcessError> for DemoError {
+    fn from(e: ProcessError) -> Self {
+        Self::Process(e)
+    }
+}
+
+impl From<CallError> for DemoError {
+    fn from(e: CallError) -> Self {
+        Self::Call(e)
+    }
+}
+
+/// Runs the demo in `dir`; with `keep`, leaves the fleet running until interrupted.
+///
+/// # Errors
+///
+/// Returns the first failure.
+pub async fn run(dir: &Path, keep: bool) -> Result<(), DemoError> {
+    let bin = std::env::current_exe().map_err(ProcessError::Io)?;
+    let bin = bin.parent().map(Path::to_owned).unwrap_or_default();
+    let fleet = ProcessFleet::start(Layout::default(), &bin, dir)?;
+    fleet.configure()?;
+    fleet.write_endpoints(&dir.join("endpoints.ini"))?;
+    println!("{}", fleet.operate(&["history"])?);
+
+    for workspace in WORKSPACES {
+        for router in fleet.layout.router_names() {
+            show_calls(&fleet, workspace, &router).await?;
+        }
+    }
+    check_runs(&fleet).await?;
+    println!("{}", fleet.operate(&["status", "--wait-s", "5"])?);
+
+    if keep {
+        println!("running until interrupted; endpoints are in {}", dir.display());
+        wait_for_interrupt().await?;
+    }
+    Ok(())
+}
+
+async fn wait_for_interrupt() -> Result<(), ProcessError> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+
+    Ok(())
+}
+
+async fn show_calls(fleet: &ProcessFleet, workspace: &str, router: &str) -> Result<(), DemoError> {
+    let client = Client::builder().timeout(Duration::from_secs(60)).finish();
+    let url = fleet.router_url(router);
+    let key = format!("{workspace}-demo-key");
+    let service = format!("{url}/services/registry");
+
+    println!("{workspace} through {router}");
+    for (stream, kind) in [(true, "streamed"), (false, "whole")] {
+        let prompt = format!("{workspace} asks {router} for a {kind} answer");
+        let answer = complete(&client, &url, &key, MODEL, &prompt, TOKENS, stream).await?;
+        println!("  {kind}: {}", answer.text.trim());
+    }
+    let lookup = format!("{service}/lookup");
+    let text = format!("{workspace} at {router}");
+    println!("  lookup: {}", call_service(&client, &lookup, &key, None, &text).await?.text);
+    let bookings = format!("{service}/bookings");
+    let booking = format!("booking-of-{workspace}");
+    let text = format!("one booking of {workspace}");
+    let answer = call_service(&client, &bookings, &key, Some(&booking), &text).await?;
+    println!("  booking: {}", answer.text);
+    Ok(())
+}
+
+async fn check_runs(fleet: &ProcessFleet) -> Result<(), DemoError> {
+    let mut seen = 0;
+    for name in fleet.layout.service_names() {
+        seen += runs(&fleet.standin_url(&name), "POST /bookings").await?;
+    }
+    let expected = WORKSPACES.len() as u64;
+    let routers = fleet.layout.router_names().len();
+
+    println!("bookings that ran: {seen}, for {expected} keys sent through {routers} routers each");
+    if seen == expected { Ok(()) } else { Err(DemoError::Runs { seen, expected }) }
+}
--- a/sapphirespur_standin/src/lib.rs
+++ b/sapphirespur_standin/src/lib.rs
@@ -3,8 +3,9 @@
 //! No product crate depends on this one.
 
 pub mod client;
+pub mod demo;
 pub mod engine;
-pub mod ports;
+pub mod processes;
 pub mod serve;
 pub mod service;
 pub mod store;
--- a/sapphirespur_standin/src/main.rs
+++ b/sapphirespur_standin/src/main.rs
@@ -9,7 +9,7 @@
 use awc::Client;
 use sapphirespur_standin::client::{self, LoadOptions};
 use sapphirespur_standin::engine::{self, EngineOptions};
-use sapphirespur_standin::{ports, service, store, vm_list};
+use sapphirespur_standin::{demo, service, store, vm_list};
 
 /// Runs one stand-in for the demo and the tests of sapphirespur.
 #[derive(Debug, FromArgs)]
@@ -22,22 +22,25 @@
 #[argh(subcommand)]
 enum Command {
     Call(CallArgs),
+    Demo(DemoArgs),
     Engine(EngineArgs),
     Load(LoadArgs),
-    Ports(PortsArgs),
     Runs(RunsArgs),
     Service(ServiceArgs),
     Store(StoreArgs),
     VmList(VmListArgs),
 }
 
-/// Prints free ports.
+/// Starts a fleet, sends requests, checks every answer and stops all.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "ports")]
-struct PortsArgs {
-    /// number of ports
-    #[argh(positional)]
-    count: usize,
+#[argh(subcommand, name = "demo")]
+struct DemoArgs {
+    /// folder for settings and logs
+    #[argh(option)]
+    dir: std::path::PathBuf,
+    /// leave the fleet running until interrupted
+    #[argh(switch)]
+    keep: bool,
 }
 
 /// Prints how often the calls that start with a prefix ran at a plain service.
@@ -173,30 +176,40 @@
                 return Ok(ExitCode::FAILURE);
             }
         },
-        Command::Ports(args) => {
-            for port in ports::free_ports(args.count)? {
-                println!("{port}");
+        Command::Demo(args) => match demo::run(&args.dir, args.keep).await {
+            Ok(()) => println!("every answer was whole and its own"),
+            Err(e) => {
+                eprintln!("{e}");
+                return Ok(ExitCode::FAILURE);
             }
-        }
-        Command::Store(args) => store::run(TcpListener::bind(args.listen)?).await?,
+        },
+        Command::Store(args) => store::run(listen(&args.listen)?).await?,
         Command::VmList(args) => {
             let list = std::fs::read(args.file)?;
             let lag = Duration::from_millis(args.lag_ms);
-            vm_list::run(TcpListener::bind(args.listen)?, lag, list).await?;
+            vm_list::run(listen(&args.listen)?, lag, list).await?;
         }
         Command::Engine(args) => {
             let options: EngineOptions = serde_json::from_str(&args.options)?;
-            engine::run(TcpListener::bind(args.listen)?, options).await?;
+            engine::run(listen(&args.listen)?, options).await?;
         }
         Command::Service(args) => {
             let latency = Duration::from_millis(args.latency_ms);
-            service::run(TcpListener::bind(args.listen)?, latency).await?;
+            service::run(listen(&args.listen)?, latency).await?;
         }
     }
 
     Ok(ExitCode::SUCCESS)
 }
 
+/// Listens and says where, for the system may have chosen the port.
+fn listen(address: &str) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    println!("listening {}", listener.local_addr()?);
+
+    Ok(listener)
+}
+
 async fn call(args: CallArgs) -> ExitCode {
     let client = Client::builder().timeout(Duration::from_secs(60)).finish();
     let CallArgs { url, key, text, tokens, stream, .. } = &args;
--- /dev/null
+++ b/sapphirespur_standin/src/processes/fleet.rs
@@ -0,0 +1,418 @@
+//! Running processes of a fleet.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::processes::layout::{Layout, data_centre_of};
+use crate::processes::{ProcessError, settings};
+
+/// Time within which a process must listen.
+const LISTEN_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks at a log.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Address at which the system chooses the port.
+const ANY_PORT: &str = "127.0.0.1:0";
+
+/// Addresses of a router or sidecar.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Addresses {
+    /// Callers' requests or routers' attempts.
+    pub traffic: String,
+    /// Control links.
+    pub control: String,
+    /// Operators' requests.
+    pub admin: String,
+}
+
+/// Signal to a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// Ends it at once.
+    Kill,
+    /// Asks it to shut down.
+    Terminate,
+    /// Pauses it.
+    Stop,
+    /// Lets it go on.
+    Continue,
+}
+
+/// Process with its log.
+struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+/// Processes of a fleet; they end when the value is dropped.
+pub struct ProcessFleet {
+    /// Sizes.
+    pub layout: Layout,
+    /// Folder of the settings and logs.
+    pub dir: PathBuf,
+    bin: PathBuf,
+    processes: BTreeMap<String, Process>,
+    addresses: BTreeMap<String, Addresses>,
+    standins: BTreeMap<String, String>,
+}
+
+impl ProcessFleet {
+    /// Starts all processes; `bin` is the folder of the programs, `dir` is emptied first.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process cannot be started.
+    pub fn start(layout: Layout, bin: &Path, dir: &Path) -> Result<Self, ProcessError> {
+        if dir.exists() {
+            fs::remove_dir_all(dir)?;
+        }
+        fs::create_dir_all(dir)?;
+        let mut fleet = Self {
+            layout,
+            dir: dir.to_owned(),
+            bin: bin.to_owned(),
+            processes: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            standins: BTreeMap::new(),
+        };
+
+        fs::write(fleet.dir.join("vms.json"), "[]")?;
+        fleet.start_standin("store", &["store"])?;
+        let list = fleet.dir.join("vms.json").display().to_string();
+        fleet.start_standin("vm-list", &["vm-list", "--file", &list])?;
+        for name in fleet.layout.engine_names() {
+            let options = serde_json::to_string(&fleet.layout.engine).unwrap_or_default();
+            fleet.start_standin(&upstream_of(&name), &["engine", "--options", &options])?;
+            fleet.start_node(&name)?;
+        }
+        for name in fleet.layout.service_names() {
+            let latency = fleet.layout.service_ms.to_string();
+            fleet.start_standin(&upstream_of(&name), &["service", "--latency-ms", &latency])?;
+            fleet.start_node(&name)?;
+        }
+        for name in fleet.layout.router_names() {
+            fleet.start_node(&name)?;
+        }
+        fleet.publish_vms()?;
+        fleet.write_operator("operator")?;
+        Ok(fleet)
+    }
+
+    /// Plans and confirms the first configuration and waits until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a command fails.
+    pub fn configure(&self) -> Result<(), ProcessError> {
+        let mut digests = BTreeMap::new();
+        for key in ["agenzia-demo-key", "katharotis-demo-key"] {
+            digests.insert(key.to_owned(), self.key_digest(key)?);
+        }
+        let intent = settings::intent(
+            &self.layout,
+            |key| digests.get(key).cloned().unwrap_or_default(),
+            |name| self.addresses[name].clone(),
+        );
+        fs::write(self.dir.join("intent.ini"), intent)?;
+
+        self.apply("intent.ini", "first configuration")?;
+        self.operate(&["status", "--wait-s", "16"])?;
+        Ok(())
+    }
+
+    /// Plans an intent file of the folder and confirms the plan; returns the plan's identifier.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a command fails.
+    pub fn apply(&self, file: &str, reason: &str) -> Result<String, ProcessError> {
+        let plan = self.plan(file, reason)?;
+
+        self.operate(&["confirm", &plan])?;
+        Ok(plan)
+    }
+
+    /// Plans an intent file of the folder and returns the plan's identifier.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command fails.
+    pub fn plan(&self, file: &str, reason: &str) -> Result<String, ProcessError> {
+        let path = self.dir.join(file).display().to_string();
+        let text = self.operate(&["--json", "plan", "--reason", reason, &path])?;
+        let plan: Value =
+            serde_json::from_str(&text).map_err(|e| ProcessError::StandIn(e.to_string()))?;
+
+        Ok(plan["id"].as_str().unwrap_or_default().to_owned())
+    }
+
+    /// Runs the operators' command line and returns what it printed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command fails.
+    pub fn operate(&self, args: &[&str]) -> Result<String, ProcessError> {
+        let output = self.try_operate("operator", args)?;
+        if output.status.success() {
+            return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
+        }
+
+        Err(ProcessError::Command {
+            args: args.join(" "),
+            code: output.status.code(),
+            output: String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned(),
+        })
+    }
+
+    /// Runs the command line as `operator` and returns its output, whatever its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the command cannot be started.
+    pub fn try_operate(&self, operator: &str, args: &[&str]) -> Result<Output, ProcessError> {
+        let settings = self.dir.join(format!("{operator}.ini"));
+
+        Ok(Command::new(self.bin.join("sapphirespur"))
+            .arg("--settings")
+            .arg(settings)
+            .args(args)
+            .output()?)
+    }
+
+    /// Writes the settings of an operator.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be written.
+    pub fn write_operator(&self, name: &str) -> Result<(), ProcessError> {
+        let text = settings::operator(name, &self.standins["store"], &self.standins["vm-list"]);
+
+        Ok(fs::write(self.dir.join(format!("{name}.ini")), text)?)
+    }
+
+    /// Returns the URL of a router for callers.
+    pub fn router_url(&self, name: &str) -> String {
+        format!("http://{}", self.addresses[name].traffic)
+    }
+
+    /// Returns the URL of a router or sidecar for operators.
+    pub fn admin_url(&self, name: &str) -> String {
+        format!("http://{}", self.addresses[name].admin)
+    }
+
+    /// Returns the URL of a stand-in: `store`, `vm-list`, or the name of a sidecar for its upstream.
+    pub fn standin_url(&self, name: &str) -> String {
+        let address = self.standins.get(name).unwrap_or_else(|| &self.standins[&upstream_of(name)]);
+
+        format!("http://{address}")
+    }
+
+    /// Sends a signal to a process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such process.
+    pub fn signal(&mut self, name: &str, signal: Signal) -> Result<(), ProcessError> {
+        let process = self
+            .processes
+            .get_mut(name)
+            .ok_or_else(|| ProcessError::NotListening(name.to_owned()))?;
+        let flag = match signal {
+            Signal::Kill => "-KILL",
+            Signal::Terminate => "-TERM",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+
+        Command::new("kill").arg(flag).arg(process.child.id().to_string()).status()?;
+        if signal == Signal::Kill {
+            process.child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a process has ended and returns its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no such process.
+    pub fn wait(&mut self, name: &str) -> Result<Option<i32>, ProcessError> {
+        let process = self
+            .processes
+            .get_mut(name)
+            .ok_or_else(|| ProcessError::NotListening(name.to_owned()))?;
+
+        Ok(process.child.wait()?.code())
+    }
+
+    /// Starts a router or sidecar, at its former addresses when it has run before.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be started.
+    pub fn start_node(&mut self, name: &str) -> Result<(), ProcessError> {
+        let any = || ANY_PORT.to_owned();
+        let asked = self.addresses.get(name).cloned().unwrap_or_else(|| Addresses {
+            traffic: any(),
+            control: any(),
+            admin: any(),
+        });
+        let (store, vm_list) = (&self.standins["store"], &self.standins["vm-list"]);
+        let (program, text) = match self.standins.get(&upstream_of(name)) {
+            Some(upstream) => {
+                ("sapphirespur-sidecar", settings::sidecar(name, &asked, upstream, store, vm_list))
+            }
+            None => ("sapphirespur-router", settings::router(name, &asked, store, vm_list)),
+        };
+        let path = self.dir.join(format!("{name}.ini"));
+        fs::write(&path, text)?;
+        let path = path.display().to_string();
+        self.spawn(name, program, &["--settings", &path])?;
+
+        let line = self.wait_for_line(name, "\"listening\"")?;
+        let line: Value = serde_json::from_str(&line).unwrap_or_default();
+        let text = |key: &str| line[key].as_str().unwrap_or_default().to_owned();
+        let addresses =
+            Addresses { traffic: text("traffic"), control: text("control"), admin: text("admin") };
+        self.addresses.insert(name.to_owned(), addresses);
+        Ok(())
+    }
+
+    /// Writes the endpoints for any client.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the file cannot be written.
+    pub fn write_endpoints(&self, path: &Path) -> Result<(), ProcessError> {
+        let mut f = File::create(path)?;
+        writeln!(f, "[routers]")?;
+        for name in self.layout.router_names() {
+            writeln!(f, "{name} = {}", self.router_url(&name))?;
+        }
+        write!(f, "[keys]\nagenzia = agenzia-demo-key\nkatharotis = katharotis-demo-key\n")?;
+        write!(f, "[models]\nprofile-writer =\n[services]\nregistry = /services/registry\n")?;
+        Ok(())
+    }
+
+    fn key_digest(&self, key: &str) -> Result<String, ProcessError> {
+        let mut child = Command::new(self.bin.join("sapphirespur"))
+            .arg("key-digest")
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        if let Some(mut input) = child.stdin.take() {
+            input.write_all(key.as_bytes())?;
+        }
+
+        let output = child.wait_with_output()?;
+        Ok(String::from_utf8_lossy(&output.stdout).trim().to_owned())
+    }
+
+    fn start_standin(&mut self, name: &str, args: &[&str]) -> Result<(), ProcessError> {
+        let args = [args, &["--listen", ANY_PORT]].concat();
+        self.spawn(name, "sapphirespur-standin", &args)?;
+
+        let line = self.wait_for_line(name, "listening ")?;
+        let address = line.trim_start_matches("listening ").trim().to_owned();
+        self.standins.insert(name.to_owned(), address);
+        Ok(())
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, args: &[&str]) -> Result<(), ProcessError> {
+        let log = self.dir.join(format!("{name}.log"));
+        let f = File::create(&log)?;
+        let child = Command::new(self.bin.join(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(f.try_clone()?)
+            .stderr(f)
+            .spawn()?;
+
+        self.processes.insert(name.to_owned(), Process { child, log });
+        Ok(())
+    }
+
+    fn wait_for_line(&self, name: &str, mark: &str) -> Result<String, ProcessError> {
+        let log = &self.processes[name].log;
+        let end = Instant::now() + LISTEN_TIMEOUT;
+        while Instant::now() < end {
+            let text = fs::read_to_string(log)?;
+            // A line without its end may not be whole yet.
+            let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
+            if let Some(line) = whole.lines().find(|line| line.contains(mark)) {
+                return Ok(line.to_owned());
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+
+        Err(ProcessError::NotListening(name.to_owned()))
+    }
+
+    /// Puts the routers and sidecars on the VM list.
+    fn publish_vms(&self) -> Result<(), ProcessError> {
+        let vm = |name: &String, role: &str| {
+            let at = &self.addresses[name];
+            json!({
+                "name": name,
+                "data_centre": data_centre_of(name),
+                "role": role,
+                "state": "live",
+                "control": at.control,
+                "admin": at.admin,
+            })
+        };
+        let sidecars = [self.layout.engine_names(), self.layout.service_names()].concat();
+        let vms: Vec<Value> = self
+            .layout
+            .router_names()
+            .iter()
+            .map(|name| vm(name, "router"))
+            .chain(sidecars.iter().map(|name| vm(name, "sidecar")))
+            .collect();
+
+        self.put("vm-list", "/vms", &json!(vms))
+    }
+
+    /// Puts a JSON value to a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not accept it.
+    pub fn put(&self, standin: &str, path: &str, value: &Value) -> Result<(), ProcessError> {
+        let url = format!("{}{path}", self.standin_url(standin));
+        let value = value.clone();
+        let put = move || {
+            actix_rt::System::new().block_on(async {
+                let response = awc::Client::default().put(url).send_json(&value).await;
+                response.map(|response| response.status().is_success()).ok()
+            })
+        };
+
+        // A thread of its own, for the caller's may run a system already.
+        match std::thread::spawn(put).join() {
+            Ok(Some(true)) => Ok(()),
+            _ => Err(ProcessError::StandIn(format!("{standin}{path}"))),
+        }
+    }
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            // A process that has ended already needs no end.
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+    }
+}
+
+fn upstream_of(sidecar: &str) -> String {
+    format!("{sidecar}-upstream")
+}
--- /dev/null
+++ b/sapphirespur_standin/src/processes/settings.rs
@@ -0,0 +1,88 @@
+//! Files that the processes read.
+
+use std::fmt::Write;
+
+use crate::processes::fleet::Addresses;
+use crate::processes::layout::{Layout, data_centre_of};
+
+/// Returns the section that tells where the platform is.
+fn platform(store: &str, vm_list: &str) -> String {
+    format!("[platform]\nstore = http://{store}\nvm-list = http://{vm_list}/vms\n")
+}
+
+/// Returns the settings of a router.
+pub(super) fn router(name: &str, at: &Addresses, store: &str, vm_list: &str) -> String {
+    format!(
+        "[node]\nname = {name}\ndata-centre = {}\n[listen]\nhttp = {}\ncontrol = {}\nadmin = {}\n\
+         [limits]\ndrain-s = 30\n{}",
+        data_centre_of(name),
+        at.traffic,
+        at.control,
+        at.admin,
+        platform(store, vm_list)
+    )
+}
+
+/// Returns the settings of a sidecar.
+pub(super) fn sidecar(
+    name: &str,
+    at: &Addresses,
+    upstream: &str,
+    store: &str,
+    vm_list: &str,
+) -> String {
+    let load = if name.contains("-e") { "load-path = /load\n" } else { "" };
+
+    format!(
+        "[node]\nname = {name}\ndata-centre = {}\n[listen]\nattempts = {}\ncontrol = {}\n\
+         admin = {}\n[upstream]\nurl = http://{upstream}\n{load}[limits]\ndrain-s = 30\n{}",
+        data_centre_of(name),
+        at.traffic,
+        at.control,
+        at.admin,
+        platform(store, vm_list)
+    )
+}
+
+/// Returns the settings of an operator.
+pub(super) fn operator(name: &str, store: &str, vm_list: &str) -> String {
+    format!("[operator]\nname = {name}\n{}", platform(store, vm_list))
+}
+
+/// Returns the intent of the first configuration.
+pub(super) fn intent(
+    layout: &Layout,
+    key_digest: impl Fn(&str) -> String,
+    address: impl Fn(&str) -> Addresses,
+) -> String {
+    let mut text = String::from(
+        "[class dossier]\nweight = 8\n[class tuning]\nweight = 4\n\
+         [class ordinary]\nweight = 2\ndefault = true\n[class label]\nweight = 1\n\
+         [model profile-writer]\n[service registry]\nidempotent = GET /, POST /lookup\n",
+    );
+    // Writing to a string cannot fail.
+    for (workspace, share) in [("agenzia", 2), ("katharotis", 1)] {
+        let digest = key_digest(&format!("{workspace}-demo-key"));
+        let _ = writeln!(text, "[workspace {workspace}]\nshare = {share}\nkey-digests = {digest}");
+    }
+    for name in &layout.data_centres {
+        let _ = writeln!(text, "[data-centre {name}]\nstate = in");
+    }
+    for name in layout.engine_names().iter().chain(&layout.service_names()) {
+        let target =
+            if name.contains("-e") { "model = profile-writer" } else { "service = registry" };
+        let at = address(name);
+        let _ = writeln!(
+            text,
+            "[upstream {name}]\n{target}\ndata-centre = {}\naddress = {}\ncontrol = {}\n\
+             slots = {}\ncold-slots = {}",
+            data_centre_of(name),
+            at.traffic,
+            at.control,
+            layout.engine.slots,
+            layout.engine.cold_slots
+        );
+    }
+
+    text
+}
--- a/sapphirespur_standin/src/service.rs
+++ b/sapphirespur_standin/src/service.rs
@@ -6,8 +6,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{Request, Response, StatusCode};
+use bytes::Bytes;
+use futures::stream;
 use serde_json::json;
 
 use crate::serve::{body_of, json as respond, serve, text};
@@ -35,6 +37,13 @@
         return text(StatusCode::INTERNAL_SERVER_ERROR, "failed\n");
     }
 
+    if req.path() == "/standin/break" {
+        let chunks = [Ok(Bytes::from("a part of an answer")), Err(io::Error::other("broken"))];
+        return Response::build(StatusCode::OK)
+            .body(BodyStream::new(stream::iter(chunks)))
+            .map_into_boxed_body();
+    }
+
     let call = format!("{} {} {body}", req.method(), req.uri());
     let run = {
         let mut runs = runs.lock().unwrap_or_else(PoisonError::into_inner);
--- /dev/null
+++ b/sapphirespur_standin/tests/callers.rs
@@ -0,0 +1,271 @@
+//! What callers meet, with real processes.
+
+mod common;
+
+use std::time::Duration;
+
+use awc::http::Method;
+use common::{KEY, MODEL, ask, block_on, book, client, eventually, get_json, log_of, start};
+use futures::StreamExt;
+use sapphirespur_standin::client::{CallError, complete, runs};
+use sapphirespur_standin::engine::EngineOptions;
+use sapphirespur_standin::processes::{Layout, ProcessFleet};
+use serde_json::{Value, json};
+
+const ROUTER: &str = "milano-r1";
+
+/// Request that is refused.
+struct Refused {
+    method: Method,
+    path: &'static str,
+    key: Option<&'static str>,
+    content_type: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: String,
+}
+
+impl Default for Refused {
+    fn default() -> Self {
+        let body = json!({ "model": MODEL, "prompt": "a b" });
+
+        Self {
+            method: Method::POST,
+            path: "/v1/completions",
+            key: Some(KEY),
+            content_type: "application/json",
+            headers: &[],
+            body: body.to_string(),
+        }
+    }
+}
+
+async fn check_refused(fleet: &ProcessFleet, request: Refused, status: u16, code: &str) {
+    let url = format!("{}{}", fleet.router_url(ROUTER), request.path);
+    let mut http = client().request(request.method, url);
+    http = http.insert_header(("content-type", request.content_type));
+    if let Some(key) = request.key {
+        http = http.bearer_auth(key);
+    }
+    for header in request.headers {
+        http = http.insert_header(*header);
+    }
+    let mut response = http.send_body(request.body).await.expect("there is a response");
+    let body: Value = serde_json::from_slice(&response.body().await.expect("the body is whole"))
+        .expect("the body is JSON");
+
+    assert_eq!(response.status().as_u16(), status, "{code}");
+    assert_eq!(response.headers().get("content-type").expect("typed"), "application/problem+json");
+    assert_eq!(body["code"], code);
+    assert_eq!(body["outcome"], "not-run", "{code}");
+    assert_eq!(
+        body["request_id"].as_str().expect("identified"),
+        response.headers().get("x-request-id").expect("identified").to_str().expect("text")
+    );
+}
+
+#[test]
+fn bad_requests_get_typed_problems() {
+    let fleet = start("bad_requests", Layout::smallest());
+    let of_model = |model: &str| json!({ "model": model, "prompt": "a" }).to_string();
+    block_on(async {
+        let cases = [
+            (Refused { key: None, ..Refused::default() }, 401, "invalid-key"),
+            (Refused { key: Some("wrong"), ..Refused::default() }, 401, "invalid-key"),
+            (Refused { body: "{".to_owned(), ..Refused::default() }, 400, "malformed-request"),
+            (Refused { body: "{}".to_owned(), ..Refused::default() }, 400, "malformed-request"),
+            (
+                Refused { content_type: "text/plain", ..Refused::default() },
+                415,
+                "unsupported-media-type",
+            ),
+            (Refused { body: of_model("other"), ..Refused::default() }, 404, "unknown-target"),
+            (Refused { path: "/nowhere", ..Refused::default() }, 404, "unknown-target"),
+            (Refused { path: "/services/other/x", ..Refused::default() }, 404, "unknown-target"),
+            (
+                Refused { headers: &[("x-sapphirespur-class", "other")], ..Refused::default() },
+                400,
+                "unknown-class",
+            ),
+            (
+                Refused { body: "x".repeat(5 * 1024 * 1024), ..Refused::default() },
+                413,
+                "body-too-large",
+            ),
+        ];
+        for (request, status, code) in cases {
+            check_refused(&fleet, request, status, code).await;
+        }
+    });
+}
+
+#[test]
+fn answers_are_whole_and_their_callers_own() {
+    let fleet = start("own_answers", Layout::default());
+    block_on(async {
+        let routers = fleet.layout.router_names();
+        let calls = (0..80).map(|n: usize| {
+            let url = fleet.router_url(&routers[n % routers.len()]);
+            async move { ask(&url, &format!("prompt {n} of its caller"), 30).await }
+        });
+        for answer in futures::future::join_all(calls).await {
+            answer.expect("the answer is whole and its own");
+        }
+    });
+}
+
+#[test]
+fn a_repeat_of_a_booking_gets_the_recorded_answer_through_any_router() {
+    let fleet = start("repeats", Layout::default());
+    block_on(async {
+        let mut texts = Vec::new();
+        for router in fleet.layout.router_names() {
+            let answer = book(&fleet.router_url(&router), "key", "one booking").await;
+            texts.push(answer.expect("the booking is answered").text);
+        }
+        texts.dedup();
+        assert_eq!(texts.len(), 1);
+
+        let other = book(&fleet.router_url(ROUTER), "key", "another booking").await;
+        assert!(matches!(other, Err(CallError::Status { status: 422, .. })), "{other:?}");
+        assert_eq!(booked(&fleet).await, 1);
+    });
+}
+
+#[test]
+fn bookings_at_the_same_time_with_one_key_run_once() {
+    let layout = Layout { service_ms: 300, ..Layout::default() };
+    let fleet = start("simultaneous", layout);
+    block_on(async {
+        let routers = fleet.layout.router_names();
+        let calls = (0..12).map(|n: usize| {
+            let url = fleet.router_url(&routers[n % routers.len()]);
+            async move { book(&url, "key", "one booking").await }
+        });
+        let answers = futures::future::join_all(calls).await;
+        assert!(answers.iter().any(Result::is_ok), "{answers:?}");
+        for answer in answers {
+            let is_told = matches!(answer, Ok(_) | Err(CallError::Status { status: 409, .. }));
+            assert!(is_told, "{answer:?}");
+        }
+        assert_eq!(booked(&fleet).await, 1);
+    });
+}
+
+async fn booked(fleet: &ProcessFleet) -> u64 {
+    let mut count = 0;
+    for name in fleet.layout.service_names() {
+        count += runs(&fleet.standin_url(&name), "POST /bookings").await.expect("counts");
+    }
+
+    count
+}
+
+#[test]
+fn a_caller_that_hangs_up_frees_the_engine() {
+    let engine = EngineOptions { token_ms: 50, ..Layout::smallest().engine };
+    let fleet = start("hang_up", Layout { engine, ..Layout::smallest() });
+    block_on(async {
+        let body = json!({
+            "model": MODEL, "prompt": "a b c", "max_tokens": 1_000, "stream": true,
+        });
+        let url = format!("{}/v1/completions", fleet.router_url(ROUTER));
+        let mut response =
+            client().post(url).bearer_auth(KEY).send_json(&body).await.expect("it streams");
+        response.next().await.expect("there is data").expect("the data is fine");
+        drop(response);
+
+        let counts = format!("{}/standin/counts", fleet.standin_url("milano-e1"));
+        let is_freed = eventually(Duration::from_secs(10), async || {
+            let counts = get_json(&counts).await;
+            counts["running"] == 0 && counts["cancelled"] == 1
+        })
+        .await;
+        assert!(is_freed, "the engine goes on for nobody");
+        let status = format!("{}/status", fleet.admin_url(ROUTER));
+        let is_forgotten =
+            eventually(Duration::from_secs(10), async || get_json(&status).await["serving"] == 0)
+                .await;
+        assert!(is_forgotten, "the router keeps a request of nobody");
+    });
+}
+
+#[test]
+fn a_slow_reader_gets_its_whole_answer() {
+    let fleet = start("slow_reader", Layout::smallest());
+    block_on(async {
+        let body = json!({
+            "model": MODEL, "prompt": "word", "max_tokens": 3_000, "stream": true,
+        });
+        let url = format!("{}/v1/completions", fleet.router_url(ROUTER));
+        let mut response =
+            client().post(url).bearer_auth(KEY).send_json(&body).await.expect("it streams");
+        let mut data = Vec::new();
+        let mut chunks = 0;
+        while let Some(chunk) = response.next().await {
+            data.extend_from_slice(&chunk.expect("the answer is whole"));
+            chunks += 1;
+            if chunks % 20 == 0 && chunks < 200 {
+                actix_rt::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        let text = String::from_utf8(data).expect("text");
+        assert_eq!(text.matches("data: {").count(), 3_000);
+        assert!(text.trim_end().ends_with("data: [DONE]"));
+    });
+}
+
+#[test]
+fn the_models_are_listed_for_keys_only() {
+    let fleet = start("models", Layout::smallest());
+    block_on(async {
+        let url = format!("{}/v1/models", fleet.router_url(ROUTER));
+        let mut response = client().get(&url).bearer_auth(KEY).send().await.expect("a response");
+        let list: Value =
+            serde_json::from_slice(&response.body().await.expect("whole")).expect("JSON");
+        assert_eq!(list["data"][0]["id"], MODEL);
+        let response = client().get(&url).send().await.expect("a response");
+        assert_eq!(response.status().as_u16(), 401);
+    });
+}
+
+#[test]
+fn a_router_is_ready_only_with_a_configuration() {
+    let fleet = common::start_unconfigured("readiness", Layout::smallest());
+    block_on(async {
+        let status = async |path: &str| {
+            let url = format!("{}{path}", fleet.router_url(ROUTER));
+            client().get(url).send().await.expect("a response").status().as_u16()
+        };
+        assert_eq!(status("/healthz").await, 200);
+        assert_eq!(status("/readyz").await, 503);
+        let early = ask(&fleet.router_url(ROUTER), "a", 3).await;
+        let is_told =
+            matches!(early, Err(CallError::Status { status: 503, retry_after_s: Some(_), .. }));
+        assert!(is_told, "{early:?}");
+        fleet.configure().expect("the configuration is accepted");
+        assert!(eventually(Duration::from_secs(5), async || status("/readyz").await == 200).await);
+    });
+}
+
+#[test]
+fn logs_are_json_lines_without_keys_or_bodies() {
+    let fleet = start("logs", Layout::smallest());
+    block_on(async {
+        let secret = "an-unusual-prompt";
+        let url = fleet.router_url(ROUTER);
+        complete(&client(), &url, KEY, MODEL, secret, 3, true).await.expect("answered");
+        book(&url, "an-unusual-key", secret).await.expect("answered");
+        for name in [ROUTER, "milano-e1", "milano-s1"] {
+            let log = log_of(&fleet.dir, name);
+            for line in log.lines() {
+                let line: Value = serde_json::from_str(line).expect("a line is JSON");
+                for key in ["time_us", "level", "node", "message"] {
+                    assert!(!line[key].is_null(), "{key} is missing in {line}");
+                }
+            }
+            for text in [KEY, secret, "an-unusual-key"] {
+                assert!(!log.contains(text), "{name} logs {text}");
+            }
+        }
+    });
+}
--- /dev/null
+++ b/sapphirespur_standin/tests/common/mod.rs
@@ -0,0 +1,78 @@
+//! What the end-to-end tests share.
+
+#![allow(dead_code, missing_docs)]
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use awc::Client;
+use sapphirespur_standin::client::{Answer, CallError, call_service, complete};
+use sapphirespur_standin::processes::{Layout, ProcessFleet};
+
+/// Model of every layout.
+pub const MODEL: &str = "profile-writer";
+
+/// Key of the first workspace.
+pub const KEY: &str = "agenzia-demo-key";
+
+/// Starts and configures a fleet in a folder of the test's own.
+pub fn start(test: &str, layout: Layout) -> ProcessFleet {
+    let fleet = start_unconfigured(test, layout);
+    fleet.configure().expect("the first configuration is accepted");
+    fleet
+}
+
+/// Starts a fleet without a configuration.
+pub fn start_unconfigured(test: &str, layout: Layout) -> ProcessFleet {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_sapphirespur-standin"));
+    let bin = program.parent().expect("the program has a folder");
+    let dir = bin.join("e2e").join(test);
+
+    ProcessFleet::start(layout, bin, &dir).expect("the processes start")
+}
+
+/// Runs a test's future on a system of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(future)
+}
+
+/// Returns a client that waits long enough for any answer.
+pub fn client() -> Client {
+    Client::builder().timeout(Duration::from_secs(60)).finish()
+}
+
+/// Asks for a streamed completion.
+pub async fn ask(url: &str, prompt: &str, tokens: u64) -> Result<Answer, CallError> {
+    complete(&client(), url, KEY, MODEL, prompt, tokens, true).await
+}
+
+/// Books with an idempotency key.
+pub async fn book(url: &str, key: &str, text: &str) -> Result<Answer, CallError> {
+    let url = format!("{url}/services/registry/bookings");
+    call_service(&client(), &url, KEY, Some(key), text).await
+}
+
+/// Tries until the condition holds, at most for `limit`, and tells whether it did.
+pub async fn eventually(limit: Duration, mut holds: impl AsyncFnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if holds().await {
+            return true;
+        }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    false
+}
+
+/// Gets a JSON value.
+pub async fn get_json(url: &str) -> serde_json::Value {
+    let body = async { client().get(url).send().await.ok()?.body().await.ok() }.await;
+
+    body.and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default()
+}
+
+/// Returns the text of a process's log.
+pub fn log_of(dir: &Path, name: &str) -> String {
+    std::fs::read_to_string(dir.join(format!("{name}.log"))).expect("the log is there")
+}
--- /dev/null
+++ b/sapphirespur_standin/tests/failures.rs
@@ -0,0 +1,258 @@
+//! Kills and freezes of real processes.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use common::{KEY, MODEL, ask, block_on, book, client, eventually, get_json, start};
+use sapphirespur_standin::client::{CallError, call_service, runs};
+use sapphirespur_standin::engine::EngineOptions;
+use sapphirespur_standin::processes::{Layout, ProcessFleet, Signal};
+use serde_json::json;
+
+const ROUTER: &str = "milano-r1";
+
+/// Layout whose streams last for a second and a half.
+fn slow_engines() -> Layout {
+    let engine =
+        EngineOptions { slots: 8, cold_slots: 8, token_ms: 50, ..EngineOptions::default() };
+    Layout { engine, ..Layout::default() }
+}
+
+async fn booked(fleet: &ProcessFleet) -> u64 {
+    let mut count = 0;
+    for name in fleet.layout.service_names() {
+        count += runs(&fleet.standin_url(&name), "POST /bookings").await.expect("counts");
+    }
+
+    count
+}
+
+/// Returns the engine's sidecar that has work.
+async fn busy_sidecar(fleet: &ProcessFleet) -> String {
+    let mut found = None;
+    let is_found = eventually(Duration::from_secs(10), async || {
+        for name in fleet.layout.engine_names() {
+            let status = get_json(&format!("{}/status", fleet.admin_url(&name))).await;
+            if status["attempts"].as_u64() > Some(0) {
+                found = Some(name);
+                return true;
+            }
+        }
+        false
+    })
+    .await;
+    assert!(is_found, "no sidecar has work");
+
+    found.expect("it was found")
+}
+
+/// Returns the bytes of a streamed answer, as they come on the connection.
+fn raw_answer(address: &str) -> Vec<u8> {
+    let body = json!({ "model": MODEL, "prompt": "a b", "max_tokens": 60, "stream": true });
+    let body = body.to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).expect("the router listens");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut data = Vec::new();
+    // A reset ends the answer as well as a close.
+    let _ = stream.read_to_end(&mut data);
+
+    data
+}
+
+#[test]
+fn a_killed_sidecar_never_makes_an_answer_look_whole() {
+    const LAST_CHUNK: &[u8] = b"\r\n0\r\n\r\n";
+
+    let mut fleet = start("kill_sidecar", slow_engines());
+    let address = fleet.router_url(ROUTER).replace("http://", "");
+    assert!(raw_answer(&address).ends_with(LAST_CHUNK), "a whole answer has its last chunk");
+
+    let call = std::thread::spawn(move || raw_answer(&address));
+    let sidecar = block_on(busy_sidecar(&fleet));
+    std::thread::sleep(Duration::from_millis(500));
+    fleet.signal(&sidecar, Signal::Kill).expect("the sidecar ends");
+    let cut = call.join().expect("no panic");
+    let text = String::from_utf8_lossy(&cut);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    assert!(text.contains("data: {") && !text.contains("[DONE]"), "{text}");
+    assert!(!cut.ends_with(LAST_CHUNK), "the cut answer looks whole");
+
+    block_on(async {
+        let after = ask(&fleet.router_url(ROUTER), "the rest serves", 5).await;
+        after.expect("the other engines serve");
+    });
+}
+
+/// An upstream whose connection ends before its answer is whole; the length is not told.
+#[test]
+fn an_upstream_that_breaks_off_never_makes_an_answer_look_whole() {
+    let fleet = start("broken_upstream", Layout::smallest());
+    block_on(async {
+        let url = format!("{}/services/registry/standin/break", fleet.router_url(ROUTER));
+        let answer = call_service(&client(), &url, KEY, None, "whole or not").await;
+        match answer {
+            Err(CallError::Broken(_) | CallError::Status { status: 502, .. }) => {}
+            Ok(answer) => assert!(answer.text.is_empty(), "{answer:?}"),
+            Err(e) => panic!("{e}"),
+        }
+        let status = get_json(&format!("{}/status", fleet.admin_url(ROUTER))).await;
+        assert_eq!(status["serving"], 0, "{status}");
+    });
+}
+
+#[test]
+fn a_frozen_sidecar_goes_on_where_it_was() {
+    let mut fleet = start("freeze_sidecar", slow_engines());
+    block_on(async {
+        let url = fleet.router_url(ROUTER);
+        let call = actix_rt::spawn(async move { ask(&url, "frozen in the middle", 60).await });
+        let sidecar = busy_sidecar(&fleet).await;
+        fleet.signal(&sidecar, Signal::Stop).expect("the sidecar pauses");
+        actix_rt::time::sleep(Duration::from_secs(4)).await;
+        fleet.signal(&sidecar, Signal::Continue).expect("the sidecar goes on");
+        let answer = call.await.expect("no panic");
+        answer.expect("the answer is resumed and whole");
+    });
+}
+
+#[test]
+fn a_graceful_shutdown_cuts_no_answer() {
+    let mut fleet = start("graceful", slow_engines());
+    block_on(async {
+        let router = fleet.layout.router_names().remove(1);
+        let url = fleet.router_url(&router);
+        let calls: Vec<_> = (0..8)
+            .map(|n| {
+                let url = url.clone();
+                actix_rt::spawn(async move { ask(&url, &format!("request {n}"), 40).await })
+            })
+            .collect();
+        let sidecar = busy_sidecar(&fleet).await;
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        fleet.signal(&sidecar, Signal::Terminate).expect("the sidecar drains");
+        fleet.signal(&router, Signal::Terminate).expect("the router drains");
+        for call in calls {
+            call.await.expect("no panic").expect("the answer is whole");
+        }
+    });
+    let router = fleet.layout.router_names().remove(1);
+    assert_eq!(fleet.wait(&router).expect("it ends"), Some(0));
+}
+
+#[test]
+fn bookings_run_at_most_once_while_sidecars_and_the_platform_fail() {
+    let layout = Layout { service_ms: 100, ..Layout::default() };
+    let mut fleet = start("bookings", layout);
+    block_on(async {
+        let sidecars = fleet.layout.service_names();
+        let routers = fleet.layout.router_names();
+        let mut keys = Vec::new();
+        for round in 0..6_usize {
+            let key = format!("key-{round}");
+            let url = fleet.router_url(&routers[round % routers.len()]);
+            let call = {
+                let (url, key) = (url.clone(), key.clone());
+                actix_rt::spawn(async move { book(&url, &key, &key).await })
+            };
+            actix_rt::time::sleep(Duration::from_millis(20 * round as u64)).await;
+            let sidecar = &sidecars[round % sidecars.len()];
+            if round % 2 == 0 {
+                fleet.signal(sidecar, Signal::Kill).expect("the sidecar ends");
+                fleet.start_node(sidecar).expect("the sidecar starts");
+            } else {
+                let fault = json!({ "lose_answers": 1 });
+                fleet.put("store", "/standin/fault", &fault).expect("the fault is set");
+            }
+            // Whatever the first answer is, repeats follow.
+            let _ = call.await.expect("no panic");
+            keys.push(key);
+        }
+        fleet.put("store", "/standin/fault", &json!({})).expect("the fault ends");
+        for key in &keys {
+            let url = fleet.router_url(ROUTER);
+            let is_settled = eventually(Duration::from_secs(20), async || {
+                matches!(
+                    book(&url, key, key).await,
+                    Ok(_) | Err(CallError::Status { status: 409, .. })
+                )
+            })
+            .await;
+            assert!(is_settled, "{key} is not settled");
+        }
+        for name in &sidecars {
+            let runs = get_json(&format!("{}/standin/runs", fleet.standin_url(name))).await;
+            let repeated: Vec<_> = runs
+                .as_object()
+                .expect("counts")
+                .iter()
+                .filter(|(call, count)| call.contains("/bookings") && **count != json!(1))
+                .collect();
+            assert!(repeated.is_empty(), "{repeated:?}");
+        }
+        assert!(booked(&fleet).await <= keys.len() as u64);
+    });
+}
+
+#[test]
+fn a_platform_that_is_down_refuses_bookings_at_once_and_nothing_else() {
+    let fleet = start("platform_down", Layout::default());
+    block_on(async {
+        fleet.put("store", "/standin/fault", &json!({ "down": true })).expect("it is down");
+        let url = fleet.router_url(ROUTER);
+        ask(&url, "completions go on", 5).await.expect("the model serves");
+        let booking = book(&url, "key", "a booking").await;
+        let Err(CallError::Status { status, retry_after_s, body }) = booking else {
+            panic!("not refused: {booking:?}");
+        };
+        assert_eq!(status, 503);
+        assert!(retry_after_s.is_some());
+        assert!(body.contains("\"not-run\""), "{body}");
+        assert_eq!(booked(&fleet).await, 0);
+
+        fleet.put("store", "/standin/fault", &json!({})).expect("it is up");
+        let is_served = eventually(Duration::from_secs(10), async || {
+            book(&url, "key", "a booking").await.is_ok()
+        })
+        .await;
+        assert!(is_served, "the booking is not served after the outage");
+        assert_eq!(booked(&fleet).await, 1);
+    });
+}
+
+#[test]
+fn a_router_that_restarts_during_an_outage_learns_from_its_peers() {
+    let mut fleet = start("restart_in_outage", Layout::default());
+    block_on(async {
+        fleet.put("store", "/standin/fault", &json!({ "down": true })).expect("it is down");
+        fleet.signal("torino-r1", Signal::Kill).expect("the router ends");
+        fleet.start_node("torino-r1").expect("the router starts");
+        let url = fleet.router_url("torino-r1");
+        let is_served = eventually(Duration::from_secs(10), async || {
+            ask(&url, "after the restart", 4).await.is_ok()
+        })
+        .await;
+        assert!(is_served, "the restarted router does not serve");
+    });
+}
+
+#[test]
+fn a_service_that_is_gone_refuses_its_calls_as_not_run() {
+    let mut fleet = start("service_gone", Layout::smallest());
+    fleet.signal("milano-s1-upstream", Signal::Kill).expect("the service ends");
+    block_on(async {
+        let booking = book(&fleet.router_url(ROUTER), "key", "a booking").await;
+        let Err(CallError::Status { status, retry_after_s, body }) = booking else {
+            panic!("not refused: {booking:?}");
+        };
+        assert_eq!((status, retry_after_s), (503, Some(1)), "{body}");
+        assert!(body.contains("\"no-upstream\"") && body.contains("\"not-run\""), "{body}");
+    });
+}
