Measure departures, control traffic, the ledger's calls and the cost of single parts

Cause: these measures had no figures. sapphirespur-measure now has a subcommand for each; first come, first served joins the baselines of fairness.

--- a/sapphirespur_bench/src/fleet.rs
+++ b/sapphirespur_bench/src/fleet.rs
@@ -167,6 +167,8 @@
     pub requests: BTreeMap<u64, ClientRequest>,
     /// Source of chance.
     pub rng: Rng,
+    /// Whether all requests come as those of one workspace and class, which are served in turn.
+    pub is_first_come: bool,
     queue: BTreeMap<(Time, u64), Happening>,
     sequence: u64,
     connections: BTreeMap<AttemptId, Connection>,
@@ -191,6 +193,7 @@
             clients: Vec::new(),
             requests: BTreeMap::new(),
             rng: Rng::new(options.seed),
+            is_first_come: false,
             queue: BTreeMap::new(),
             sequence: 0,
             connections: BTreeMap::new(),
@@ -821,7 +824,11 @@
             return;
         };
 
-        let head = head_of(&client, tokens, key.clone());
+        let mut head = head_of(&client, tokens, key.clone());
+        if self.is_first_come {
+            head.key_digest = Some(sha256_hex(b"w0"));
+            head.class = None;
+        }
         let entry = ClientRequest { client: index, router: router.clone(), tokens, key, repeats };
         self.requests.insert(request, entry);
         let id = RequestId(request);
--- a/sapphirespur_bench/src/main.rs
+++ b/sapphirespur_bench/src/main.rs
@@ -1,14 +1,208 @@
-//! Prints the measures.
+//! Prints the measures of `docs/MEASURES.md` and `docs/CAPACITY.md`.
 
 use std::time::Duration;
 
-use sapphirespur_bench::measure::fairness::{Order, run};
+use argh::FromArgs;
+use sapphirespur_bench::link::encoded_bytes;
+use sapphirespur_bench::measure::fairness::{Load, Order};
+use sapphirespur_bench::measure::{capacity, control, departure, fairness, ledger, rpc};
 use sapphirespur_bench::topology::Topology;
+use sapphirespur_core::limiter::Phase;
+use sapphirespur_core::message::{Heartbeat, Message, NodeState, SidecarState};
+use sapphirespur_core::name::Name;
+
+/// Measures the decisions of sapphirespur in virtual time.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// what to measure
+    #[argh(subcommand)]
+    measure: Measure,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Measure {
+    Capacity(CapacityArgs),
+    Control(ControlArgs),
+    Departure(DepartureArgs),
+    Fairness(FairnessArgs),
+    Ledger(LedgerArgs),
+}
+
+/// Fairness gap and utilisation with all workspaces backlogged.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fairness")]
+struct FairnessArgs {}
+
+/// Service while a data centre leaves and returns.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "departure")]
+struct DepartureArgs {}
+
+/// Control traffic and its growth.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "control")]
+struct ControlArgs {}
+
+/// Calls of the once-ledger.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ledger")]
+struct LedgerArgs {}
+
+/// Processor time and memory of single parts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct CapacityArgs {}
+
+/// Deployments of today.
+fn deployments() -> [(&'static str, Topology); 2] {
+    [("agenzia", Topology::agenzia()), ("katharotis", Topology::katharotis())]
+}
 
 fn main() {
-    for seed in 1..=3 {
-        for order in [Order::SidecarAlone, Order::Fleet { interval: Duration::from_millis(500) }] {
-            println!("{seed} {order:?} {:?}", run(&Topology::agenzia(), order, seed));
+    let args: Args = argh::from_env();
+    let seeds = args.seed..args.seed + args.seeds;
+    match args.measure {
+        Measure::Capacity(_) => measure_capacity(),
+        Measure::Control(_) => measure_control(args.seed),
+        Measure::Departure(_) => measure_departure(seeds),
+        Measure::Fairness(_) => measure_fairness(seeds),
+        Measure::Ledger(_) => measure_ledger(args.seed),
+    }
+}
+
+fn measure_fairness(seeds: std::ops::Range<u64>) {
+    let fleet = |millis| Order::Fleet { interval: Duration::from_millis(millis) };
+    let orders = [
+        ("first come", Order::FirstCome),
+        ("sidecar alone", Order::SidecarAlone),
+        ("fleet, 500 ms", fleet(500)),
+        ("fleet, 1000 ms", fleet(1_000)),
+        ("fleet, 2000 ms", fleet(2_000)),
+    ];
+    println!("deployment  seed  order           gap since start  gap any interval  slots used");
+    for (name, topology) in deployments() {
+        for seed in seeds.clone() {
+            for (title, order) in orders {
+                let f = fairness::run(&topology, order, seed);
+                println!(
+                    "{name:10}  {seed:4}  {title:14}  {:15.2}  {:16.2}  {:10.4}",
+                    f.gap_since_start, f.gap_any_interval, f.utilisation
+                );
+            }
+        }
+    }
+}
+
+fn measure_departure(seeds: std::ops::Range<u64>) {
+    let loads = [("below", Load::Below { percent: 50 }), ("above", Load::Above)];
+    for (name, topology) in deployments() {
+        for seed in seeds.clone() {
+            for (load_name, load) in loads {
+                for way in [departure::Way::Planned, departure::Way::Unplanned] {
+                    let f = departure::run(&topology, load, way, seed);
+                    println!(
+                        "{name} seed {seed} load {load_name} {way:?}: last work {:?}, lost {}, \
+                         remaining used {:.3}, back after {:?}",
+                        f.last_work, f.lost, f.remaining_used, f.back_after
+                    );
+                    for (class, parts) in f.classes {
+                        let text: Vec<String> = parts
+                            .iter()
+                            .map(|p| format!("{:.2}/s p95 {} ms", p.per_second, p.wait_p95_ms))
+                            .collect();
+                        println!("  {class:9} {}", text.join(" | "));
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn measure_control(seed: u64) {
+    let message = Message::Heartbeat(Heartbeat {
+        incarnation: 1,
+        revision: 1,
+        state: NodeState::Sidecar(SidecarState {
+            upstream: Name::new("milano-m0"),
+            phase: Phase::Warm,
+            limit: 8,
+            free: 8,
+            serving: true,
+        }),
+    });
+    let counted = actix_rt::System::new().block_on(rpc::bytes_of(&message));
+    match counted {
+        Ok(bytes) => println!(
+            "heartbeat on a real link: {bytes} bytes with answer; the model counts {}",
+            encoded_bytes(&message)
+        ),
+        Err(e) => println!("heartbeat on a real link: not measured: {e}"),
+    }
+
+    println!("routers runners workspaces load  bytes/s/node  by kind");
+    for (routers, runners, workspaces) in [
+        (2, 20, 16),
+        (4, 20, 16),
+        (8, 20, 16),
+        (2, 40, 16),
+        (2, 80, 16),
+        (2, 20, 64),
+        (2, 20, 256),
+        (8, 80, 64),
+    ] {
+        for under_way in [0, 20] {
+            let f = control::run(&control::sized(routers, runners, workspaces), under_way, seed);
+            let kinds: Vec<String> =
+                f.bytes.iter().map(|(kind, bytes)| format!("{kind} {bytes:.0}")).collect();
+            println!(
+                "{:7} {runners:7} {workspaces:10} {under_way:4}  {:12.0}  {}",
+                routers * 3,
+                f.total(),
+                kinds.join(", ")
+            );
         }
     }
 }
+
+fn measure_ledger(seed: u64) {
+    println!("under way  bookings/s  operations/s  transactions/s  median ms");
+    for under_way in [1, 2, 4, 8] {
+        let f = ledger::run(&Topology::agenzia(), under_way, seed);
+        println!(
+            "{:9}  {:10.1}  {:12.1}  {:14.1}  {:9.1}",
+            under_way * 16,
+            f.bookings,
+            f.operations,
+            f.transactions,
+            f.median_ms
+        );
+    }
+}
+
+fn measure_capacity() {
+    let print = |part: &str, cost: capacity::Cost| {
+        println!(
+            "{part:34} {:6}  {:8} KiB  {:10.2} us",
+            cost.size,
+            cost.memory_bytes / 1024,
+            cost.operation.as_secs_f64() * 1e6
+        );
+    };
+    println!("part                                 size      memory   operation");
+    for size in [1_000, 8_000, 33_000] {
+        print("configuration, one change", capacity::config(size, 20));
+    }
+    for size in [100, 1_000, 4_000] {
+        print("account home, one report entry", capacity::home(size, 20));
+    }
+    for size in [50, 220, 1_000, 3_300] {
+        print("order of a sidecar, one choice", capacity::order(size, 2_000));
+    }
+}
--- /dev/null
+++ b/sapphirespur_bench/src/measure/control.rs
@@ -0,0 +1,52 @@
+//! Control traffic by kind, and its growth with the parts of a fleet.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::fleet::FleetOptions;
+use crate::link::Traffic;
+use crate::measure::load::add_backlog;
+use crate::topology::Topology;
+
+/// Time that is measured.
+const MEASURED: Duration = Duration::from_secs(30);
+
+/// Traffic of one fleet.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Bytes sent by a node in a second, on average, by kind.
+    pub bytes: BTreeMap<&'static str, f64>,
+    /// Messages sent by a node in a second, on average, by kind.
+    pub messages: BTreeMap<&'static str, f64>,
+}
+
+impl Figures {
+    /// Returns the bytes of all kinds.
+    pub fn total(&self) -> f64 {
+        self.bytes.values().sum()
+    }
+}
+
+/// Runs a fleet, at rest or with each workspace keeping `under_way` requests.
+pub fn run(topology: &Topology, under_way: usize, seed: u64) -> Figures {
+    let mut fleet = topology.start(FleetOptions { seed, ..FleetOptions::default() });
+    if under_way > 0 {
+        add_backlog(&mut fleet, topology, under_way);
+    }
+    fleet.run_for(Duration::from_secs(10));
+    let before = fleet.links.traffic.clone();
+    fleet.run_for(MEASURED);
+
+    let rate = MEASURED.as_secs_f64() * fleet.nodes.len() as f64;
+    let old = |kind: &str| before.get(kind).copied().unwrap_or_default();
+    let per = |value: fn(&Traffic) -> u64| {
+        let kinds = fleet.links.traffic.iter();
+        kinds.map(|(kind, t)| (*kind, (value(t) - value(&old(kind))) as f64 / rate)).collect()
+    };
+    Figures { bytes: per(|t| t.bytes), messages: per(|t| t.messages) }
+}
+
+/// Returns a fleet of another size.
+pub fn sized(routers: usize, runners: usize, workspaces: usize) -> Topology {
+    Topology { routers, runners, shares: vec![1; workspaces], ..Topology::agenzia() }
+}
--- /dev/null
+++ b/sapphirespur_bench/src/measure/departure.rs
@@ -0,0 +1,177 @@
+//! Service while a data centre leaves and returns.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sapphirespur_core::config::DataCentreState;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::time::Time;
+
+use crate::check::{nothing_cut, served_tokens};
+use crate::fleet::{Fleet, FleetOptions};
+use crate::history::{Final, Seen};
+use crate::measure::fairness::{Load, topology_rate};
+use crate::measure::load::add_load;
+use crate::topology::{CLASSES, Topology, set_state};
+
+/// Time of each of the three parts that are measured.
+const PART: Duration = Duration::from_secs(60);
+
+/// Time for which an upstream is cold after its data centre returned.
+const COLD_START: Duration = Duration::from_secs(20);
+
+/// Length of the spans whose rates are compared.
+const SPAN: Duration = Duration::from_secs(5);
+
+/// Part of the former rate at which the service counts as back.
+const BACK: f64 = 0.95;
+
+/// Way in which the data centre leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Operators take it out and back in.
+    Planned,
+    /// All its processes stop without a word and start again.
+    Unplanned,
+}
+
+/// Service of one class in one part.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClassService {
+    /// Answers a second.
+    pub per_second: f64,
+    /// 95th percentile of the time until an upstream ran the request, in milliseconds.
+    pub wait_p95_ms: u64,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Service of each class before, during and after.
+    pub classes: BTreeMap<&'static str, [ClassService; 3]>,
+    /// Time from the departure to the last new work there.
+    pub last_work: Duration,
+    /// Requests that were cut or left open.
+    pub lost: usize,
+    /// Part of what the remaining upstreams bear that was served meanwhile, while work waited.
+    pub remaining_used: f64,
+    /// Time from the return until the service was back, when it was.
+    pub back_after: Option<Duration>,
+}
+
+/// Runs a fleet while its last data centre leaves and returns.
+pub fn run(topology: &Topology, load: Load, way: Way, seed: u64) -> Figures {
+    let mut fleet = topology.start(FleetOptions { seed, ..FleetOptions::default() });
+    add_load(&mut fleet, topology, load);
+    fleet.run_for(Duration::from_secs(40));
+    let leaving = *topology.data_centres.last().unwrap_or(&"none");
+    let nodes = fleet.nodes_of(&Name::new(leaving));
+
+    let starts = [fleet.now, fleet.now + PART, fleet.now + PART * 2];
+    fleet.run_for(PART);
+    leave(&mut fleet, way, leaving, &nodes);
+    fleet.run_for(PART);
+    come_back(&mut fleet, way, leaving, &nodes);
+    fleet.run_for(PART);
+
+    let last_work = last_work(&fleet, &nodes, starts[1], starts[2]);
+    let remaining = nodes.iter().filter(|name| name.as_str().contains("-m")).count();
+    let part = 1.0 - remaining as f64 / topology.runners as f64;
+    let bearable = topology_rate(topology) * part * (PART - SPAN).as_secs_f64();
+    let served = served_tokens(&fleet.history, starts[1] + SPAN, starts[2]) as f64;
+    Figures {
+        classes: classes(&fleet, starts),
+        last_work,
+        lost: nothing_cut(&fleet.history).len(),
+        remaining_used: served / bearable,
+        back_after: back_after(&fleet, starts),
+    }
+}
+
+fn leave(fleet: &mut Fleet, way: Way, leaving: &str, nodes: &[Name]) {
+    match way {
+        Way::Planned => {
+            fleet.confirm(&[set_state(leaving, DataCentreState::Out)]);
+        }
+        Way::Unplanned => nodes.iter().for_each(|name| fleet.kill(name)),
+    }
+}
+
+fn come_back(fleet: &mut Fleet, way: Way, leaving: &str, nodes: &[Name]) {
+    let now = fleet.now;
+    for name in nodes {
+        if let Some(engine) = fleet.engines.get_mut(name) {
+            engine.shape.cold_for = COLD_START;
+            engine.chill(now);
+        }
+    }
+
+    match way {
+        Way::Planned => {
+            fleet.confirm(&[set_state(leaving, DataCentreState::In)]);
+        }
+        Way::Unplanned => nodes.iter().for_each(|name| fleet.restart(name)),
+    }
+}
+
+fn last_work(fleet: &Fleet, nodes: &[Name], from: Time, to: Time) -> Duration {
+    let times = fleet.history.entries.iter().filter_map(|(time, seen)| match seen {
+        Seen::Ran { upstream, .. } if nodes.contains(upstream) => Some(*time),
+        _ => None,
+    });
+
+    let last = times.filter(|time| *time >= from && *time < to).max();
+    last.map_or(Duration::ZERO, |last| last.since(from))
+}
+
+/// Returns when the rate is back for good, in spans from the return.
+fn back_after(fleet: &Fleet, starts: [Time; 3]) -> Option<Duration> {
+    let rate = |from: Time| served_tokens(&fleet.history, from, from + SPAN) as f64;
+    let before = served_tokens(&fleet.history, starts[0], starts[1]) as f64 / PART.as_secs_f64()
+        * SPAN.as_secs_f64();
+    let spans = (PART.as_secs() / SPAN.as_secs()) as u32;
+
+    (0..spans).map(|n| SPAN * n).find(|after| rate(starts[2] + *after) >= before * BACK)
+}
+
+fn classes(fleet: &Fleet, starts: [Time; 3]) -> BTreeMap<&'static str, [ClassService; 3]> {
+    CLASSES
+        .iter()
+        .map(|(name, _)| (*name, starts.map(|from| of_class(fleet, name, from))))
+        .collect()
+}
+
+fn of_class(fleet: &Fleet, class: &str, from: Time) -> ClassService {
+    let to = from + PART;
+    let mut submitted: BTreeMap<u64, Time> = BTreeMap::new();
+    let mut waits = Vec::new();
+    let mut whole = 0_u32;
+    for (time, seen) in &fleet.history.entries {
+        let is_within = *time >= from && *time < to;
+        match seen {
+            Seen::Submitted { request, .. } => {
+                submitted.insert(*request, *time);
+            }
+            Seen::Ran { request, .. } if is_within && is_of(fleet, *request, class) => {
+                waits.extend(submitted.remove(request).map(|since| time.since(since)));
+            }
+            Seen::Ended { request, answer: Final::Whole { .. } }
+                if is_within && is_of(fleet, *request, class) =>
+            {
+                whole += 1;
+            }
+            _ => {}
+        }
+    }
+
+    waits.sort_unstable();
+    let p95 = waits.get(waits.len().saturating_sub(1) * 95 / 100);
+    ClassService {
+        per_second: f64::from(whole) / PART.as_secs_f64(),
+        wait_p95_ms: p95.map_or(0, |wait| wait.as_millis() as u64),
+    }
+}
+
+fn is_of(fleet: &Fleet, request: u64, class: &str) -> bool {
+    fleet.class_of(request).is_some_and(|name| name.as_str() == class)
+}
--- a/sapphirespur_bench/src/measure/fairness.rs
+++ b/sapphirespur_bench/src/measure/fairness.rs
@@ -29,6 +29,20 @@
     },
     /// Each sidecar alone.
     SidecarAlone,
+    /// First come, first served, whoever asks.
+    FirstCome,
+}
+
+/// Load of all workspaces together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Load {
+    /// Each workspace is backlogged all the time.
+    Above,
+    /// Requests under way use a part of the slots.
+    Below {
+        /// Part of the slots, in per cent.
+        percent: usize,
+    },
 }
 
 /// Figures of one run.
@@ -48,11 +62,12 @@
 pub fn run(topology: &Topology, order: Order, seed: u64) -> Figures {
     let report_interval = match order {
         Order::Fleet { interval } => interval,
-        Order::SidecarAlone => Duration::from_secs(1_000_000),
+        Order::SidecarAlone | Order::FirstCome => Duration::from_secs(1_000_000),
     };
     let options = FleetOptions::default();
     let sidecar = SidecarPolicy { report_interval, ..options.sidecar };
     let mut fleet = topology.start(FleetOptions { seed, sidecar, ..options });
+    fleet.is_first_come = order == Order::FirstCome;
     add_backlog(&mut fleet, topology, UNDER_WAY);
     fleet.run_for(WARM_UP);
 
--- /dev/null
+++ b/sapphirespur_bench/src/measure/ledger.rs
@@ -0,0 +1,60 @@
+//! Calls of the once-ledger to the platform.
+
+use std::time::Duration;
+
+use crate::fleet::FleetOptions;
+use crate::history::{Final, Seen};
+use crate::measure::load::booking_client;
+use crate::topology::Topology;
+
+/// Time that is measured.
+const MEASURED: Duration = Duration::from_secs(60);
+
+/// Figures of one run.
+#[derive(Clone, Copy, Debug)]
+pub struct Figures {
+    /// Bookings answered a second.
+    pub bookings: f64,
+    /// Operations on the ledger a second; each would be a call without shared transactions.
+    pub operations: f64,
+    /// Transactions sent to the platform a second.
+    pub transactions: f64,
+    /// Median time from sending a booking to its answer, in milliseconds.
+    pub median_ms: f64,
+}
+
+/// Runs a fleet whose workspaces each keep `under_way` bookings.
+pub fn run(topology: &Topology, under_way: usize, seed: u64) -> Figures {
+    let mut fleet = topology.start(FleetOptions { seed, ..FleetOptions::default() });
+    for workspace in topology.workspace_names() {
+        let mut client = booking_client(&mut fleet, topology, &workspace, under_way);
+        client.think = Duration::ZERO;
+        fleet.add_client(client);
+    }
+    fleet.run_for(Duration::from_secs(20));
+    let (from, operations, batches) =
+        (fleet.now, fleet.platform.operations, fleet.platform.batches);
+    fleet.run_for(MEASURED);
+
+    let mut sent = std::collections::BTreeMap::new();
+    let mut spans = Vec::new();
+    for (time, seen) in &fleet.history.entries {
+        match seen {
+            Seen::Submitted { request, .. } => {
+                sent.insert(*request, *time);
+            }
+            Seen::Ended { request, answer: Final::Whole { .. } } if *time >= from => {
+                spans.extend(sent.remove(request).map(|since| time.since(since)));
+            }
+            _ => {}
+        }
+    }
+    spans.sort_unstable();
+    let seconds = MEASURED.as_secs_f64();
+    Figures {
+        bookings: spans.len() as f64 / seconds,
+        operations: (fleet.platform.operations - operations) as f64 / seconds,
+        transactions: (fleet.platform.batches - batches) as f64 / seconds,
+        median_ms: spans.get(spans.len() / 2).map_or(0.0, |span| span.as_secs_f64() * 1e3),
+    }
+}
--- a/sapphirespur_bench/src/measure/load.rs
+++ b/sapphirespur_bench/src/measure/load.rs
@@ -8,6 +8,7 @@
 
 use crate::client::{CallKind, Client};
 use crate::fleet::{Fleet, START};
+use crate::measure::fairness::Load;
 use crate::topology::{CLASSES, MODEL, SERVICE, Topology};
 
 /// Fewest and most tokens of an answer.
@@ -64,6 +65,23 @@
     }
 }
 
+/// Adds clients for a load.
+pub fn add_load(fleet: &mut Fleet, topology: &Topology, load: Load) {
+    match load {
+        Load::Above => add_backlog(fleet, topology, 40),
+        Load::Below { percent } => {
+            let slots = topology.runner.slots as usize * topology.runners;
+            let names = topology.workspace_names();
+            let total: u32 = topology.shares.iter().sum();
+            for (index, (workspace, share)) in names.iter().zip(&topology.shares).enumerate() {
+                let under_way = slots * percent * *share as usize / 100 / total as usize;
+                let client = model_client(fleet, topology, workspace, index, under_way.max(1));
+                fleet.add_client(client);
+            }
+        }
+    }
+}
+
 /// Returns weights that send most of a workspace's requests to one or two routers.
 fn uneven_spread(fleet: &mut Fleet, topology: &Topology) -> Vec<u32> {
     let routers = topology.router_names().len();
