Tell sidecars less, pace the ledger, and let returning upstreams start cold

Cause: with queues around empty each request told all sidecars that there is work and, when it left, that there is none. Now twice as many sidecars are asked every 20 ms while the first request waits, and only the news of work is sent at once; the rest shares one message each 500 ms. A sidecar that still believes in work gets its permit back.

Cause: every waiting workspace was reported each time.

Cause: each intent was sent at once.

Cause: planned departures still lost 1 to 9 requests: upstreams that came back cold got their full load. An upstream that takes work again counts as cold now; and once warm reports have lasted, healthy first tokens count, so that the ramp need not wait for whole answers.

--- a/sapphirespur_bench/tests/leaving.rs
+++ b/sapphirespur_bench/tests/leaving.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use common::{add_mixed_clients, assert_always, assert_none, small_fleet, whole_after};
-use sapphirespur_bench::check::{all_answered, no_work_after_close, nothing_cut};
+use sapphirespur_bench::check::{all_answered, bearable, no_work_after_close, nothing_cut};
 use sapphirespur_bench::fleet::{Fleet, PLATFORM};
+use sapphirespur_bench::measure::load::model_client;
 use sapphirespur_bench::topology::{Topology, set_state};
 use sapphirespur_core::config::{Change, DataCentreState, UpstreamState};
 use sapphirespur_core::name::Name;
@@ -167,3 +168,34 @@
         assert!(status.attempts > 0, "{name} gets no work");
     }
 }
+
+/// A data centre that was out may come back cold, which its sidecars cannot know yet.
+#[test]
+fn a_data_centre_that_returns_cold_is_not_overloaded() {
+    for seed in [64, 65, 66] {
+        let (topology, mut fleet) = small_fleet(seed);
+        add_mixed_clients(&mut fleet, &topology, LOAD);
+        for workspace in topology.workspace_names() {
+            let mut client = model_client(&mut fleet, &topology, &workspace, 0, 30);
+            client.until = fleet.now + LOAD;
+            fleet.add_client(client);
+        }
+        fleet.run_for(Duration::from_secs(15));
+        assert!(fleet.confirm(&[set_state("west", DataCentreState::Out)]));
+        fleet.run_for(Duration::from_secs(10));
+        let now = fleet.now;
+        for name in fleet.nodes_of(&Name::new("west")) {
+            if let Some(engine) = fleet.engines.get_mut(&name) {
+                engine.shape.cold_for = Duration::from_secs(8);
+                engine.chill(now);
+            }
+        }
+        assert!(fleet.confirm(&[set_state("west", DataCentreState::In)]));
+        fleet.run_for(LOAD + SETTLED);
+
+        let what = format!("seed {seed}");
+        assert_none(&bearable(&fleet.history), &what);
+        assert_none(&nothing_cut(&fleet.history), &what);
+        assert_always(&fleet, &what);
+    }
+}
--- a/sapphirespur_core/src/fair.rs
+++ b/sapphirespur_core/src/fair.rs
@@ -21,6 +21,12 @@
 /// Requests of its own by which a workspace may lead at one sidecar.
 const MAX_LEAD_REQUESTS: i64 = 16;
 
+/// Waiting workspaces that are reported each time because they are next in the order.
+const MAX_NEXT: usize = 16;
+
+/// Reports of which one has all waiting workspaces; their homes count competitors by them.
+const FULL_REPORT_EVERY: u64 = 4;
+
 /// Class within a workspace, ordered by its own virtual time.
 #[derive(Clone, Debug, Default)]
 struct ClassOrder {
@@ -78,12 +84,18 @@
     /// Furthest place at which a choice started.
     last: Place,
     next_session: u64,
+    reports: u64,
 }
 
 impl FairOrder {
     /// Creates an order whose report sessions start at `first_session`.
     pub fn new(first_session: u64) -> Self {
-        Self { workspaces: HashMap::default(), last: Place::default(), next_session: first_session }
+        Self {
+            workspaces: HashMap::default(),
+            last: Place::default(),
+            next_session: first_session,
+            reports: 0,
+        }
     }
 
     /// Marks a queue as waiting; a workspace that was idle starts at the current virtual time.
@@ -157,12 +169,19 @@
         }
     }
 
-    /// Returns the open report entries by home.
+    /// Returns the report entries by home.
+    ///
+    /// Charges are always reported. Of the waiting workspaces, those that are next in the order are
+    /// reported each time, for their places matter now, and the others from time to time.
     pub fn report(
         &mut self,
         home_of: impl Fn(&Name) -> Option<Name>,
     ) -> HashMap<Name, Vec<ReportEntry>> {
         self.limit_leads();
+        self.reports += 1;
+        let is_full = self.reports.is_multiple_of(FULL_REPORT_EVERY);
+        let horizon = self.horizon();
+
         let mut reports: HashMap<Name, Vec<ReportEntry>> = HashMap::default();
         for (name, order) in &mut self.workspaces {
             let Some(home) = home_of(name) else { continue };
@@ -170,8 +189,7 @@
                 self.next_session += 1;
                 order.move_home(home.clone(), self.next_session);
             }
-
-            if order.is_open() {
+            if order.is_open() || (order.waiting && (is_full || order.tag() <= horizon)) {
                 reports.entry(home).or_default().push(order.report_entry(name));
             }
         }
@@ -182,6 +200,17 @@
         reports
     }
 
+    /// Returns the place up to which waiting workspaces are next in the order.
+    fn horizon(&self) -> i64 {
+        let waiting = self.workspaces.values().filter(|order| order.waiting);
+        let mut tags: Vec<i64> = waiting.map(WorkspaceOrder::tag).collect();
+        if tags.len() <= MAX_NEXT {
+            return i64::MAX;
+        }
+
+        *tags.select_nth_unstable(MAX_NEXT - 1).1
+    }
+
     /// Takes the account that a home answered.
     pub fn on_account(&mut self, entry: &AccountEntry) {
         let Some(order) = self.workspaces.get_mut(&entry.workspace) else { return };
@@ -336,8 +365,9 @@
         self.acknowledged = 0;
     }
 
+    /// Tells whether the home does not know all that it must.
     fn is_open(&self) -> bool {
-        self.waiting || self.reported_waiting || self.charged != self.acknowledged
+        self.waiting != self.reported_waiting || self.charged != self.acknowledged
     }
 
     fn report_entry(&mut self, name: &Name) -> ReportEntry {
--- a/sapphirespur_core/src/limiter.rs
+++ b/sapphirespur_core/src/limiter.rs
@@ -137,6 +137,26 @@
         }
     }
 
+    /// Takes a first token that came `after` the call.
+    ///
+    /// Of an upstream that has reported warm for long enough, it counts as much as a whole answer.
+    pub fn on_first_token(&mut self, now: Time, round: Round, after: Duration) {
+        let is_reported_warm = matches!(self.reported, Reported::WarmSince(_));
+        let is_healthy = after <= FIRST_TOKEN_TARGET;
+        let counts = is_reported_warm && is_healthy && self.phase == Phase::Cold;
+        if counts && round == self.round {
+            self.on_healthy(now, true);
+        }
+    }
+
+    /// Takes the upstream for cold, for it has been without work.
+    pub fn on_reopened(&mut self) {
+        if self.reported != Reported::Nothing {
+            self.reported = Reported::Cold;
+        }
+        self.fall_back();
+    }
+
     /// Takes evidence that the upstream is cold or gone: an error or a broken latency.
     pub fn on_failed(&mut self, now: Time, round: Round) {
         if round != self.round {
--- a/sapphirespur_core/src/once/ledger.rs
+++ b/sapphirespur_core/src/once/ledger.rs
@@ -17,6 +17,12 @@
 /// Most operations in one batch; the platform allows 128 to a transaction.
 const MAX_BATCH: usize = 100;
 
+/// Least time between two batches, in which further operations join the next one.
+const BATCH_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest time for which outcomes wait for an intent to go with.
+const OUTCOME_WAIT: Duration = Duration::from_millis(100);
+
 /// Pause before a batch is sent again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -79,6 +85,7 @@
     in_flight: Option<LedgerBatch>,
     next_batch: u64,
     paused_until: Time,
+    last_batch: Time,
 }
 
 impl OnceLedger {
@@ -116,19 +123,15 @@
         self.conclude(attempt, Stage::Concluding, state);
     }
 
-    /// Returns the next batch to send, when none is under way.
+    /// Returns the next batch to send, when one is due and none is under way.
     pub fn next_batch(&mut self, now: Time) -> Option<LedgerBatch> {
-        if self.in_flight.is_some() || now < self.paused_until {
-            return None;
-        }
-
-        let operations = self.take_operations();
-        if operations.is_empty() {
+        if self.batch_due()? > now {
             return None;
         }
 
         self.next_batch += 1;
-        let batch = LedgerBatch { id: self.next_batch, operations };
+        self.last_batch = now;
+        let batch = LedgerBatch { id: self.next_batch, operations: self.take_operations() };
         self.in_flight = Some(batch.clone());
         Some(batch)
     }
@@ -179,12 +182,10 @@
     }
 
     /// Returns the time at which `on_time` or `next_batch` has something to do.
-    pub fn next_deadline(&self, now: Time) -> Option<Time> {
+    pub fn next_deadline(&self) -> Option<Time> {
         let intents = self.calls.values().filter(|call| call.stage == Stage::Intending);
-        let retry = (self.in_flight.is_none() && !self.waiting.is_empty())
-            .then_some(self.paused_until.max(now));
 
-        intents.map(|call| call.deadline).chain(retry).min()
+        intents.map(|call| call.deadline).chain(self.batch_due()).min()
     }
 
     /// Tells whether every outcome is recorded.
@@ -192,6 +193,18 @@
         self.calls.is_empty()
     }
 
+    /// Returns when the waiting operations are due, when there are any and no batch is under way.
+    fn batch_due(&self) -> Option<Time> {
+        if self.in_flight.is_some() || self.waiting.is_empty() {
+            return None;
+        }
+
+        let has_intent =
+            self.waiting.iter().any(|operation| operation.entry.state == LedgerState::Intent);
+        let pause = if has_intent { BATCH_INTERVAL } else { OUTCOME_WAIT };
+        Some((self.last_batch + pause).max(self.paused_until))
+    }
+
     fn take_operations(&mut self) -> Vec<LedgerOperation> {
         let mut keys = HashSet::default();
         let mut taken = Vec::new();
--- a/sapphirespur_core/src/router/demand.rs
+++ b/sapphirespur_core/src/router/demand.rs
@@ -5,31 +5,36 @@
 
 use crate::collections::{HashMap, HashSet};
 use crate::config::{Config, Target};
+use crate::hash::stable_hash;
 use crate::message::{Message, QueueDemand, SidecarState};
 use crate::name::Name;
 use crate::request::QueueKey;
-use crate::router::queue::{Breadth, Queue};
+use crate::router::queue::Queue;
 use crate::router::sidecar_view::SidecarView;
 use crate::time::Time;
 
-/// Age of the first request at which all sidecars of the target are asked.
+/// Time that the first request of a queue waits until twice as many sidecars are asked.
 pub(super) const WIDEN_AFTER: Duration = Duration::from_millis(20);
 
-/// Sidecars that are asked first, in addition to one for each waiting request.
-const FIRST_ASKED: usize = 1;
-
 /// Controller of the demand.
 #[derive(Clone, Debug)]
 pub(super) struct DemandController {
     data_centre: Name,
     views: BTreeMap<Name, SidecarView>,
     changed: HashSet<QueueKey>,
+    /// Queues that became empty since the last refresh.
+    emptied: HashSet<QueueKey>,
 }
 
 impl DemandController {
     /// Creates a controller without sidecars, for a router in `data_centre`.
     pub fn new(data_centre: Name) -> Self {
-        Self { data_centre, views: BTreeMap::new(), changed: HashSet::default() }
+        Self {
+            data_centre,
+            views: BTreeMap::new(),
+            changed: HashSet::default(),
+            emptied: HashSet::default(),
+        }
     }
 
     /// Keeps a view of each configured upstream's sidecar and drops the others.
@@ -80,6 +85,9 @@
         let mut changed: Vec<QueueKey> = self.changed.drain().collect();
         if refresh {
             changed.extend(queues.keys().cloned());
+            changed.extend(self.emptied.drain());
+        } else {
+            self.emptied.extend(changed.iter().filter(|key| is_empty(queues, key)).cloned());
         }
         changed.sort_unstable();
         changed.dedup();
@@ -119,33 +127,34 @@
         let demand = demand_of(now, key, queue);
 
         for (name, view) in &mut self.views {
-            if asked.contains(name) {
+            let must_forget = demand.count == 0 && view.has_told(key);
+            if must_forget || asked.contains(name) {
                 view.tell(key, demand.clone(), refresh);
-            } else if demand.count == 0 && view.has_told(key) {
-                view.tell(key, demand.clone(), true);
             }
         }
     }
 
-    /// Returns the sidecars that are asked to serve a queue.
-    fn asked(&self, now: Time, config: &Config, key: &QueueKey, queue: &Queue) -> HashSet<Name> {
-        let candidates = || self.candidates(now, config, &key.target);
-        if queue.breadth == Breadth::All {
-            return candidates().map(|(name, _)| name.clone()).collect();
-        }
+    /// Tells whether more sidecars could be asked to serve a queue.
+    pub fn can_widen(&self, now: Time, config: &Config, key: &QueueKey, queue: &Queue) -> bool {
+        !queue.is_empty() && queue.breadth < self.candidates(now, config, &key.target).count()
+    }
 
-        let mut roomy: Vec<(bool, std::cmp::Reverse<u32>, &Name)> = candidates()
-            .filter(|(_, view)| view.free() > 0)
+    /// Returns the sidecars that are asked to serve a queue: first those with room, and near ones.
+    fn asked(&self, now: Time, config: &Config, key: &QueueKey, queue: &Queue) -> HashSet<Name> {
+        let spread = |name: &Name| {
+            let queue = [key.workspace.as_str(), key.class.as_str(), name.as_str()];
+            stable_hash(&queue.map(str::as_bytes))
+        };
+        let mut ranked: Vec<(bool, bool, u64, &Name)> = self
+            .candidates(now, config, &key.target)
             .map(|(name, view)| {
-                (self.is_remote(config, name), std::cmp::Reverse(view.free()), name)
+                (view.free() == 0, self.is_remote(config, name), spread(name), name)
             })
             .collect();
-        if roomy.is_empty() {
-            return candidates().map(|(name, _)| name.clone()).collect();
-        }
-        roomy.sort_unstable();
-        roomy.truncate(FIRST_ASKED + queue.len());
-        roomy.into_iter().map(|(_, _, name)| name.clone()).collect()
+
+        ranked.sort_unstable();
+        ranked.truncate(queue.breadth.max(queue.len()));
+        ranked.into_iter().map(|(_, _, _, name)| name.clone()).collect()
     }
 
     fn is_remote(&self, config: &Config, upstream: &Name) -> bool {
@@ -153,6 +162,10 @@
     }
 }
 
+fn is_empty(queues: &HashMap<QueueKey, Queue>, key: &QueueKey) -> bool {
+    queues.get(key).is_none_or(Queue::is_empty)
+}
+
 fn demand_of(now: Time, key: &QueueKey, queue: Option<&Queue>) -> QueueDemand {
     let head = queue.and_then(Queue::head);
 
--- a/sapphirespur_core/src/router/queue.rs
+++ b/sapphirespur_core/src/router/queue.rs
@@ -6,18 +6,12 @@
 use crate::request::RequestId;
 use crate::time::Time;
 
+/// Sidecars that are asked first.
+pub(super) const FIRST_ASKED: usize = 2;
+
 /// Weight of the newest interval in the mean, as a divisor.
 const MEAN_DIVISOR: u32 = 8;
 
-/// Which sidecars know of the queue.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Breadth {
-    /// A few that seem to have room.
-    Few,
-    /// All that serve the target.
-    All,
-}
-
 /// Request in a queue.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
@@ -33,8 +27,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Queue {
     waiting: VecDeque<Waiting>,
-    /// Which sidecars know of it.
-    pub breadth: Breadth,
+    /// Sidecars that are asked; doubles while the first request waits.
+    pub breadth: usize,
     last_pop: Option<Time>,
     mean_interval: Duration,
 }
@@ -44,7 +38,7 @@
     pub fn new() -> Self {
         Self {
             waiting: VecDeque::new(),
-            breadth: Breadth::Few,
+            breadth: FIRST_ASKED,
             last_pop: None,
             mean_interval: Duration::ZERO,
         }
@@ -111,7 +105,7 @@
     /// Starts narrow again when the next request comes.
     fn rest_if_empty(&mut self) {
         if self.waiting.is_empty() {
-            self.breadth = Breadth::Few;
+            self.breadth = FIRST_ASKED;
             self.last_pop = None;
         }
     }
--- a/sapphirespur_core/src/router/router.rs
+++ b/sapphirespur_core/src/router/router.rs
@@ -14,7 +14,6 @@
 use crate::request::{AttemptId, QueueKey, Refusal, RefusalCode, RequestHead, RequestId};
 use crate::router::demand::{DemandController, WIDEN_AFTER};
 use crate::router::peers::{is_watcher, wanted_links};
-use crate::router::queue::Breadth;
 use crate::router::requests::{NO_UPSTREAM_RETRY, Next, RequestController};
 use crate::router::sidecar_view::PEER_TIMEOUT;
 use crate::router::{
@@ -65,6 +64,8 @@
     timers: Timers<TimerKey>,
     next_attempt: u64,
     watching: bool,
+    /// Whether a look at the narrow queues is planned.
+    widening: bool,
     draining: bool,
     drained: bool,
 }
@@ -102,6 +103,7 @@
             timers,
             next_attempt: 0,
             watching: false,
+            widening: false,
             draining: false,
             drained: false,
         }
@@ -462,14 +464,16 @@
 
     fn on_queue_grew(&mut self, now: Time, key: &QueueKey) {
         self.demand.on_queue_changed(key);
-        let is_narrow =
-            self.requests.queues().get(key).is_some_and(|queue| queue.breadth == Breadth::Few);
-        if is_narrow {
+        let queue = self.requests.queues().get(key);
+        let can_widen =
+            queue.is_some_and(|queue| self.demand.can_widen(now, self.config.config(), key, queue));
+        if can_widen && !self.widening {
             self.subscribe_widen(now + WIDEN_AFTER);
         }
     }
 
     fn subscribe_widen(&mut self, deadline: Time) {
+        self.widening = true;
         self.timers.subscribe(TimerKey::Widen, deadline);
     }
 
@@ -500,27 +504,27 @@
         }
     }
 
-    /// Asks all sidecars of a target for the queues whose first request has waited for long.
+    /// Asks more sidecars for the queues whose first request has waited.
     fn widen(&mut self, now: Time) {
-        let narrow: Vec<(QueueKey, Time)> = self
+        self.widening = false;
+        let config = self.config.config();
+        let narrow: Vec<QueueKey> = self
             .requests
             .queues()
             .iter()
-            .filter(|(_, queue)| queue.breadth == Breadth::Few)
-            .filter_map(|(key, queue)| Some((key.clone(), queue.head()?.since + WIDEN_AFTER)))
+            .filter(|(key, queue)| self.demand.can_widen(now, config, key, queue))
+            .map(|(key, _)| key.clone())
             .collect();
 
-        for (key, due) in &narrow {
-            if *due > now {
-                continue;
-            }
-            if let Some(queue) = self.requests.queue_mut(key) {
-                queue.breadth = Breadth::All;
+        for key in &narrow {
+            let Some(queue) = self.requests.queue_mut(key) else { continue };
+            if queue.head().is_some_and(|head| head.since + WIDEN_AFTER <= now) {
+                queue.breadth *= 2;
+                self.demand.on_queue_changed(key);
             }
-            self.demand.on_queue_changed(key);
         }
-        if let Some(due) = narrow.iter().map(|(_, due)| *due).filter(|due| *due > now).min() {
-            self.subscribe_widen(due);
+        if !narrow.is_empty() {
+            self.subscribe_widen(now + WIDEN_AFTER);
         }
     }
 
--- a/sapphirespur_core/src/router/sidecar_view.rs
+++ b/sapphirespur_core/src/router/sidecar_view.rs
@@ -142,12 +142,14 @@
     }
 }
 
-/// Tells whether a change from `told` to `count` is worth a message.
+/// Tells whether a change from `told` to `count` is worth telling.
 ///
-/// A sidecar needs to know whether there is work and roughly how much; after each of its permits it
-/// counts down by itself, as `on_permit` does here.
+/// That there is work is told at once. All else waits for the next refresh, where it shares a
+/// message: a sidecar that still believes in work gets its permit back and has lost little.
 fn is_due(told: u32, count: u32, refresh: bool) -> bool {
-    let is_first_or_last = (told == 0) != (count == 0);
+    if told == 0 || !refresh {
+        return told == 0 && count > 0;
+    }
 
-    is_first_or_last || count < told / 2 || (refresh && count / 2 > told)
+    count == 0 || count < told / 2 || count / 2 > told
 }
--- a/sapphirespur_core/src/sidecar/sidecar.rs
+++ b/sapphirespur_core/src/sidecar/sidecar.rs
@@ -73,6 +73,8 @@
     timers: Timers<TimerKey>,
     report_sequence: u64,
     told: Option<(bool, Phase)>,
+    /// Whether the configuration in force lets the upstream take work.
+    is_open: bool,
     draining: bool,
     drained: bool,
 }
@@ -103,6 +105,7 @@
             timers,
             report_sequence: 0,
             told: None,
+            is_open: false,
             draining: false,
             drained: false,
         }
@@ -322,6 +325,11 @@
         if let Some((cold_slots, slots)) = self.entry().map(|u| (u.cold_slots, u.slots)) {
             self.limiter.set_bounds(cold_slots, slots);
         }
+        let is_open = self.is_serving();
+        let was_open = std::mem::replace(&mut self.is_open, is_open);
+        if self.is_open && !was_open {
+            self.limiter.on_reopened();
+        }
         let waiting: Vec<Choice> = self.demand.choices().collect();
         for choice in &waiting {
             self.mark_waiting(now, choice);
@@ -413,6 +421,10 @@
 
         let choice = attempt.choice.clone();
         let after = attempt.first_token_after().filter(|_| is_first);
+        let round = attempt.round;
+        if let Some(after) = after {
+            self.limiter.on_first_token(now, round, after);
+        }
         if overrun > 0 {
             self.fair.charge(now, &choice, overrun as i64);
         }
@@ -653,7 +665,7 @@
     fn subscribe_deadlines(&mut self, now: Time) {
         let deadlines = [
             (TimerKey::LateTokens, self.attempts.next_deadline()),
-            (TimerKey::Ledger, self.ledger.next_deadline(now)),
+            (TimerKey::Ledger, self.ledger.next_deadline()),
             (TimerKey::LimitPause, self.limiter.paused_until(now)),
             (TimerKey::Permits, self.permits.next_deadline()),
         ];
--- a/sapphirespur_core/tests/limiter.rs
+++ b/sapphirespur_core/tests/limiter.rs
@@ -136,3 +136,39 @@
     finish(&mut limiter, NOW, 100, HEALTHY);
     assert_eq!(limiter.limit(NOW), 2);
 }
+
+#[test]
+fn first_tokens_end_the_cold_start_of_an_upstream_that_has_reported_warm_for_long() {
+    let mut limiter = Limiter::new(2, 16, true);
+    let later = NOW + REPORT_LAG;
+    limiter.on_report(NOW, false);
+    let healthy = Duration::from_millis(300);
+    for _ in 0..20 {
+        let round = limiter.round();
+        limiter.on_first_token(NOW, round, healthy);
+    }
+    assert_eq!(limiter.limit(NOW), 2);
+
+    for _ in 0..20 {
+        let round = limiter.round();
+        limiter.on_first_token(later, round, healthy);
+    }
+    assert_eq!(limiter.limit(later), 16);
+}
+
+#[test]
+fn first_tokens_of_an_upstream_without_reports_do_not_count() {
+    let mut limiter = Limiter::new(2, 16, false);
+    for _ in 0..20 {
+        let round = limiter.round();
+        limiter.on_first_token(NOW, round, Duration::from_millis(300));
+    }
+    assert_eq!(limiter.limit(NOW), 2);
+}
+
+#[test]
+fn an_upstream_that_takes_work_again_counts_as_cold() {
+    let mut limiter = warm();
+    limiter.on_reopened();
+    assert_eq!((limiter.phase(), limiter.limit(NOW)), (Phase::Cold, 2));
+}
