--- a/sapphirespur_node/src/settings/error.rs
+++ b/sapphirespur_node/src/settings/error.rs
@@ -52,6 +52,28 @@
         /// Known keys.
         allowed: String,
     },
+    /// The name of a section has no closing bracket.
+    #[error("{}:{line}: [{section} has no closing bracket", path.display())]
+    SectionNotClosed {
+        /// File.
+        path: PathBuf,
+        /// Line, from one.
+        line: usize,
+        /// Section.
+        section: String,
+    },
+    /// A key has no value.
+    #[error("{}:{line}: '{key}' in [{section}] has no value", path.display())]
+    NoValue {
+        /// File.
+        path: PathBuf,
+        /// Line, from one.
+        line: usize,
+        /// Section.
+        section: String,
+        /// Key.
+        key: String,
+    },
     /// A required key is missing.
     #[error("{}: key '{key}' is missing in [{section}]; expected {expected}", path.display())]
     MissingKey {
--- a/sapphirespur_node/src/settings/file.rs
+++ b/sapphirespur_node/src/settings/file.rs
@@ -167,10 +167,18 @@
             if section.is_empty() && properties.is_empty() {
                 continue;
             }
+            // The parser takes all up to the next bracket for the name.
+            if let Some((first, _)) = section.split_once('\n') {
+                return Err(self.not_closed(first));
+            }
             let Some((_, keys)) = schema.iter().find(|(known, _)| *known == section) else {
                 return Err(self.unknown_section(section, schema));
             };
             if let Some((key, _)) = properties.iter().find(|(key, _)| !keys.contains(key)) {
+                // The parser joins a line without a value and the next one to one key.
+                if let Some((first, _)) = key.split_once('\n') {
+                    return Err(self.no_value(section, first));
+                }
                 return Err(SettingsError::UnknownKey {
                     path: self.path.clone(),
                     line: line_of(&self.text, section, Some(key)),
@@ -184,6 +192,23 @@
         Ok(())
     }
 
+    fn not_closed(&self, section: &str) -> SettingsError {
+        SettingsError::SectionNotClosed {
+            path: self.path.clone(),
+            line: line_of(&self.text, section, None),
+            section: section.to_owned(),
+        }
+    }
+
+    fn no_value(&self, section: &str, key: &str) -> SettingsError {
+        SettingsError::NoValue {
+            path: self.path.clone(),
+            line: line_of(&self.text, section, Some(key)),
+            section: section.to_owned(),
+            key: key.to_owned(),
+        }
+    }
+
     fn unknown_section(&self, section: &str, schema: &[SectionSchema]) -> SettingsError {
         let allowed: Vec<&str> = schema.iter().map(|(known, _)| *known).collect();
 
