--- /dev/null
+++ b/sapphirespur_bench/src/fleet/mod.rs
@@ -0,0 +1,14 @@
+//! Fleet in virtual time.
+
+mod attempts;
+mod callers;
+mod faults;
+mod fleet;
+mod links;
+mod nodes;
+mod platform;
+mod upstreams;
+
+pub use fleet::{Fleet, FleetOptions, START};
+pub use nodes::{Decisions, Input, Node};
+pub use platform::PLATFORM;
--- /dev/null
+++ b/sapphirespur_bench/src/fleet/platform.rs
@@ -0,0 +1,136 @@
+//! Platform, as the processes reach it.
+
+use std::time::Duration;
+
+use sapphirespur_core::config::{Change, Config, DataCentreState, Upstream, UpstreamState};
+use sapphirespur_core::name::Name;
+use sapphirespur_core::once::{LedgerBatch, LedgerFailure};
+use sapphirespur_core::router::RouterInput;
+use sapphirespur_core::vm::Vm;
+
+use crate::fleet::{Fleet, Input};
+use crate::happening::Happening;
+use crate::history::Seen;
+
+/// Pause before the configuration is read again after a failure.
+const READ_RETRY: Duration = Duration::from_secs(1);
+
+/// Time between two looks of a watcher at the configuration.
+const WATCH_REFRESH: Duration = Duration::from_secs(5);
+
+/// Time for which a call to the platform waits for its answer.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Name under which cuts of the platform are set.
+pub const PLATFORM: &str = "platform";
+
+impl Fleet {
+    /// Sets the platform's VM list; routers see it after the lag.
+    pub fn set_members(&mut self, members: Vec<Vm>) {
+        let lag = self.options.members_lag;
+        self.after(lag, Happening::Act(Box::new(move |fleet| fleet.members = members)));
+    }
+
+    /// Confirms changes against the accepted revision, and tells whether they were accepted.
+    pub fn confirm(&mut self, changes: &[Change]) -> bool {
+        let base = self.platform.config.revision;
+        self.confirm_against(base, changes)
+    }
+
+    /// Confirms changes against `base`, and tells whether they were accepted.
+    pub fn confirm_against(&mut self, base: u64, changes: &[Change]) -> bool {
+        let before = self.platform.config.clone();
+        if !self.platform.confirm(base, changes) {
+            return false;
+        }
+
+        let after = self.platform.config.clone();
+        self.see(Seen::Accepted { revision: after.revision });
+        for (name, upstream) in &after.upstreams {
+            let open = is_open(&after, upstream);
+            let was_open = before.upstreams.get(name).is_some_and(|u| is_open(&before, u));
+            match (was_open, open) {
+                (true, false) => self.see(Seen::Closed { upstream: name.clone() }),
+                (false, true) => self.see(Seen::Opened { upstream: name.clone() }),
+                _ => {}
+            }
+        }
+        let watchers: Vec<Name> =
+            self.nodes.iter().filter(|(_, n)| n.watching).map(|(name, _)| name.clone()).collect();
+        for name in watchers {
+            self.after(self.options.latency * 2, Happening::ReadConfig(name));
+        }
+        true
+    }
+
+    pub(super) fn on_read_config(&mut self, name: &Name) {
+        let Some(node) = self.nodes.get(name).filter(|node| node.is_alive) else { return };
+        let watching = node.watching;
+        let reaches = self.links.passes(name, &Name::new(PLATFORM));
+        if self.platform.fault.down || !reaches {
+            self.after(READ_RETRY, Happening::ReadConfig(name.clone()));
+            return;
+        }
+
+        let config = self.platform.config.clone();
+        if config.revision > 0 {
+            // A slow platform answers later reads before earlier ones.
+            let slow = self.platform.fault.slow.as_micros() as u64;
+            let delay = Duration::from_micros(self.rng.below(slow + 1));
+            let name = name.clone();
+            self.act(delay, move |fleet| {
+                fleet.input(&name, Input::Router(RouterInput::Configured(config)));
+            });
+        } else {
+            self.after(READ_RETRY, Happening::ReadConfig(name.clone()));
+            return;
+        }
+        if watching {
+            self.after(WATCH_REFRESH, Happening::ReadConfig(name.clone()));
+        }
+    }
+
+    pub(super) fn on_send_batch(&mut self, sidecar: &Name, batch: LedgerBatch) {
+        let incarnation = self.nodes[sidecar].incarnation;
+        let reaches = self.links.passes(sidecar, &Name::new(PLATFORM));
+        let sidecar = sidecar.clone();
+        if !reaches || self.platform.fault.down {
+            let wait = if reaches { Duration::from_millis(1) } else { PLATFORM_TIMEOUT };
+            let answer = Err(LedgerFailure::Unknown);
+            let batch = batch.id;
+            self.after(wait, Happening::Committed { sidecar, incarnation, batch, answer });
+            return;
+        }
+
+        let span = self.latency() + self.platform.fault.slow;
+        self.after(span, Happening::Commit { sidecar, incarnation, batch });
+    }
+
+    pub(super) fn on_commit(&mut self, sidecar: Name, incarnation: u64, batch: &LedgerBatch) {
+        let results = self.platform.commit(batch);
+        let batch = batch.id;
+        let way_back = self.latency() + self.platform.fault.slow;
+        let there_and_back = way_back * 2;
+        let is_lost = self.platform.fault.lose_answers > 0;
+        if is_lost {
+            self.platform.fault.lose_answers -= 1;
+        }
+
+        if is_lost || there_and_back > PLATFORM_TIMEOUT {
+            let answer = Err(LedgerFailure::Unknown);
+            let wait = PLATFORM_TIMEOUT.saturating_sub(way_back);
+            self.after(wait, Happening::Committed { sidecar, incarnation, batch, answer });
+        } else {
+            let answer = Ok(results);
+            self.after(way_back, Happening::Committed { sidecar, incarnation, batch, answer });
+        }
+    }
+}
+
+/// Tells whether operators let an upstream take work, without the code that is checked.
+fn is_open(config: &Config, upstream: &Upstream) -> bool {
+    let data_centre = config.data_centres.get(&upstream.data_centre);
+
+    upstream.state == UpstreamState::Active
+        && data_centre.is_some_and(|data_centre| data_centre.state == DataCentreState::In)
+}
--- /dev/null
+++ b/sapphirespur_bench/src/fleet/upstreams.rs
@@ -0,0 +1,113 @@
+//! Upstreams behind the sidecars.
+
+use std::time::Duration;
+
+use sapphirespur_core::config::Target;
+use sapphirespur_core::name::Name;
+use sapphirespur_core::once::RecordedAnswer;
+use sapphirespur_core::request::AttemptId;
+use sapphirespur_core::sidecar::{SidecarInput, UpstreamEvent, UpstreamFailure};
+
+use crate::engine::Admission;
+use crate::fleet::{Fleet, Input};
+use crate::happening::{Happening, Word};
+use crate::history::Seen;
+
+/// Time between two load reports of an upstream.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time by which a load report is late.
+const LOAD_LAG: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    pub(super) fn on_call(&mut self, sidecar: &Name, attempt: AttemptId) {
+        let request = self.connections.get(&attempt).map(|connection| connection.id.0);
+        let tokens = request.and_then(|r| self.requests.get(&r)).map_or(8, |r| r.tokens);
+        let request = request.unwrap_or(0);
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(sidecar) else { return };
+        if !engine.is_up {
+            self.fail(sidecar, attempt, UpstreamFailure::NotSent);
+            return;
+        }
+
+        let bears = engine.bears(now);
+        let at_once = engine.running.len() as u32 + 1;
+        match engine.call(now, attempt, request, tokens) {
+            Admission::Runs(first) => {
+                self.see(Seen::Ran { request, upstream: sidecar.clone(), at_once, bears });
+                let sidecar = sidecar.clone();
+                self.after(first, Happening::EngineStep { sidecar, attempt });
+            }
+            Admission::Refused => self.fail(sidecar, attempt, UpstreamFailure::Overloaded),
+            Admission::Fell(broken) => {
+                self.see(Seen::Ran { request, upstream: sidecar.clone(), at_once, bears });
+                for attempt in broken {
+                    self.fail(sidecar, attempt, UpstreamFailure::Broken);
+                }
+            }
+        }
+    }
+
+    pub(super) fn fail(&mut self, sidecar: &Name, attempt: AttemptId, failure: UpstreamFailure) {
+        let incarnation = self.nodes[sidecar].incarnation;
+        let sidecar = sidecar.clone();
+        self.act(Duration::from_micros(200), move |fleet| {
+            if fleet.nodes[&sidecar].incarnation == incarnation {
+                let event = UpstreamEvent::Failed(failure);
+                let input = SidecarInput::Upstream { attempt, event };
+                fleet.input(&sidecar, Input::Sidecar(input));
+            }
+        });
+    }
+
+    pub(super) fn on_engine_step(&mut self, sidecar: &Name, attempt: AttemptId) {
+        let Some(engine) = self.engines.get_mut(sidecar) else { return };
+        let step = engine.shape.step;
+        let total = engine.running.get(&attempt).map(|running| running.left);
+        let Some((running, tokens, is_whole)) = engine.step(attempt) else { return };
+        let request = running.request;
+        let whole_tokens = self.requests.get(&request).map_or(total.unwrap_or(0), |r| r.tokens);
+        let is_first = whole_tokens == running.left + tokens;
+        let workspace = self.requests.get(&request).map(|r| self.clients[r.client].clone());
+
+        if let Some(client) = &workspace {
+            let workspace = client.workspace.clone();
+            self.see(Seen::Served { request, workspace, tokens });
+        }
+        let is_model = workspace.is_none_or(|c| matches!(c.target, Target::Model(_)));
+        if is_model {
+            let event = UpstreamEvent::Tokens(tokens);
+            self.input(sidecar, Input::Sidecar(SidecarInput::Upstream { attempt, event }));
+        }
+        if is_first {
+            self.say(attempt, Word::First);
+        }
+        if !is_whole {
+            let sidecar = sidecar.clone();
+            self.after(step, Happening::EngineStep { sidecar, attempt });
+            return;
+        }
+
+        self.say(attempt, Word::End { answers: request });
+        let cost = is_model.then_some(u64::from(whole_tokens));
+        let answer = RecordedAnswer {
+            status: 200,
+            content_type: "text/plain".to_owned(),
+            body: request.to_string(),
+        };
+        let event = UpstreamEvent::Finished { cost, answer: Some(answer) };
+        self.input(sidecar, Input::Sidecar(SidecarInput::Upstream { attempt, event }));
+    }
+
+    pub(super) fn on_take_stock(&mut self, sidecar: Name) {
+        let now = self.now;
+        let Some(engine) = self.engines.get(&sidecar) else { return };
+        if engine.is_up {
+            let cold = now < engine.cold_until;
+            self.after(LOAD_LAG, Happening::Load { sidecar: sidecar.clone(), cold });
+        }
+
+        self.after(LOAD_INTERVAL, Happening::TakeStock(sidecar));
+    }
+}
--- a/sapphirespur_bench/tests/request_faults.rs
+++ b/sapphirespur_bench/tests/request_faults.rs
@@ -10,7 +10,7 @@
 };
 use sapphirespur_bench::check::all_answered;
 use sapphirespur_bench::client::{CallKind, Client};
-use sapphirespur_bench::fleet::{Fleet, FleetOptions, PLATFORM};
+use sapphirespur_bench::fleet::{Fleet, FleetOptions, PLATFORM, START};
 use sapphirespur_bench::measure::load::{booking_client, model_client};
 use sapphirespur_bench::topology::Topology;
 use sapphirespur_core::name::Name;
@@ -350,3 +350,20 @@
         assert_always(&fleet, "gone");
     }
 }
+
+/// Control links that went silent are replaced, so that their router serves again.
+#[test]
+fn a_router_whose_links_went_silent_serves_again() {
+    let (topology, mut fleet) = small_fleet(24);
+    let router = topology.router_names().remove(0);
+    fleet.silence(&router);
+    fleet.run_for(Duration::from_secs(6));
+    let workspace = topology.workspace_names().remove(0);
+    let mut client = model_client(&mut fleet, &topology, &workspace, 0, 1);
+    client.spread = vec![1, 0, 0, 0];
+    fleet.add_client(client);
+    let is_served =
+        run_until(&mut fleet, Duration::from_secs(2), |fleet| whole_after(fleet, START) > 0);
+
+    assert!(is_served, "the router does not serve");
+}
--- /dev/null
+++ b/sapphirespur_core/src/router/dispatching.rs
@@ -0,0 +1,279 @@
+//! Requests of a router, from admission over permits to the end of their attempts.
+
+use std::time::Duration;
+
+use crate::config::Target;
+use crate::event::Event;
+use crate::filter;
+use crate::filter::FilterContext;
+use crate::message::{Message, Permit, PermitReturn};
+use crate::name::Name;
+use crate::request::{AttemptId, QueueKey, Refusal, RefusalCode, RequestHead, RequestId};
+use crate::router::demand::WIDEN_AFTER;
+use crate::router::requests::{NO_UPSTREAM_RETRY, Next};
+use crate::router::router::{TimerKey, refuse};
+use crate::router::{AttemptEvent, Dispatch, Router, RouterOutput};
+use crate::time::Time;
+
+/// Time without any serving sidecar after which the waiting requests are refused.
+const NO_UPSTREAM_GRACE: Duration = Duration::from_secs(3);
+
+impl Router {
+    pub(super) fn on_resync(&mut self, from: &Name) {
+        if let Some(view) = self.demand.view_mut(from) {
+            view.resync();
+        }
+        self.requeue_all_demand();
+    }
+
+    pub(super) fn on_request(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        head: &RequestHead,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        if let Err(refusal) = self.admit(now, id, head) {
+            refuse(id, refusal, out);
+        }
+    }
+
+    pub(super) fn admit(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        head: &RequestHead,
+    ) -> Result<(), Refusal> {
+        if !self.is_ready() {
+            return Err(Refusal::later(RefusalCode::NotReady, NO_UPSTREAM_RETRY));
+        }
+
+        let cx = FilterContext { config: self.config.config(), keys: self.config.keys() };
+        let meta = filter::run(head, cx)?;
+        if !self.demand.can_serve(now, self.config.config(), &meta.queue.target) {
+            return Err(Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY));
+        }
+
+        let key = meta.queue.clone();
+        self.requests.admit(now, id, meta)?;
+        self.on_queue_grew(now, &key);
+        Ok(())
+    }
+
+    pub(super) fn on_cancelled(&mut self, id: RequestId) {
+        if let Some(request) = self.requests.remove(id) {
+            self.demand.on_queue_changed(&request.meta.queue);
+        }
+    }
+
+    pub(super) fn on_permit(
+        &mut self,
+        now: Time,
+        from: &Name,
+        permit: &Permit,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        if let Some(view) = self.demand.view_mut(from) {
+            view.on_permit(&permit.workspace, &permit.class);
+        }
+        if self.spend(now, from, permit, out).is_some() {
+            return;
+        }
+
+        if let Some(view) = self.demand.view_mut(from) {
+            view.on_permit_returned(&permit.workspace, &permit.class);
+        }
+        let message = Message::PermitReturn(PermitReturn { id: permit.id, remaining: 0 });
+        out.push(RouterOutput::Send { to: from.clone(), message });
+    }
+
+    /// Spends a permit on the first request of its queue.
+    pub(super) fn spend(
+        &mut self,
+        now: Time,
+        from: &Name,
+        permit: &Permit,
+        out: &mut Vec<RouterOutput>,
+    ) -> Option<()> {
+        let config = self.config.config();
+        let upstream = config.upstreams.get(from).filter(|u| config.takes_work(u))?;
+        let key = QueueKey {
+            target: upstream.target.clone(),
+            workspace: permit.workspace.clone(),
+            class: permit.class.clone(),
+        };
+        let address = upstream.address.clone();
+
+        let attempt = AttemptId { incarnation: self.incarnation, counter: self.next_attempt };
+        let id = self.requests.dispatch(now, &key, attempt)?;
+        self.next_attempt += 1;
+        self.demand.on_queue_changed(&key);
+
+        let request = self.requests.get(id)?;
+        out.push(RouterOutput::Event(Event::Dispatched {
+            request: id,
+            queue: key,
+            upstream: from.clone(),
+            waited: now.since(request.since),
+        }));
+        out.push(RouterOutput::Dispatch(Dispatch {
+            id,
+            attempt,
+            permit: permit.id,
+            upstream: from.clone(),
+            address,
+            meta: request.meta.clone(),
+        }));
+        Some(())
+    }
+
+    pub(super) fn on_attempt(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        event: AttemptEvent,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        let next = match event {
+            AttemptEvent::Delivering => {
+                self.requests.on_delivering(id, attempt);
+                return;
+            }
+            AttemptEvent::Finished => {
+                self.on_finished(now, id, attempt, out);
+                return;
+            }
+            AttemptEvent::Refused(refusal) => self.requests.on_refused(now, id, attempt, refusal),
+            AttemptEvent::NeverStarted => {
+                let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
+                self.requests.on_refused(now, id, attempt, refusal)
+            }
+            AttemptEvent::Lost => self.requests.on_lost(id, attempt),
+        };
+
+        match next {
+            Next::Requeued => {
+                out.push(RouterOutput::Event(Event::Retried { request: id }));
+                if let Some(key) = self.requests.get(id).map(|request| request.meta.queue.clone()) {
+                    self.on_queue_grew(now, &key);
+                }
+            }
+            Next::Refuse(refusal) => {
+                self.requests.remove(id);
+                refuse(id, refusal, out);
+            }
+            Next::Ignore => {}
+        }
+    }
+
+    pub(super) fn on_finished(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        if !self.requests.is_current(id, attempt) {
+            return;
+        }
+        let Some(request) = self.requests.remove(id) else { return };
+        let since = request.attempt.map_or(now, |attempt| attempt.since);
+
+        out.push(RouterOutput::Event(Event::Completed {
+            request: id,
+            queue: request.meta.queue,
+            served: now.since(since),
+        }));
+    }
+
+    pub(super) fn on_queue_grew(&mut self, now: Time, key: &QueueKey) {
+        self.demand.on_queue_changed(key);
+        let queue = self.requests.queues().get(key);
+        let can_widen =
+            queue.is_some_and(|queue| self.demand.can_widen(now, self.config.config(), key, queue));
+        if can_widen && !self.widening {
+            self.subscribe_widen(now + WIDEN_AFTER);
+        }
+    }
+
+    pub(super) fn subscribe_widen(&mut self, deadline: Time) {
+        self.widening = true;
+        self.timers.subscribe(TimerKey::Widen, deadline);
+    }
+
+    /// Asks more sidecars for the queues whose first request has waited.
+    pub(super) fn widen(&mut self, now: Time) {
+        self.widening = false;
+        let config = self.config.config();
+        let narrow: Vec<QueueKey> = self
+            .requests
+            .queues()
+            .iter()
+            .filter(|(key, queue)| self.demand.can_widen(now, config, key, queue))
+            .map(|(key, _)| key.clone())
+            .collect();
+
+        for key in &narrow {
+            let Some(queue) = self.requests.queue_mut(key) else { continue };
+            if queue.head().is_some_and(|head| head.since + WIDEN_AFTER <= now) {
+                queue.breadth *= 2;
+                self.demand.on_queue_changed(key);
+            }
+        }
+        if !narrow.is_empty() {
+            self.subscribe_widen(now + WIDEN_AFTER);
+        }
+    }
+
+    /// Refuses requests that waited too long or that no upstream can serve.
+    pub(super) fn sweep(&mut self, now: Time, out: &mut Vec<RouterOutput>) {
+        for (id, request, refusal) in self.requests.expire(now) {
+            self.demand.on_queue_changed(&request.meta.queue);
+            refuse(id, refusal, out);
+        }
+
+        let config = self.config.config();
+        let mut waiting: Vec<Target> = self
+            .requests
+            .queues()
+            .iter()
+            .filter(|(_, queue)| !queue.is_empty())
+            .map(|(key, _)| key.target.clone())
+            .collect();
+        waiting.sort_unstable();
+        waiting.dedup();
+        waiting.retain(|target| !self.demand.can_serve(now, config, target));
+        self.unserved_since.retain(|target, _| waiting.contains(target));
+        for target in waiting {
+            let since = *self.unserved_since.entry(target.clone()).or_insert(now);
+            if now.since(since) >= NO_UPSTREAM_GRACE {
+                self.refuse_waiting(&target, out);
+            }
+        }
+    }
+
+    pub(super) fn refuse_waiting(&mut self, target: &Target, out: &mut Vec<RouterOutput>) {
+        for id in self.requests.waiting_for(target) {
+            let Some(request) = self.requests.remove(id) else { continue };
+
+            self.demand.on_queue_changed(&request.meta.queue);
+            let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
+            refuse(id, request.refused_with(refusal), out);
+        }
+    }
+
+    pub(super) fn requeue_all_demand(&mut self) {
+        let keys: Vec<QueueKey> = self.requests.queues().keys().cloned().collect();
+        for key in keys {
+            self.demand.on_queue_changed(&key);
+        }
+    }
+
+    pub(super) fn flush_demand(&mut self, now: Time, refresh: bool, out: &mut Vec<RouterOutput>) {
+        let messages =
+            self.demand.flush(now, self.config.config(), self.requests.queues(), refresh);
+
+        out.extend(messages.into_iter().map(|(to, message)| RouterOutput::Send { to, message }));
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/router/links.rs
@@ -0,0 +1,205 @@
+//! Links, peers and the configuration of a router.
+
+use crate::config::Config;
+use crate::event::Event;
+use crate::message::{Heartbeat, Message, NodeState, ServiceReport};
+use crate::name::Name;
+use crate::router::peers::{is_watcher, wanted_links};
+use crate::router::sidecar_view::PEER_TIMEOUT;
+use crate::router::{Router, RouterOutput};
+use crate::time::Time;
+use crate::vm::Vm;
+
+impl Router {
+    pub(super) fn on_configured(&mut self, config: Config, out: &mut Vec<RouterOutput>) {
+        if self.config.accept(config) {
+            self.on_config_in_force(out);
+        }
+    }
+
+    pub(super) fn on_config_in_force(&mut self, out: &mut Vec<RouterOutput>) {
+        let revision = self.config.revision();
+        out.push(RouterOutput::Event(Event::ConfigInForce { revision }));
+
+        self.demand.configure(self.config.config());
+        self.update_links(out);
+        self.send_heartbeats(out);
+        self.requeue_all_demand();
+    }
+
+    pub(super) fn on_members(&mut self, members: Vec<Vm>, out: &mut Vec<RouterOutput>) {
+        self.members = members;
+        self.update_links(out);
+        self.update_watching(out);
+    }
+
+    pub(super) fn on_link_up(&mut self, now: Time, peer: &Name, out: &mut Vec<RouterOutput>) {
+        if let Some(view) = self.demand.view_mut(peer) {
+            view.on_link_up(now);
+        } else {
+            self.linked_routers.insert(peer.clone(), now);
+            self.update_watching(out);
+        }
+
+        let message = self.heartbeat_for(peer);
+        out.push(RouterOutput::Send { to: peer.clone(), message });
+        self.requeue_all_demand();
+    }
+
+    pub(super) fn on_link_down(&mut self, peer: &Name) {
+        self.config.on_link_down(peer);
+        self.linked_routers.remove(peer);
+        if let Some(view) = self.demand.view_mut(peer) {
+            view.on_link_down();
+        }
+    }
+
+    pub(super) fn on_message(
+        &mut self,
+        now: Time,
+        from: &Name,
+        message: Message,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        self.note_heard(now, from);
+        match message {
+            Message::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat, out),
+            Message::DemandResync(_) => self.on_resync(from),
+            Message::Permit(permit) => self.on_permit(now, from, &permit, out),
+            Message::ServiceReport(report) => self.on_report(now, from, &report, out),
+            Message::ConfigPull(pull) => {
+                if let Some(message) = self.config.answer_pull(&pull) {
+                    out.push(RouterOutput::Send { to: from.clone(), message });
+                }
+            }
+            Message::ConfigDelta(delta) => {
+                self.config.on_pull_answered();
+                match self.config.accept_delta(&delta) {
+                    Ok(true) => self.on_config_in_force(out),
+                    Ok(false) => {}
+                    Err(_) => {
+                        let event = Event::ConfigRejected { from: from.clone() };
+                        out.push(RouterOutput::Event(event));
+                    }
+                }
+            }
+            Message::ConfigFull(full) => {
+                self.config.on_pull_answered();
+                self.on_configured(full.config, out);
+            }
+            // Only sidecars take these.
+            Message::AccountUpdate(_) | Message::Demand(_) | Message::PermitReturn(_) => {}
+        }
+    }
+
+    pub(super) fn note_heard(&mut self, now: Time, from: &Name) {
+        if let Some(view) = self.demand.view_mut(from) {
+            view.last_heard = now;
+        }
+        if let Some(heard) = self.linked_routers.get_mut(from) {
+            *heard = now;
+        }
+    }
+
+    pub(super) fn on_heartbeat(
+        &mut self,
+        now: Time,
+        from: &Name,
+        heartbeat: Heartbeat,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        if let Some(message) = self.config.on_peer_revision(now, from, heartbeat.revision) {
+            out.push(RouterOutput::Send { to: from.clone(), message });
+        }
+        if let NodeState::Sidecar(state) = heartbeat.state {
+            self.demand.on_state(now, from, heartbeat.revision, state);
+        }
+    }
+
+    pub(super) fn on_report(
+        &mut self,
+        now: Time,
+        from: &Name,
+        report: &ServiceReport,
+        out: &mut Vec<RouterOutput>,
+    ) {
+        let workspaces = &self.config.config().workspaces;
+        let share_of = |name: &Name| workspaces.get(name).map_or(1, |workspace| workspace.share);
+        let update = self.accounts.report(now, from, report, share_of);
+
+        out.push(RouterOutput::Send { to: from.clone(), message: Message::AccountUpdate(update) });
+    }
+
+    /// Reopens the links on which nothing was heard for long.
+    pub(super) fn check_peers(&mut self, now: Time, out: &mut Vec<RouterOutput>) {
+        let sidecars = self.demand.views().iter().filter(|(_, view)| view.linked);
+        let heard = sidecars
+            .map(|(name, view)| (name, view.last_heard))
+            .chain(self.linked_routers.iter().map(|(name, heard)| (name, *heard)));
+        let silent: Vec<Name> = heard
+            .filter(|(_, heard)| now.since(*heard) >= PEER_TIMEOUT)
+            .map(|(name, _)| name.clone())
+            .collect();
+
+        for peer in silent {
+            self.on_link_down(&peer);
+            out.push(RouterOutput::Reconnect { peer });
+        }
+    }
+
+    pub(super) fn send_heartbeats(&self, out: &mut Vec<RouterOutput>) {
+        out.extend(self.linked_peers().into_iter().map(|peer| {
+            let message = self.heartbeat_for(&peer);
+            RouterOutput::Send { to: peer, message }
+        }));
+    }
+
+    pub(super) fn linked_peers(&self) -> Vec<Name> {
+        let sidecars = self.demand.views().iter().filter(|(_, view)| view.linked);
+        let mut routers: Vec<Name> = self.linked_routers.keys().cloned().collect();
+        routers.sort_unstable();
+
+        sidecars.map(|(name, _)| name.clone()).chain(routers).collect()
+    }
+
+    pub(super) fn heartbeat_for(&self, peer: &Name) -> Message {
+        let view = self.demand.views().get(peer);
+
+        Message::Heartbeat(Heartbeat {
+            incarnation: self.incarnation,
+            revision: self.config.revision(),
+            state: NodeState::Router {
+                demand_sequence: view.map_or(0, |view| view.sequence()),
+                draining: self.draining,
+            },
+        })
+    }
+
+    pub(super) fn update_links(&mut self, out: &mut Vec<RouterOutput>) {
+        let wanted =
+            wanted_links(&self.name, &self.data_centre, self.config.config(), &self.members);
+
+        for (peer, address) in &self.links {
+            if wanted.get(peer) != Some(address) {
+                out.push(RouterOutput::Disconnect { peer: peer.clone() });
+            }
+        }
+        for (peer, address) in &wanted {
+            if self.links.get(peer) != Some(address) {
+                let (peer, address) = (peer.clone(), address.clone());
+                out.push(RouterOutput::Connect { peer, address });
+            }
+        }
+        self.links = wanted;
+    }
+
+    pub(super) fn update_watching(&mut self, out: &mut Vec<RouterOutput>) {
+        let is_alive = |name: &Name| self.linked_routers.contains_key(name);
+        let watching = is_watcher(&self.name, &self.data_centre, &self.members, is_alive);
+
+        if watching != self.watching {
+            self.watching = watching;
+            out.push(RouterOutput::Watch(watching));
+        }
+    }
+}
--- a/sapphirespur_core/src/router/mod.rs
+++ b/sapphirespur_core/src/router/mod.rs
@@ -1,7 +1,9 @@
 //! Router: holds the waiting work and binds each request to an upstream late, by permit.
 
 mod demand;
+mod dispatching;
 mod input;
+mod links;
 mod output;
 mod peers;
 mod policy;
--- /dev/null
+++ b/sapphirespur_core/src/sidecar/admission.rs
@@ -0,0 +1,78 @@
+//! Admission of work by permit.
+
+use crate::fair::Choice;
+use crate::message::{Message, Permit, PermitReturn};
+use crate::name::Name;
+use crate::sidecar::demand_book::DemandChange;
+use crate::sidecar::{Sidecar, SidecarOutput};
+use crate::time::Time;
+
+impl Sidecar {
+    pub(super) fn on_demand_change(
+        &mut self,
+        now: Time,
+        from: &Name,
+        change: &DemandChange,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        if change.resync {
+            self.ask_resync(from, out);
+        }
+        for choice in &change.empty {
+            self.fair.set_empty(choice);
+        }
+        for choice in &change.waiting {
+            self.mark_waiting(now, choice);
+        }
+    }
+
+    pub(super) fn mark_waiting(&mut self, now: Time, choice: &Choice) {
+        let config = self.config.config();
+        let share = config.workspaces.get(&choice.workspace).map_or(1, |w| w.share);
+        let weight = config.classes.get(&choice.class).map_or(1, |class| class.weight);
+
+        self.fair.set_waiting(now, choice, share, weight);
+    }
+
+    pub(super) fn on_permit_return(
+        &mut self,
+        now: Time,
+        from: &Name,
+        returned: &PermitReturn,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        let Some(permit) = self.permits.take(returned.id) else { return };
+
+        self.fair.charge(now, &permit.choice, -(permit.charged as i64));
+        let change = self.demand.on_remaining(from, &permit.choice, returned.remaining);
+        self.on_demand_change(now, from, &change, out);
+    }
+
+    pub(super) fn issue_permits(&mut self, now: Time, out: &mut Vec<SidecarOutput>) {
+        if !self.is_serving() {
+            return;
+        }
+
+        for _ in 0..self.free(now) {
+            let Some(choice) = self.fair.choose(|w, c| self.demand.has_work(w, c)) else { return };
+            let Some(claim) = self.demand.claim(&choice) else { return };
+            if !self.demand.has_work(&choice.workspace, &choice.class) {
+                self.fair.set_empty(&choice);
+            }
+
+            let cost = self.ratios.estimate(&choice, claim.cost);
+            self.fair.charge_request(now, &choice, cost as i64);
+            let router = claim.router.clone();
+            let id = self.permits.issue(now, claim.router, choice.clone(), cost);
+            let message =
+                Message::Permit(Permit { id, workspace: choice.workspace, class: choice.class });
+            out.push(SidecarOutput::Send { to: router, message });
+        }
+    }
+
+    pub(super) fn release_permits(&mut self, now: Time, router: Option<&Name>) {
+        for permit in self.permits.expire(now, router) {
+            self.fair.charge(now, &permit.choice, -(permit.charged as i64));
+        }
+    }
+}
--- a/sapphirespur_core/src/sidecar/mod.rs
+++ b/sapphirespur_core/src/sidecar/mod.rs
@@ -1,13 +1,16 @@
 //! Sidecar: the only gate to its upstream.
 
+mod admission;
 mod attempt;
 mod attempts;
 mod demand_book;
 mod input;
+mod links;
 mod output;
 mod permits;
 mod policy;
 mod ratio;
+mod serving;
 mod sidecar;
 mod status;
 
--- /dev/null
+++ b/sapphirespur_core/src/sidecar/serving.rs
@@ -0,0 +1,225 @@
+//! Attempts of a sidecar, from their start to their end.
+
+use std::time::Duration;
+
+use crate::event::Event;
+use crate::once::{LedgerState, OnceVerdict, RecordedAnswer, Verdict};
+use crate::request::{AttemptId, Call, Refusal, RefusalCode};
+use crate::sidecar::attempt::{Attempt, Stage};
+use crate::sidecar::attempts::AttemptFate;
+use crate::sidecar::{Sidecar, SidecarOutput, Start, UpstreamEvent, UpstreamFailure};
+use crate::time::Time;
+
+/// Time after which a router may offer a refused attempt again.
+const REFUSED_RETRY: Duration = Duration::from_secs(1);
+
+impl Sidecar {
+    pub(super) fn on_start(&mut self, now: Time, start: &Start, out: &mut Vec<SidecarOutput>) {
+        let id = start.attempt;
+        let permit = self.permits.take(start.permit);
+        let Some(permit) = permit.filter(|_| self.attempts.may_start(id)) else {
+            let refusal = Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY);
+            out.push(SidecarOutput::Refuse { attempt: id, refusal });
+            return;
+        };
+
+        let estimate = self.ratios.estimate(&permit.choice, start.cost);
+        let correction = estimate as i64 - permit.charged as i64;
+        self.fair.charge(now, &permit.choice, correction);
+        let round = self.limiter.round();
+        let attempt = Attempt::new(permit.choice, start.cost, estimate, start.call.clone(), round);
+        self.attempts.insert(id, attempt);
+
+        match &start.call {
+            Call::Once { key, fingerprint } => {
+                self.ledger.begin(now, start.wall_s, id, key, fingerprint);
+            }
+            Call::Idempotent | Call::Single => self.call(now, id, out),
+        }
+    }
+
+    pub(super) fn call(&mut self, now: Time, id: AttemptId, out: &mut Vec<SidecarOutput>) {
+        let round = self.limiter.round();
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.stage = Stage::Called { since: now };
+            attempt.round = round;
+            out.push(SidecarOutput::Call { attempt: id });
+        }
+    }
+
+    pub(super) fn on_ask(
+        &mut self,
+        now: Time,
+        attempt: AttemptId,
+        permit: u64,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        // Permits count from the incarnation, so a lower one was issued before a restart.
+        let fate = if permit < self.incarnation {
+            AttemptFate::Unknown
+        } else {
+            self.attempts.settle_fate(now, attempt)
+        };
+
+        out.push(SidecarOutput::Asked { attempt, fate });
+    }
+
+    pub(super) fn on_cancel(&mut self, now: Time, id: AttemptId, out: &mut Vec<SidecarOutput>) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            self.attempts.settle_fate(now, id);
+            return;
+        };
+        // The outcome of a call that may not be repeated is worth more than its slot.
+        if attempt.call != Call::Idempotent {
+            return;
+        }
+
+        out.push(SidecarOutput::Abort { attempt: id });
+        if let Some(attempt) = self.attempts.remove(now, id) {
+            self.settle(now, &attempt, attempt.tokens);
+        }
+    }
+
+    pub(super) fn on_upstream(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        event: UpstreamEvent,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        match event {
+            UpstreamEvent::Tokens(count) => self.on_tokens(now, id, count, out),
+            UpstreamEvent::Finished { cost, answer } => {
+                self.on_finished(now, id, cost, answer, out);
+            }
+            UpstreamEvent::Failed(failure) => self.on_failed(now, id, failure, out),
+        }
+    }
+
+    pub(super) fn on_tokens(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        count: u32,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(id) else { return };
+        let is_first = attempt.on_tokens(now, count);
+        let overrun = attempt.tokens.saturating_sub(attempt.charged);
+        attempt.charged += overrun;
+
+        let choice = attempt.choice.clone();
+        let after = attempt.first_token_after().filter(|_| is_first);
+        let round = attempt.round;
+        if let Some(after) = after {
+            self.limiter.on_first_token(now, round, after);
+        }
+        if overrun > 0 {
+            self.fair.charge(now, &choice, overrun as i64);
+        }
+        if let (Some(after), Some(queue)) = (after, self.queue_key(&choice)) {
+            out.push(SidecarOutput::Event(Event::FirstToken { queue, after }));
+        }
+    }
+
+    pub(super) fn on_finished(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        cost: Option<u64>,
+        answer: Option<RecordedAnswer>,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        let saturated = self.free(now) == 0;
+        let Some(attempt) = self.attempts.remove(now, id) else { return };
+
+        let is_counted = attempt.tokens > 0;
+        let cost = cost.or(is_counted.then_some(attempt.tokens)).unwrap_or(attempt.hint);
+        self.settle(now, &attempt, cost);
+        self.ratios.learn(&attempt.choice, attempt.hint, cost);
+        self.limiter.on_finished(now, attempt.round, attempt.sample(), saturated);
+        self.ledger
+            .finish(id, answer.map_or(LedgerState::FinishedUnrecorded, LedgerState::Finished));
+
+        if let Some(queue) = self.queue_key(&attempt.choice) {
+            let token_gap = attempt.sample().token_gap;
+            out.push(SidecarOutput::Event(Event::Served { queue, cost, token_gap }));
+        }
+    }
+
+    pub(super) fn on_failed(
+        &mut self,
+        now: Time,
+        id: AttemptId,
+        failure: UpstreamFailure,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        let Some(attempt) = self.attempts.remove(now, id) else { return };
+
+        self.limiter.on_failed(now, attempt.round);
+        self.settle(now, &attempt, attempt.tokens);
+        let refusal = match failure {
+            UpstreamFailure::NotSent => {
+                self.ledger.abandon(id);
+                Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY)
+            }
+            // A model engine that refuses has not run; of a plain service nobody knows.
+            UpstreamFailure::Overloaded if attempt.call == Call::Idempotent => {
+                Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY)
+            }
+            UpstreamFailure::Overloaded | UpstreamFailure::Broken => {
+                self.ledger.finish(id, LedgerState::Unknown);
+                Refusal::unknown(RefusalCode::UpstreamFailed)
+            }
+        };
+        out.push(SidecarOutput::Refuse { attempt: id, refusal });
+    }
+
+    pub(super) fn on_verdicts(
+        &mut self,
+        now: Time,
+        verdicts: Vec<OnceVerdict>,
+        out: &mut Vec<SidecarOutput>,
+    ) {
+        for OnceVerdict { attempt, verdict } in verdicts {
+            match verdict {
+                Verdict::Proceed => self.call(now, attempt, out),
+                Verdict::Replay(answer) => {
+                    self.drop_unsent(now, attempt);
+                    out.push(SidecarOutput::Replay { attempt, answer });
+                }
+                Verdict::Refuse(refusal) => {
+                    self.drop_unsent(now, attempt);
+                    out.push(SidecarOutput::Refuse { attempt, refusal });
+                }
+            }
+        }
+    }
+
+    pub(super) fn drop_unsent(&mut self, now: Time, id: AttemptId) {
+        if let Some(attempt) = self.attempts.remove(now, id) {
+            self.settle(now, &attempt, 0);
+        }
+    }
+
+    pub(super) fn settle(&mut self, now: Time, attempt: &Attempt, cost: u64) {
+        let correction = cost as i64 - attempt.charged as i64;
+        self.fair.charge(now, &attempt.choice, correction);
+    }
+
+    pub(super) fn commit(&mut self, now: Time, out: &mut Vec<SidecarOutput>) {
+        if let Some(batch) = self.ledger.next_batch(now) {
+            out.push(SidecarOutput::Commit(batch));
+        }
+    }
+
+    pub(super) fn on_late_tokens(&mut self, now: Time) {
+        for id in self.attempts.late(now) {
+            let Some(attempt) = self.attempts.get_mut(id) else { continue };
+
+            attempt.is_late = true;
+            let round = attempt.round;
+            self.limiter.on_failed(now, round);
+        }
+    }
+}
