--- a/sapphirespur_bench/tests/request_faults.rs
+++ b/sapphirespur_bench/tests/request_faults.rs
@@ -361,6 +361,7 @@
     let workspace = topology.workspace_names().remove(0);
     let mut client = model_client(&mut fleet, &topology, &workspace, 0, 1);
     client.spread = vec![1, 0, 0, 0];
+    client.tokens = (8, 8);
     fleet.add_client(client);
     let is_served =
         run_until(&mut fleet, Duration::from_secs(2), |fleet| whole_after(fleet, START) > 0);
--- a/sapphirespur_node/src/platform/config_store.rs
+++ b/sapphirespur_node/src/platform/config_store.rs
@@ -1,8 +1,11 @@
 //! Configuration and record of changes in the key-value service.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
+use sapphirespur_core::collections::HashMap;
 use sapphirespur_core::config::{Config, ConfigError, Plan, Record, Root};
 use sapphirespur_core::hash::sha256_hex;
 
@@ -58,12 +61,14 @@
 #[derive(Clone)]
 pub struct ConfigStore {
     store: Store,
+    /// Chunks of the configuration that was loaded last; they never change.
+    chunks: Rc<RefCell<HashMap<String, Rc<[u8]>>>>,
 }
 
 impl ConfigStore {
     /// Creates a client over `store`.
     pub fn new(store: Store) -> Self {
-        Self { store }
+        Self { store, chunks: Rc::default() }
     }
 
     /// Returns the accepted configuration; an empty one when none was ever accepted.
@@ -80,10 +85,10 @@
         let root: Root = serde_json::from_slice(&kv.value)?;
         let mut chunks = Vec::with_capacity(root.chunks.len());
         for digest in &root.chunks {
-            let chunk = self.store.get(&chunk_key(digest)).await?;
-            chunks.push(chunk.ok_or_else(|| PlatformError::MissingChunk(digest.clone()))?.value);
+            chunks.push(self.chunk(digest).await?);
         }
-        let config = Config::from_chunks(chunks.iter().map(Vec::as_slice))?;
+        let config = Config::from_chunks(chunks.iter().map(Rc::as_ref))?;
+        self.chunks.borrow_mut().retain(|digest, _| root.chunks.contains(digest));
         if config.digest() != root.digest {
             return Err(ConfigError::DigestMismatch(root.revision).into());
         }
@@ -91,6 +96,19 @@
         Ok(Stored { root, mod_revision: kv.mod_revision, config })
     }
 
+    /// Returns a chunk; one that was loaded before is not read again.
+    async fn chunk(&self, digest: &str) -> Result<Rc<[u8]>, PlatformError> {
+        if let Some(chunk) = self.chunks.borrow().get(digest) {
+            return Ok(chunk.clone());
+        }
+
+        let chunk = self.store.get(&chunk_key(digest)).await?;
+        let chunk = chunk.ok_or_else(|| PlatformError::MissingChunk(digest.to_owned()))?;
+        let chunk: Rc<[u8]> = chunk.value.into();
+        self.chunks.borrow_mut().insert(digest.to_owned(), chunk.clone());
+        Ok(chunk)
+    }
+
     /// Returns the accepted revision, zero when none was ever accepted.
     ///
     /// # Errors
