--- a/sapphirespur_node/src/lib.rs
+++ b/sapphirespur_node/src/lib.rs
@@ -1,6 +1,7 @@
 //! Library of the sapphirespur daemons: settings, links, platform, traffic and control loops.
 
 pub mod clock;
+pub mod daemon;
 pub mod http;
 pub mod link;
 pub mod logging;
--- a/sapphirespur_node/src/router/control.rs
+++ b/sapphirespur_node/src/router/control.rs
@@ -6,17 +6,16 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use actix_rt::signal::unix::{SignalKind, signal};
 use sapphirespur_core::collections::HashMap;
 use sapphirespur_core::event::{Event, EventListener};
 use sapphirespur_core::hash::stable_hash;
 use sapphirespur_core::name::Name;
 use sapphirespur_core::request::{Refusal, RequestId};
 use sapphirespur_core::router::{AttemptEvent, Router, RouterInput, RouterOutput};
-use sapphirespur_core::time::Time;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 
 use crate::clock::{Clock, wall_us};
+use crate::daemon::Shutdown;
 use crate::link::{LinkEvent, Links};
 use crate::logging;
 use crate::metrics::Metrics;
@@ -54,6 +53,7 @@
 ///
 /// Returns an error when the router cannot start.
 pub async fn run(settings: RouterSettings) -> Result<(), StartError> {
+    let shutdown = Shutdown::new(settings.limits.drain)?;
     logging::start(&settings.log, settings.node.name.as_str())?;
     let node = settings.node.name.as_str().to_owned();
     let metrics = Rc::new(Metrics::start(&settings.metrics, &node)?);
@@ -105,7 +105,7 @@
         inputs: inputs_tx,
         drained: false,
     };
-    control.run(commands, inputs, link_events, settings.limits.drain).await;
+    control.run(commands, inputs, link_events, shutdown).await;
     log::info!("the router stops");
     Ok(())
 }
@@ -145,16 +145,12 @@
         mut commands: UnboundedReceiver<Command>,
         mut inputs: UnboundedReceiver<RouterInput>,
         mut link_events: UnboundedReceiver<LinkEvent>,
-        drain_limit: Duration,
+        mut shutdown: Shutdown,
     ) {
-        let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-        let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
-        let mut stop_at: Option<Time> = None;
-
         while !self.drained {
             let deadline = self.router.next_deadline().unwrap_or_else(|| self.clock.now());
             let wake = self.clock.instant(deadline).into();
-            if stop_at.is_some_and(|stop_at| stop_at <= self.clock.now()) {
+            if shutdown.is_over() {
                 log::warn!("the time to drain is over; requests are cut");
                 return;
             }
@@ -163,8 +159,7 @@
                 Some(input) = inputs.recv() => self.handle(input),
                 Some(event) = link_events.recv() => self.handle(input_of(event)),
                 () = tokio::time::sleep_until(wake) => self.handle(RouterInput::Tick),
-                _ = terminate.recv() => stop_at = Some(self.drain(drain_limit)),
-                _ = interrupt.recv() => stop_at = Some(self.drain(drain_limit)),
+                () = shutdown.requested() => self.drain(),
             }
         }
 
@@ -172,11 +167,9 @@
         tokio::time::sleep(LINGER).await;
     }
 
-    fn drain(&mut self, limit: Duration) -> Time {
+    fn drain(&mut self) {
         log::info!("the router drains");
         self.handle(RouterInput::Drain);
-
-        self.clock.now() + limit
     }
 
     fn on_command(&mut self, command: Command) {
--- a/sapphirespur_node/src/sidecar/control.rs
+++ b/sapphirespur_node/src/sidecar/control.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::signal::unix::{SignalKind, signal};
 use sapphirespur_core::collections::HashMap;
 use sapphirespur_core::event::{Event, EventListener};
 use sapphirespur_core::limiter::Phase;
@@ -14,12 +13,12 @@
 use sapphirespur_core::sidecar::{
     AttemptFate, Sidecar, SidecarInput, SidecarOutput, SidecarPolicy, UpstreamEvent,
 };
-use sapphirespur_core::time::Time;
 use serde::Deserialize;
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
 use crate::clock::{Clock, wall_s, wall_us};
+use crate::daemon::Shutdown;
 use crate::link::{LinkEvent, Links};
 use crate::logging;
 use crate::metrics::Metrics;
@@ -69,6 +68,7 @@
 /// Returns an error when the sidecar cannot start.
 pub async fn run(settings: SidecarSettings) -> Result<(), StartError> {
     let node = settings.node.name.as_str().to_owned();
+    let shutdown = Shutdown::new(settings.limits.drain)?;
     logging::start(&settings.log, &node)?;
     let metrics = Rc::new(Metrics::start(&settings.metrics, &node)?);
     let listener = Metrics::start(&settings.metrics, &node)?;
@@ -104,7 +104,7 @@
         inputs: inputs_tx,
         drained: false,
     };
-    control.run(commands, inputs, link_events, settings.limits.drain).await;
+    control.run(commands, inputs, link_events, shutdown).await;
     log::info!("the sidecar stops");
     Ok(())
 }
@@ -183,16 +183,12 @@
         mut commands: UnboundedReceiver<Command>,
         mut inputs: UnboundedReceiver<SidecarInput>,
         mut link_events: UnboundedReceiver<LinkEvent>,
-        drain_limit: Duration,
+        mut shutdown: Shutdown,
     ) {
-        let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-        let Ok(mut interrupt) = signal(SignalKind::interrupt()) else { return };
-        let mut stop_at: Option<Time> = None;
-
         while !self.drained {
             let deadline = self.sidecar.next_deadline().unwrap_or_else(|| self.clock.now());
             let wake = self.clock.instant(deadline).into();
-            if stop_at.is_some_and(|stop_at| stop_at <= self.clock.now()) {
+            if shutdown.is_over() {
                 log::warn!("the time to drain is over; attempts are cut");
                 return;
             }
@@ -201,8 +197,7 @@
                 Some(input) = inputs.recv() => self.handle(input),
                 Some(event) = link_events.recv() => self.handle(input_of(event)),
                 () = tokio::time::sleep_until(wake) => self.handle(SidecarInput::Tick),
-                _ = terminate.recv() => stop_at = Some(self.drain(drain_limit)),
-                _ = interrupt.recv() => stop_at = Some(self.drain(drain_limit)),
+                () = shutdown.requested() => self.drain(),
             }
         }
 
@@ -210,11 +205,9 @@
         tokio::time::sleep(LINGER).await;
     }
 
-    fn drain(&mut self, limit: Duration) -> Time {
+    fn drain(&mut self) {
         log::info!("the sidecar drains");
         self.handle(SidecarInput::Drain);
-
-        self.clock.now() + limit
     }
 
     fn on_command(&mut self, command: Command) {
--- a/sapphirespur_node/src/start.rs
+++ b/sapphirespur_node/src/start.rs
@@ -22,6 +22,9 @@
     /// Metrics cannot start.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
+    /// Signals cannot be waited for.
+    #[error("signals cannot be waited for: {0}")]
+    Signals(#[from] io::Error),
     /// An address cannot be listened on.
     #[error("{address}: cannot be listened on: {source}")]
     Listen {
