Treat encoded dot segments as a way out of an idempotent prefix

Cause: a listed prefix such as 'GET /catalogue' also matched '/catalogue/%2e%2e/approvals', which an upstream may resolve to a call that must not repeat; it would have been retried. Found by reading the pattern as a newcomer; the new case in core/tests/filter.rs failed before. Two leftovers went as well: a wrapper that only cloned, and two equal branches of the harness.

--- a/sapphirespur_bench/src/fleet/links.rs
+++ b/sapphirespur_bench/src/fleet/links.rs
@@ -93,15 +93,10 @@
         }
     }
 
-    /// Closes a link from one end; the other end hears of it if anything passes.
+    /// Closes a link at both ends.
     pub(super) fn close(&mut self, from: &Name, to: &Name) {
-        let Some(epoch) = self.links.up.remove(&Pair::new(from, to)) else { return };
-
-        self.link_down(from, to);
-        if self.links.passes(from, to) && !self.links.silent.contains(&epoch) {
-            self.link_down(to, from);
-        } else {
-            // The other end drops its half when it hears nothing or when a new link comes.
+        if self.links.up.remove(&Pair::new(from, to)).is_some() {
+            self.link_down(from, to);
             self.link_down(to, from);
         }
     }
--- a/sapphirespur_core/src/config/service.rs
+++ b/sapphirespur_core/src/config/service.rs
@@ -35,8 +35,10 @@
 impl Service {
     /// Tells whether a call may be repeated.
     pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
-        // A dot segment could lead a matching prefix out of its subtree.
-        !path.split(['/', '?']).any(|segment| segment == "..")
-            && self.idempotent.iter().any(|pattern| pattern.matches(method, path))
+        // A dot segment, plain or encoded, could lead a matching prefix out of its subtree.
+        let has_dots = path.split(['/', '?']).any(|segment| segment == "..")
+            || path.to_ascii_lowercase().contains("%2e");
+
+        !has_dots && self.idempotent.iter().any(|pattern| pattern.matches(method, path))
     }
 }
--- a/sapphirespur_core/src/fair.rs
+++ b/sapphirespur_core/src/fair.rs
@@ -7,7 +7,6 @@
 
 use crate::account::to_virtual_time;
 use crate::collections::HashMap;
-use crate::config::Target;
 use crate::message::{AccountEntry, ReportEntry};
 use crate::name::Name;
 use crate::time::Time;
@@ -266,15 +265,6 @@
     }
 }
 
-/// Returns the home of `workspace` for reports on `target` among `routers`.
-pub fn home_name<'a>(
-    target: &Target,
-    workspace: &Name,
-    routers: impl Iterator<Item = &'a Name>,
-) -> Option<Name> {
-    crate::account::home_of(target, workspace, routers).cloned()
-}
-
 impl WorkspaceOrder {
     fn new(session: u64) -> Self {
         Self {
--- a/sapphirespur_core/src/sidecar/links.rs
+++ b/sapphirespur_core/src/sidecar/links.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use crate::account::home_of;
 use crate::event::Event;
-use crate::fair::{Choice, home_name};
+use crate::fair::Choice;
 use crate::message::{
     AccountUpdate, ConfigDelta, DemandResync, Heartbeat, Message, NodeState, ServiceReport,
     SidecarState,
@@ -148,7 +149,8 @@
             .filter(|(_, router)| !router.draining)
             .map(|(name, _)| name.clone())
             .collect();
-        let reports = self.fair.report(|workspace| home_name(&target, workspace, homes.iter()));
+        let reports =
+            self.fair.report(|workspace| home_of(&target, workspace, homes.iter()).cloned());
 
         let mut reports: Vec<_> = reports.into_iter().collect();
         reports.sort_unstable_by(|a, b| a.0.cmp(&b.0));
--- a/sapphirespur_core/tests/filter.rs
+++ b/sapphirespur_core/tests/filter.rs
@@ -103,6 +103,8 @@
     a_call_beside_a_listed_one_may_not: service_head("GET", "/catalogues", None) => Call::Single,
     a_dot_segment_leads_out_of_no_prefix:
         service_head("GET", "/catalogue/../approvals", None) => Call::Single,
+    an_encoded_dot_segment_leads_out_of_no_prefix:
+        service_head("GET", "/catalogue/%2E%2e/approvals", None) => Call::Single,
     another_method_may_not: service_head("POST", "/catalogue", None) => Call::Single,
     a_key_makes_a_call_run_once:
         service_head("POST", "/approvals", Some("k")) => Call::Once { .. },
