Wait for the outcome of a call that has just been answered

Outcomes waited up to 100 ms for an intent to share their transaction, so the ledger did not know yet. Ruled out: a second run (the service ran it once).

--- a/sapphirespur_core/src/once/ledger.rs
+++ b/sapphirespur_core/src/once/ledger.rs
@@ -20,8 +20,9 @@
 /// Least time between two batches, in which further operations join the next one.
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Longest time for which outcomes wait for an intent to go with.
-const OUTCOME_WAIT: Duration = Duration::from_millis(100);
+/// Times that an intent is offered again while an earlier call with its key seems in progress: its
+/// outcome may be on the way to the ledger.
+const MAX_LOOKS: u32 = 4;
 
 /// Pause before a batch is sent again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -75,6 +76,7 @@
     since_s: u64,
     stage: Stage,
     deadline: Time,
+    looks: u32,
 }
 
 /// Controller of the ledger at one sidecar.
@@ -107,6 +109,7 @@
             since_s: wall_s,
             stage: Stage::Intending,
             deadline: now + INTENT_TIMEOUT,
+            looks: 0,
         };
         let operation = call.operation(attempt, Expectation::Absent, LedgerState::Intent);
         self.calls.insert(attempt, call);
@@ -199,10 +202,7 @@
             return None;
         }
 
-        let has_intent =
-            self.waiting.iter().any(|operation| operation.entry.state == LedgerState::Intent);
-        let pause = if has_intent { BATCH_INTERVAL } else { OUTCOME_WAIT };
-        Some((self.last_batch + pause).max(self.paused_until))
+        Some((self.last_batch + BATCH_INTERVAL).max(self.paused_until))
     }
 
     fn take_operations(&mut self) -> Vec<LedgerOperation> {
@@ -308,6 +308,13 @@
             return None;
         }
 
+        call.looks += 1;
+        if call.is_in_progress(&entry) && call.looks < MAX_LOOKS {
+            let operation = call.operation(attempt, Expectation::Absent, LedgerState::Intent);
+            self.waiting.push_back(operation);
+            return None;
+        }
+
         let verdict = call.verdict_on(&entry);
         self.calls.remove(&attempt);
         Some(OnceVerdict { attempt, verdict })
@@ -354,6 +361,13 @@
         }
     }
 
+    /// Tells whether an entry is that of the same call, which may still be running.
+    fn is_in_progress(&self, entry: &LedgerEntry) -> bool {
+        entry.state == LedgerState::Intent
+            && entry.fingerprint == self.fingerprint
+            && self.since_s < entry.since_s + PROGRESS_WINDOW_S
+    }
+
     fn verdict_on(&self, entry: &LedgerEntry) -> Verdict {
         if entry.fingerprint != self.fingerprint {
             return Verdict::Refuse(Refusal::rejected(RefusalCode::KeyReused));
@@ -361,7 +375,7 @@
 
         match &entry.state {
             LedgerState::Finished(answer) => Verdict::Replay(answer.clone()),
-            LedgerState::Intent if self.since_s < entry.since_s + PROGRESS_WINDOW_S => {
+            LedgerState::Intent if self.is_in_progress(entry) => {
                 let refusal = Refusal::unknown(RefusalCode::InProgress);
                 Verdict::Refuse(Refusal { retry_after: Some(IN_PROGRESS_RETRY), ..refusal })
             }
