Say 'no upstream' in one place, and look keys up where they are indexed

Found by reading the whole change again: router and sidecar each built the same refusal from a twin constant, and the list of models searched every workspace's digests although the configuration controller holds an index of them. Behaviour stays as it is.

--- a/sapphirespur_core/src/request/refusal.rs
+++ b/sapphirespur_core/src/request/refusal.rs
@@ -4,6 +4,9 @@
 
 use thiserror::Error;
 
+/// Time after which a caller may come back when no upstream can serve.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
+
 /// Whether a refused request may have had an effect.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Outcome {
@@ -166,6 +169,11 @@
         Self { code, outcome: Outcome::NotRun, retry_after: Some(retry_after) }
     }
 
+    /// Creates a refusal of a request that did not run for want of an upstream.
+    pub const fn no_upstream() -> Self {
+        Self::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY)
+    }
+
     /// Creates a refusal of a request that may have run.
     pub const fn unknown(code: RefusalCode) -> Self {
         Self { code, outcome: Outcome::Unknown, retry_after: None }
--- a/sapphirespur_core/src/router/dispatching.rs
+++ b/sapphirespur_core/src/router/dispatching.rs
@@ -10,7 +10,7 @@
 use crate::name::Name;
 use crate::request::{AttemptId, QueueKey, Refusal, RefusalCode, RequestHead, RequestId};
 use crate::router::demand::WIDEN_AFTER;
-use crate::router::requests::{NO_UPSTREAM_RETRY, Next};
+use crate::router::requests::Next;
 use crate::router::router::{TimerKey, refuse};
 use crate::router::{AttemptEvent, Dispatch, Router, RouterOutput};
 use crate::time::Time;
@@ -18,6 +18,9 @@
 /// Time without any serving sidecar after which the waiting requests are refused.
 const NO_UPSTREAM_GRACE: Duration = Duration::from_secs(3);
 
+/// Time after which a caller may come back when the router takes no requests.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
 impl Router {
     pub(super) fn on_resync(&mut self, from: &Name) {
         if let Some(view) = self.demand.view_mut(from) {
@@ -45,13 +48,13 @@
         head: &RequestHead,
     ) -> Result<(), Refusal> {
         if !self.is_ready() {
-            return Err(Refusal::later(RefusalCode::NotReady, NO_UPSTREAM_RETRY));
+            return Err(Refusal::later(RefusalCode::NotReady, NOT_READY_RETRY));
         }
 
         let cx = FilterContext { config: self.config.config(), keys: self.config.keys() };
         let meta = filter::run(head, cx)?;
         if !self.demand.can_serve(now, self.config.config(), &meta.queue.target) {
-            return Err(Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY));
+            return Err(Refusal::no_upstream());
         }
 
         let key = meta.queue.clone();
@@ -146,7 +149,7 @@
             }
             AttemptEvent::Refused(refusal) => self.requests.on_refused(now, id, attempt, refusal),
             AttemptEvent::NeverStarted => {
-                let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
+                let refusal = Refusal::no_upstream();
                 self.requests.on_refused(now, id, attempt, refusal)
             }
             AttemptEvent::Lost => self.requests.on_lost(id, attempt),
@@ -258,7 +261,7 @@
             let Some(request) = self.requests.remove(id) else { continue };
 
             self.demand.on_queue_changed(&request.meta.queue);
-            let refusal = Refusal::later(RefusalCode::NoUpstream, NO_UPSTREAM_RETRY);
+            let refusal = Refusal::no_upstream();
             refuse(id, request.refused_with(refusal), out);
         }
     }
--- a/sapphirespur_core/src/router/requests.rs
+++ b/sapphirespur_core/src/router/requests.rs
@@ -19,9 +19,6 @@
 /// Time from the first refused attempt of a request until it is given up.
 const REFUSED_GRACE: Duration = Duration::from_secs(5);
 
-/// Time after which a caller may come back when no upstream can serve.
-pub(super) const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
-
 /// Longest advice to come back later.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
--- a/sapphirespur_core/src/router/router.rs
+++ b/sapphirespur_core/src/router/router.rs
@@ -132,6 +132,11 @@
         !self.draining && self.config.revision() > 0
     }
 
+    /// Tells whether a bearer key with this digest belongs to a workspace.
+    pub fn knows_key(&self, digest: &str) -> bool {
+        self.config.keys().contains_key(digest)
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> &Config {
         self.config.config()
--- a/sapphirespur_core/src/sidecar/serving.rs
+++ b/sapphirespur_core/src/sidecar/serving.rs
@@ -1,7 +1,5 @@
 //! Attempts of a sidecar, from their start to their end.
 
-use std::time::Duration;
-
 use crate::event::Event;
 use crate::once::{LedgerState, OnceVerdict, RecordedAnswer, Verdict};
 use crate::request::{AttemptId, Call, Refusal, RefusalCode};
@@ -10,15 +8,12 @@
 use crate::sidecar::{Sidecar, SidecarOutput, Start, UpstreamEvent, UpstreamFailure};
 use crate::time::Time;
 
-/// Time after which a router may offer a refused attempt again.
-const REFUSED_RETRY: Duration = Duration::from_secs(1);
-
 impl Sidecar {
     pub(super) fn on_start(&mut self, now: Time, start: &Start, out: &mut Vec<SidecarOutput>) {
         let id = start.attempt;
         let permit = self.permits.take(start.permit);
         let Some(permit) = permit.filter(|_| self.attempts.may_start(id)) else {
-            let refusal = Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY);
+            let refusal = Refusal::no_upstream();
             out.push(SidecarOutput::Refuse { attempt: id, refusal });
             return;
         };
@@ -161,11 +156,11 @@
         let refusal = match failure {
             UpstreamFailure::NotSent => {
                 self.ledger.abandon(id);
-                Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY)
+                Refusal::no_upstream()
             }
             // A model engine that refuses has not run; of a plain service nobody knows.
             UpstreamFailure::Overloaded if attempt.call == Call::Idempotent => {
-                Refusal::later(RefusalCode::NoUpstream, REFUSED_RETRY)
+                Refusal::no_upstream()
             }
             UpstreamFailure::Overloaded | UpstreamFailure::Broken => {
                 self.ledger.finish(id, LedgerState::Unknown);
--- a/sapphirespur_node/src/router/control.rs
+++ b/sapphirespur_node/src/router/control.rs
@@ -200,14 +200,9 @@
     }
 
     fn models(&self, key_digest: Option<&str>) -> Option<Vec<String>> {
-        let config = self.router.config();
-        let key_digest = key_digest?;
-        let is_known = config
-            .workspaces
-            .values()
-            .any(|workspace| workspace.key_digests.iter().any(|digest| digest == key_digest));
+        let is_known = key_digest.is_some_and(|digest| self.router.knows_key(digest));
 
-        is_known.then(|| config.models.keys().map(Name::to_string).collect())
+        is_known.then(|| self.router.config().models.keys().map(Name::to_string).collect())
     }
 
     fn handle(&mut self, input: RouterInput) {
