Bound slow bodies, name missing fields, count what the metrics lacked

A body that stopped coming held its request for ever; memory for a body was taken before any of it was in; `/v1/chat/completions` without `messages` was answered 200; a stream that goes on elsewhere counted its first event twice; an upstream's own 4xx on a stream was noted as a failed send; the repeat budget was looked at twice for each repeat; no metric of pauses, repeats left, kept parts. Ruled out: a slow reader of a stream holding its upstream. The kernel closes the connection 2 s after the client's window has closed; the new test shows it and passed before. Second answers that come late, answers after the target and before the body is read: the new tests passed before. Change: a body has the time that its client waits (408, not run); the rest as said. The stand-in of a runner answers late, early and twice, and sends large events without an end. Failed first: a body that stops coming (no answer in 20 s), `messages` (200 in place of 400), the first event counted twice.

--- a/sapphirespur_core/src/direct/prefix_cache.rs
+++ b/sapphirespur_core/src/direct/prefix_cache.rs
@@ -22,6 +22,16 @@
 }
 
 impl PrefixCache {
+    /// Returns the number of parts.
+    pub fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// Tells whether nothing is kept.
+    pub fn is_empty(&self) -> bool {
+        self.kept.is_empty()
+    }
+
     /// Tells whether a part is expected to be kept.
     pub fn has(&self, part: PromptPart) -> bool {
         self.kept.contains_key(&part.chain)
--- a/sapphirespur_core/src/direct/repeat_budget.rs
+++ b/sapphirespur_core/src/direct/repeat_budget.rs
@@ -40,6 +40,11 @@
         true
     }
 
+    /// Gives a repeat back that was not used.
+    pub fn refund(&mut self) {
+        self.repeats.pop_back();
+    }
+
     /// Returns the repeats that are left now.
     pub fn left(&mut self, now: Time, limits: RepeatLimits, routers: usize) -> usize {
         forget(&mut self.requests, now, limits.window);
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -181,15 +181,28 @@
         let limits = self.settings.repeats;
         let routers = self.parts(now);
         let budget = self.budgets.entry(call.service.clone()).or_default();
-        if has_arrived && budget.left(now, limits, routers) == 0 {
+        if has_arrived && !budget.spend(now, limits, routers) {
             return Err(self.decline(call, DeclineReason::RepeatBudget, None));
         }
 
-        let placement = self.choose(now, call, tried, 0.0)?;
-        if has_arrived {
-            self.budgets.entry(call.service.clone()).or_default().spend(now, limits, routers);
+        let admission = self.choose(now, call, tried, 0.0);
+        if has_arrived
+            && admission.is_err()
+            && let Some(budget) = self.budgets.get_mut(&call.service)
+        {
+            budget.refund();
         }
-        Ok(placement)
+        admission
+    }
+
+    /// Returns the repeats that this router has left, by service.
+    pub fn repeats_left(&mut self, now: Time) -> Vec<(Name, usize)> {
+        let limits = self.settings.repeats;
+        let routers = self.parts(now);
+        self.budgets
+            .iter_mut()
+            .map(|(service, budget)| (service.clone(), budget.left(now, limits, routers)))
+            .collect()
     }
 
     /// Treats all upstreams as cold for a while, after a time in which the process was paused.
--- a/sapphirespur_core/src/request/refusal.rs
+++ b/sapphirespur_core/src/request/refusal.rs
@@ -35,6 +35,12 @@
     /// The request is malformed.
     #[error("the request is malformed")]
     MalformedRequest,
+    /// A chat call has no messages.
+    #[error("the field 'messages' must be a list with at least one message")]
+    MissingMessages,
+    /// A completion call has no prompt.
+    #[error("the field 'prompt' is missing")]
+    MissingPrompt,
     /// The body exceeds the limit.
     #[error("the body exceeds the limit")]
     BodyTooLarge,
@@ -85,6 +91,8 @@
         match self {
             Self::InvalidKey => "invalid-key",
             Self::MalformedRequest => "malformed-request",
+            Self::MissingMessages => "missing-messages",
+            Self::MissingPrompt => "missing-prompt",
             Self::BodyTooLarge => "body-too-large",
             Self::UnsupportedMediaType => "unsupported-media-type",
             Self::UnknownTarget => "unknown-target",
@@ -104,9 +112,11 @@
 
     /// Returns the code whose text is `text`.
     pub fn parse(text: &str) -> Option<Self> {
-        const ALL: [RefusalCode; 16] = [
+        const ALL: [RefusalCode; 18] = [
             RefusalCode::InvalidKey,
             RefusalCode::MalformedRequest,
+            RefusalCode::MissingMessages,
+            RefusalCode::MissingPrompt,
             RefusalCode::BodyTooLarge,
             RefusalCode::UnsupportedMediaType,
             RefusalCode::UnknownTarget,
@@ -132,7 +142,10 @@
     pub fn http_status(self) -> u16 {
         match self {
             Self::InvalidKey => 401,
-            Self::MalformedRequest | Self::UnknownClass => 400,
+            Self::MalformedRequest
+            | Self::MissingMessages
+            | Self::MissingPrompt
+            | Self::UnknownClass => 400,
             Self::BodyTooLarge => 413,
             Self::UnsupportedMediaType => 415,
             Self::UnknownTarget => 404,
--- a/sapphirespur_node/src/direct/answer.rs
+++ b/sapphirespur_node/src/direct/answer.rs
@@ -41,6 +41,8 @@
     NoRoute,
     /// Body is larger than allowed.
     TooLarge,
+    /// Body did not come in the time that the client waits.
+    BodyTimedOut,
     /// Request was not run and may come back after a time.
     NotRun(Duration),
     /// Request may have run and its answer is lost.
@@ -70,6 +72,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -82,6 +85,9 @@
             Self::UnknownKey => ("urn:sapphirespur:problem:unknown-key", "key is not known"),
             Self::NoRoute => ("urn:sapphirespur:problem:no-route", "no route takes the request"),
             Self::TooLarge => ("urn:sapphirespur:problem:too-large", "body is too large"),
+            Self::BodyTimedOut => {
+                ("urn:sapphirespur:problem:body-timed-out", "body came too slowly")
+            }
             Self::NotRun(_) => ("urn:sapphirespur:problem:not-run", "no room for the request now"),
             Self::OutcomeUnknown => {
                 ("urn:sapphirespur:problem:outcome-unknown", "answer of the upstream is lost")
--- a/sapphirespur_node/src/direct/handle.rs
+++ b/sapphirespur_node/src/direct/handle.rs
@@ -10,6 +10,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use sapphirespur_core::direct::{CallInfo, RouteMiss};
+use tokio::time::timeout;
 
 use super::answer::{Answer, Final};
 use super::dialect::CallHead;
@@ -22,6 +23,9 @@
 /// Time after which a client should come back when this process cannot serve at all.
 const ELSEWHERE: Duration = Duration::from_millis(300);
 
+/// Memory that is taken for a body before any of it is in, in bytes.
+const FIRST_BODY_BYTES: usize = 16 * 1024;
+
 /// Part of the time that a client waits which must have passed for it to count as returned.
 const RETURNED_PART: f64 = 0.02;
 
@@ -87,7 +91,8 @@
         remaining,
         has_returned: waits + returned_after < route.timeout,
     };
-    let body = read_body(body, table.limits.max_body_bytes, presence).await?;
+    let body = read_body(body, table.limits.max_body_bytes, presence);
+    let body = timeout(remaining, body).await.map_err(|_| Final::BodyTimedOut)??;
     let until = arrived + remaining;
     Ok(Call { parts, head, body, route: route.clone(), info, arrived, until })
 }
@@ -115,7 +120,8 @@
         return Err(Final::TooLarge);
     }
 
-    let mut buf = BytesMut::with_capacity((announced as usize).min(max_bytes));
+    // What is announced may never come.
+    let mut buf = BytesMut::with_capacity((announced as usize).min(FIRST_BODY_BYTES));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Final::BadRequest)?;
         let Ok(data) = frame.into_data() else { continue };
--- a/sapphirespur_node/src/direct/metrics.rs
+++ b/sapphirespur_node/src/direct/metrics.rs
@@ -38,6 +38,12 @@
     workspace: String,
 }
 
+/// Service as a label.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Service {
+    service: String,
+}
+
 /// Upstreams of one service in one condition.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct UpstreamKind {
@@ -58,6 +64,7 @@
     labelled: RefCell<HashSet<String>>,
     first_event: Family<Workspace, Histogram>,
     total: Family<Workspace, Histogram>,
+    pause: Histogram,
     upstreams: Family<UpstreamKind, Gauge>,
     version: Gauge,
     record_age: Gauge<f64, AtomicU64>,
@@ -65,6 +72,8 @@
     in_flight: Gauge,
     connections: Gauge,
     buffered: Gauge,
+    repeats_left: Family<Service, Gauge>,
+    kept_parts: Gauge,
 }
 
 impl Metrics {
@@ -81,6 +90,7 @@
             labelled: RefCell::default(),
             first_event: Family::new_with_constructor(seconds),
             total: Family::new_with_constructor(seconds),
+            pause: seconds(),
             upstreams: Family::default(),
             version: Gauge::default(),
             record_age: Gauge::default(),
@@ -88,6 +98,8 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             buffered: Gauge::default(),
+            repeats_left: Family::default(),
+            kept_parts: Gauge::default(),
             registry: Registry::default(),
         };
 
@@ -100,6 +112,7 @@
         r.register("log_left_out", "Log lines left out", metrics.log_left_out.clone());
         r.register("first_event_seconds", "Time to the head", metrics.first_event.clone());
         r.register("total_seconds", "Time to the end of answers", metrics.total.clone());
+        r.register("pause_seconds", "Time between events", metrics.pause.clone());
         r.register("upstreams", "Upstreams by condition", metrics.upstreams.clone());
         r.register("config_version", "Configuration in force", metrics.version.clone());
         r.register("record_age_seconds", "Time since the record", metrics.record_age.clone());
@@ -107,6 +120,8 @@
         r.register("in_flight", "Requests being served", metrics.in_flight.clone());
         r.register("connections", "Connections of clients", metrics.connections.clone());
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered.clone());
+        r.register("repeats_left", "Repeats this router has left", metrics.repeats_left.clone());
+        r.register("kept_parts", "Prompt parts taken for kept", metrics.kept_parts.clone());
         Self { registry, ..metrics }
     }
 
@@ -116,6 +131,7 @@
             200..300 => "success",
             401 => "unknown_key",
             404 => "no_route",
+            408 => "body_timed_out",
             400..500 => "bad_request",
             502 => "outcome_unknown",
             503 => "not_run",
@@ -163,6 +179,11 @@
         self.total.get_or_create(&label).observe(span.as_secs_f64());
     }
 
+    /// Notes the time between two events of a stream.
+    pub fn pause(&self, span: Duration) {
+        self.pause.observe(span.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     ///
     /// # Errors
@@ -191,7 +212,7 @@
 
     fn read_gauges(&self, cx: &Shared) {
         let now = cx.now();
-        let router = cx.router.borrow();
+        let mut router = cx.router.borrow_mut();
         self.upstreams.clear();
         for upstream in router.record().upstreams().iter() {
             let condition = upstream.condition(now).as_str();
@@ -199,6 +220,13 @@
             self.upstreams.get_or_create(&UpstreamKind { service, condition }).inc();
         }
 
+        let kept = router.record().upstreams().iter().map(|upstream| upstream.cache.len());
+        self.kept_parts.set(kept.sum::<usize>() as i64);
+        for (service, left) in router.repeats_left(now) {
+            let service = service.to_string();
+            self.repeats_left.get_or_create(&Service { service }).set(left as i64);
+        }
+
         self.version.set(router.record().table().map_or(0, |table| table.version as i64));
         let age = cx.record_heard.get().map_or(f64::INFINITY, |at| now.since(at).as_secs_f64());
         self.record_age.set(age);
--- a/sapphirespur_node/src/direct/stream.rs
+++ b/sapphirespur_node/src/direct/stream.rs
@@ -40,7 +40,7 @@
     events: EventBuffer,
     last_id: Option<u64>,
     heard: Time,
-    first_event_ms: u64,
+    first_event: Option<Duration>,
     presence: Presence,
 }
 
@@ -67,7 +67,7 @@
         claim: None,
         reply: None,
         events: EventBuffer::default(),
-        first_event_ms: 0,
+        first_event: None,
         presence,
     };
 
@@ -100,33 +100,27 @@
             let sent = send(&cx, &self.call, &placement, &mut claim, self.last_id, patience).await;
             let (outcome, ran) = match sent {
                 Sent::Reply(reply) if reply.parts.status.is_success() => {
-                    self.heard = cx.now();
-                    let first_event = self.heard.since(self.call.arrived);
-                    self.first_event_ms = first_event.as_millis() as u64;
-                    let workspace = self.call.info.workspace.as_ref().map(Name::as_str);
-                    cx.metrics.first_event(workspace, first_event);
+                    self.note_heard();
                     self.claim = Some(claim);
                     self.reply = Some(reply);
                     return Ok(());
                 }
                 Sent::Reply(reply) => {
                     let is_failure = reply.parts.status.is_server_error();
-                    let answer = finish(&cx, &self.call, *reply).await;
-                    self.sends.note(&cx, &self.call, claim.upstream(), SendOutcome::Failed, true);
-                    let may_go_on = self.sends.may_go_on(&self.call);
-                    match answer {
-                        Some(answer) if !is_failure || !may_go_on => {
+                    let answer = match finish(&cx, &self.call, *reply).await {
+                        Some(answer) if !is_failure => {
                             claim.finish(SendOutcome::Answered);
                             return Err(answer);
                         }
-                        _ => {
-                            claim.finish(SendOutcome::Failed);
-                            if !may_go_on {
-                                return Err(Final::OutcomeUnknown.answer(&*cx.dialect, &id));
-                            }
-                            continue;
-                        }
+                        answer => answer,
+                    };
+                    self.sends.note(&cx, &self.call, claim.upstream(), SendOutcome::Failed, true);
+                    claim.finish(SendOutcome::Failed);
+                    if self.sends.may_go_on(&self.call) {
+                        continue;
                     }
+                    let lost = || Final::OutcomeUnknown.answer(&*cx.dialect, &id);
+                    return Err(answer.unwrap_or_else(lost));
                 }
                 Sent::NotRun(outcome) => (outcome, false),
                 Sent::Unknown(outcome) => (outcome, true),
@@ -243,7 +237,7 @@
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     self.events.push(&data);
-                    self.heard = self.cx.now();
+                    self.note_heard();
                 }
                 if self.events.len() > MAX_EVENT_BYTES {
                     return Step::Lost(SendOutcome::Broken);
@@ -323,6 +317,20 @@
         left.min(self.call.info.target.max(expected * 2).max(MIN_SILENCE))
     }
 
+    /// Notes bytes of an upstream: the first ones, or the pause since the ones before.
+    fn note_heard(&mut self) {
+        let now = self.cx.now();
+        if self.first_event.is_none() {
+            let span = now.since(self.call.arrived);
+            let workspace = self.call.info.workspace.as_ref().map(Name::as_str);
+            self.cx.metrics.first_event(workspace, span);
+            self.first_event = Some(span);
+        } else {
+            self.cx.metrics.pause(now.since(self.heard));
+        }
+        self.heard = now;
+    }
+
     fn note_answered(&self) {
         let workspace = self.call.info.workspace.as_ref().map(Name::as_str);
         let total = self.cx.now().since(self.call.arrived);
@@ -335,7 +343,7 @@
                 sends = self.sends.tried.len() + 1,
                 last_event = self.last_id.unwrap_or_default(),
                 max_output_tokens = self.call.info.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens),
-                first_event_ms = self.first_event_ms,
+                first_event_ms = self.first_event.map_or(0, |span| span.as_millis() as u64),
                 total_ms = total.as_millis() as u64;
                 "stream answered"
             );
--- a/sapphirespur_node/src/router/parse.rs
+++ b/sapphirespur_node/src/router/parse.rs
@@ -8,14 +8,18 @@
 use sapphirespur_core::name::Name;
 use sapphirespur_core::request::{RefusalCode, RequestHead};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 
 use crate::http::{header_text, wire};
 
 /// Prefix of the paths of plain services.
 const SERVICE_PREFIX: &str = "/services/";
 
+/// Path of the calls that continue a conversation.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
 /// Paths of the model calls.
-const MODEL_PATHS: [&str; 2] = ["/v1/chat/completions", "/v1/completions"];
+const MODEL_PATHS: [&str; 2] = [CHAT_PATH, "/v1/completions"];
 
 /// Fields of a model call that routing needs.
 #[derive(Debug, Deserialize)]
@@ -23,6 +27,16 @@
     model: String,
     max_tokens: Option<u64>,
     max_completion_tokens: Option<u64>,
+    messages: Option<Messages>,
+    prompt: Option<IgnoredAny>,
+}
+
+/// Messages of a conversation, or what stands in their place.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Messages {
+    List(Vec<IgnoredAny>),
+    Other(IgnoredAny),
 }
 
 /// What a path leads to.
@@ -94,7 +108,7 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of a call that is not JSON or names no model.
+/// Returns the refusal of a call that is not JSON, names no model or has nothing to answer.
 pub(super) fn model_call(
     http: &HttpHead,
     body: Bytes,
@@ -106,6 +120,17 @@
     let call: ModelCall =
         serde_json::from_slice(&body).map_err(|_| RefusalCode::MalformedRequest)?;
 
+    if http.uri.path() == CHAT_PATH {
+        let Some(Messages::List(messages)) = &call.messages else {
+            return Err(RefusalCode::MissingMessages);
+        };
+        if messages.is_empty() {
+            return Err(RefusalCode::MissingMessages);
+        }
+    } else if call.prompt.is_none() {
+        return Err(RefusalCode::MissingPrompt);
+    }
+
     let cost_hint = call.max_completion_tokens.or(call.max_tokens);
     let path = http.uri.path().to_owned();
     let target = Target::Model(Name::new(&call.model));
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -34,6 +34,12 @@
     Mute,
     /// Sends a second answer behind the first one.
     Extra,
+    /// Sends a second answer so many milliseconds after the first one.
+    ExtraLate(u64),
+    /// Waits so many milliseconds before it answers.
+    Late(u64),
+    /// Answers before it has read the body, and reads on so many milliseconds later.
+    Early(u64),
     /// Ends its answers with the connection and gives no length.
     Unframed,
     /// Answers without a signature.
@@ -44,6 +50,8 @@
     Gap,
     /// Waits so many milliseconds between events.
     Slow(u64),
+    /// Sends events of so many bytes without a pause and without an end.
+    Large(usize),
 }
 
 /// Request as a runner saw it.
@@ -154,7 +162,17 @@
 
 async fn serve(state: &State, mut stream: TcpStream) -> io::Result<()> {
     let mut buf = Vec::new();
-    while let Some(seen) = read_request(&mut stream, &mut buf).await? {
+    while let Some(mut seen) = read_head(&mut stream, &mut buf).await? {
+        if let Behaviour::Early(millis) = state.behaviour.get() {
+            state.seen.borrow_mut().push(seen.clone());
+            answer(state, &mut stream, &seen).await?;
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            read_body(&mut stream, &mut buf, &mut seen).await?;
+            continue;
+        }
+        if !read_body(&mut stream, &mut buf, &mut seen).await? {
+            return Ok(());
+        }
         state.seen.borrow_mut().push(seen.clone());
         let is_open = answer(state, &mut stream, &seen).await.inspect_err(|_| {
             state.left.set(state.left.get() + 1);
@@ -166,7 +184,7 @@
     Ok(())
 }
 
-async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<Option<Seen>> {
+async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> io::Result<Option<Seen>> {
     let end = loop {
         if let Some(end) = buf.windows(4).position(|window| window == b"\r\n\r\n") {
             break end + 4;
@@ -185,15 +203,20 @@
             seen.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         }
     }
+    Ok(Some(seen))
+}
+
+/// Reads the body of a request, and tells whether it came whole.
+async fn read_body(stream: &mut TcpStream, buf: &mut Vec<u8>, seen: &mut Seen) -> io::Result<bool> {
     let length: usize =
         seen.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     while buf.len() < length {
         if stream.read_buf(buf).await? == 0 {
-            return Ok(None);
+            return Ok(false);
         }
     }
     seen.body = buf.drain(..length).collect();
-    Ok(Some(seen))
+    Ok(true)
 }
 
 /// Answers a request, and tells whether the connection serves on.
@@ -237,6 +260,18 @@
             plain(stream, "200 OK", &signed, "second answer").await?;
             Ok(true)
         }
+        Behaviour::ExtraLate(millis) if !is_stream => {
+            let text = format!("answer to {id}");
+            plain(stream, "200 OK", &signed, &text).await?;
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            plain(stream, "200 OK", &signed, "second answer").await?;
+            Ok(true)
+        }
+        Behaviour::Late(millis) if !is_stream => {
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            plain(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
+            Ok(true)
+        }
         Behaviour::Unframed if !is_stream => {
             let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer to {id}");
             stream.write_all(text.as_bytes()).await?;
@@ -267,7 +302,11 @@
     );
     stream.write_all(head.as_bytes()).await?;
     let after: u64 = seen.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-    for id in after + 1..=Runner::EVENTS {
+    let last = match state.behaviour.get() {
+        Behaviour::Large(_) => u64::MAX,
+        _ => Runner::EVENTS,
+    };
+    for id in after + 1..=last {
         match state.behaviour.get() {
             Behaviour::CutAfter(last) if id > last => {
                 chunk(stream, &format!("id: {id}\nda")).await?;
@@ -277,7 +316,11 @@
             Behaviour::Slow(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
             _ => {}
         }
-        chunk(stream, &format!("id: {id}\ndata: token {id}\n\n")).await?;
+        let fill = match state.behaviour.get() {
+            Behaviour::Large(bytes) => "x".repeat(bytes),
+            _ => String::new(),
+        };
+        chunk(stream, &format!("id: {id}\ndata: token {id}{fill}\n\n")).await?;
     }
 
     stream.write_all(b"0\r\n\r\n").await?;
--- a/sapphirespur_standin/tests/callers.rs
+++ b/sapphirespur_standin/tests/callers.rs
@@ -39,6 +39,10 @@
     }
 }
 
+fn chat(body: &Value) -> Refused {
+    Refused { path: "/v1/chat/completions", body: body.to_string(), ..Refused::default() }
+}
+
 async fn check_refused(fleet: &ProcessFleet, request: Refused, status: u16, code: &str) {
     let url = format!("{}{}", fleet.router_url(ROUTER), request.path);
     let mut http = client().request(request.method, url);
@@ -73,6 +77,16 @@
             (Refused { key: Some("wrong"), ..Refused::default() }, 401, "invalid-key"),
             (Refused { body: "{".to_owned(), ..Refused::default() }, 400, "malformed-request"),
             (Refused { body: "{}".to_owned(), ..Refused::default() }, 400, "malformed-request"),
+            (chat(&json!({ "model": MODEL })), 400, "missing-messages"),
+            (chat(&json!({ "model": MODEL, "messages": [] })), 400, "missing-messages"),
+            (chat(&json!({ "model": MODEL, "messages": "a" })), 400, "missing-messages"),
+            (chat(&json!({ "model": MODEL, "messages": null })), 400, "missing-messages"),
+            (chat(&json!({ "model": MODEL, "prompt": "a" })), 400, "missing-messages"),
+            (
+                Refused { body: json!({ "model": MODEL }).to_string(), ..Refused::default() },
+                400,
+                "missing-prompt",
+            ),
             (
                 Refused { content_type: "text/plain", ..Refused::default() },
                 415,
