--- a/sapphirespur_bench/src/main.rs
+++ b/sapphirespur_bench/src/main.rs
@@ -4,7 +4,8 @@
 
 use argh::FromArgs;
 use sapphirespur_bench::link::encoded_bytes;
-use sapphirespur_bench::measure::fairness::{Load, Order};
+use sapphirespur_bench::measure::fairness::Order;
+use sapphirespur_bench::measure::load::Load;
 use sapphirespur_bench::measure::{capacity, control, departure, fairness, ledger, rpc};
 use sapphirespur_bench::placement::{
     Deployment, Load as CallerLoad, Outcome, Pattern, Policy, run,
--- a/sapphirespur_bench/src/measure/departure.rs
+++ b/sapphirespur_bench/src/measure/departure.rs
@@ -10,8 +10,8 @@
 use crate::check::{nothing_cut, served_tokens};
 use crate::fleet::{Fleet, FleetOptions};
 use crate::history::{Final, Seen};
-use crate::measure::fairness::{Load, topology_rate};
-use crate::measure::load::add_load;
+use crate::measure::fairness::topology_rate;
+use crate::measure::load::{Load, add_load};
 use crate::topology::{CLASSES, Topology, set_state};
 
 /// Time of each of the three parts that are measured.
--- a/sapphirespur_bench/src/measure/fairness.rs
+++ b/sapphirespur_bench/src/measure/fairness.rs
@@ -33,18 +33,6 @@
     FirstCome,
 }
 
-/// Load of all workspaces together.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Load {
-    /// Each workspace is backlogged all the time.
-    Above,
-    /// Requests under way use a part of the slots.
-    Below {
-        /// Part of the slots, in per cent.
-        percent: usize,
-    },
-}
-
 /// Figures of one run.
 #[derive(Clone, Copy, Debug)]
 pub struct Figures {
--- a/sapphirespur_bench/src/measure/load.rs
+++ b/sapphirespur_bench/src/measure/load.rs
@@ -8,7 +8,6 @@
 
 use crate::client::{CallKind, Client};
 use crate::fleet::{Fleet, START};
-use crate::measure::fairness::Load;
 use crate::topology::{CLASSES, MODEL, SERVICE, Topology};
 
 /// Fewest and most tokens of an answer.
@@ -17,6 +16,18 @@
 /// Time far after every run.
 pub const NEVER: Time = Time::from_micros(START.as_micros() * 2);
 
+/// Load of all workspaces together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Load {
+    /// Each workspace is backlogged all the time.
+    Above,
+    /// Requests under way use a part of the slots.
+    Below {
+        /// Part of the slots, in per cent.
+        percent: usize,
+    },
+}
+
 /// Returns a client of the model for a workspace, spread unevenly over the routers.
 pub fn model_client(
     fleet: &mut Fleet,
--- /dev/null
+++ b/sapphirespur_core/src/direct/cold_bound.rs
@@ -0,0 +1,38 @@
+//! What one router may send to cold upstreams, of what the whole fleet may.
+
+use crate::direct::{Peers, RouterSettings, ServiceSpec};
+use crate::time::Time;
+
+/// What decides a router's part.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ColdBound<'a> {
+    /// Bounds of the fleet.
+    pub settings: &'a RouterSettings,
+    /// Other routers.
+    pub peers: &'a Peers,
+    /// Key of the router.
+    pub own: u64,
+    /// Parts into which the fleet divides the bound.
+    pub parts: usize,
+    /// Whether the other routers have had time to make themselves known.
+    pub is_settled: bool,
+}
+
+impl ColdBound<'_> {
+    /// Returns the requests a second that the router may send to the cold upstream `key`.
+    pub fn limit(&self, now: Time, spec: Option<&ServiceSpec>, key: u32) -> usize {
+        let Some(cold_per_s) = spec.and_then(|spec| spec.cold_per_s) else { return usize::MAX };
+        if !self.is_settled {
+            return 0;
+        }
+        let bound = cold_per_s * self.settings.cold_overshoot + self.settings.cold_allowance;
+        let part = (bound / self.parts as f64) as usize;
+        if part > 0 {
+            return part;
+        }
+
+        // Too many routers for a part each: those ranked first send one request, and half of the
+        // bound is left for routers that rank themselves too high as they do not know all others.
+        usize::from(self.peers.rank(now, self.own, key) < bound as usize / 2)
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/direct/pressures.rs
@@ -0,0 +1,55 @@
+//! Pressure on all services, as this router and the others see it.
+
+use std::time::Duration;
+
+use crate::collections::HashMap;
+use crate::direct::{Peers, Pressure, ServicePressure, Shares};
+use crate::name::Name;
+use crate::time::Time;
+
+/// Pressure by service.
+#[derive(Clone, Debug, Default)]
+pub struct Pressures {
+    by_service: HashMap<Name, Pressure>,
+}
+
+impl Pressures {
+    /// Notes the pressure at a decision, and returns the factor that turns what this router sees
+    /// into what all routers see.
+    pub fn note(&mut self, now: Time, service: &Name, sample: f64, peers: &Peers) -> f64 {
+        let noted = self.by_service.entry(service.clone()).or_default();
+        noted.note(now, sample);
+        noted.factor(now, peers.pressures(now, Shares::key(service)))
+    }
+
+    /// Notes that a workspace was refused for what it has beyond its share.
+    pub fn note_refusal(&mut self, now: Time, service: &Name) {
+        self.by_service.entry(service.clone()).or_default().note_refusal(now);
+    }
+
+    /// Returns how many times their share workspaces may have while upstreams are not busy.
+    pub fn leeway(&self, service: &Name) -> f64 {
+        self.by_service.get(service).copied().unwrap_or_default().leeway()
+    }
+
+    /// Moves the leeways with what all routers see.
+    pub fn adapt(&mut self, now: Time, elapsed: Duration, peers: &Peers) {
+        for (service, pressure) in &mut self.by_service {
+            pressure.adapt(now, elapsed, &peers.leeways(now, Shares::key(service)));
+        }
+    }
+
+    /// Returns what other routers are told.
+    pub fn reports(&self, now: Time) -> Vec<ServicePressure> {
+        let report = |(service, pressure): (&Name, &Pressure)| {
+            let leeway = if pressure.is_refusing(now) { pressure.leeway() * 100.0 } else { 0.0 };
+            Some(ServicePressure {
+                service: Shares::key(service),
+                per_mille: (pressure.mean(now)? * 1_000.0).round() as u16,
+                leeway_percent: leeway as u16,
+            })
+        };
+
+        self.by_service.iter().filter_map(report).collect()
+    }
+}
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -4,10 +4,11 @@
 
 use crate::collections::{HashMap, HashSet};
 use crate::direct::candidate::{Candidate, Standing, Weighing};
+use crate::direct::cold_bound::ColdBound;
 use crate::direct::{
     Admission, CallInfo, Condition, Decline, DeclineReason, Outputs, PartRead, Payer, PeerReport,
-    Peers, Placement, Pressure, PromptPart, Record, RepeatBudget, RouterSettings, SendOutcome,
-    ServicePressure, ServiceSpec, Shares, Ticket, Upstream, UpstreamLoad,
+    Peers, Placement, Pressures, PromptPart, Record, Refusals, RepeatBudget, RouterSettings,
+    SendOutcome, ServiceSpec, Shares, Ticket, Upstream, UpstreamLoad,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -21,11 +22,11 @@
     peers: Peers,
     shares: Shares,
     budgets: HashMap<Name, RepeatBudget>,
-    pressures: HashMap<Name, Pressure>,
+    pressures: Pressures,
     outputs: Outputs,
     reads: Vec<PartRead>,
     sequence: u64,
-    refusals: u64,
+    refusals: Refusals,
     last_tick: Time,
     settled_at: Time,
 }
@@ -39,9 +40,6 @@
     /// an earlier process of this VM leave the window of the bound on cold upstreams.
     const SETTLE: Duration = Duration::from_millis(1_200);
 
-    /// Shortest and longest time that a refused client is told to stay away.
-    const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(4));
-
     /// Longest time for which old failures lose weight at once.
     const MAX_DECAY: Duration = Duration::from_millis(1_000);
 
@@ -55,11 +53,11 @@
             peers: Peers::default(),
             shares,
             budgets: HashMap::default(),
-            pressures: HashMap::default(),
+            pressures: Pressures::default(),
             outputs: Outputs::default(),
             reads: Vec::new(),
             sequence: 0,
-            refusals: 0,
+            refusals: Refusals::default(),
             last_tick: Time::default(),
             settled_at: Time::default(),
         }
@@ -132,7 +130,7 @@
             revision: self.record.revision(),
             upstreams,
             workspaces: self.shares.uses(now),
-            pressures: self.service_pressures(now),
+            pressures: self.pressures.reports(now),
             reads: std::mem::take(&mut self.reads),
         }
     }
@@ -146,10 +144,7 @@
         for upstream in self.record.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY));
         }
-        for (service, pressure) in &mut self.pressures {
-            let others = self.peers.leeways(now, Shares::key(service));
-            pressure.adapt(now, elapsed.min(Self::MAX_DECAY), &others);
-        }
+        self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY), &self.peers);
     }
 
     /// Decides about a request that has just arrived.
@@ -182,7 +177,7 @@
         let routers = self.parts(now);
         let budget = self.budgets.entry(call.service.clone()).or_default();
         if has_arrived && !budget.spend(now, limits, routers) {
-            return Err(self.decline(call, DeclineReason::RepeatBudget, None));
+            return Err(self.refusals.decline(call, DeclineReason::RepeatBudget, None));
         }
 
         let admission = self.choose(now, call, tried, 0.0);
@@ -270,20 +265,6 @@
         }
     }
 
-    /// Returns the pressure on the services about which decisions were made lately.
-    fn service_pressures(&self, now: Time) -> Vec<ServicePressure> {
-        let pressure = |(service, pressure): (&Name, &Pressure)| {
-            let per_mille = (pressure.mean(now)? * 1_000.0).round() as u16;
-            let leeway = if pressure.is_refusing(now) { pressure.leeway() * 100.0 } else { 0.0 };
-            Some(ServicePressure {
-                service: Shares::key(service),
-                per_mille,
-                leeway_percent: leeway as u16,
-            })
-        };
-        self.pressures.iter().filter_map(pressure).collect()
-    }
-
     /// Returns the upstream of a ticket, unless it has started anew since.
     fn holder(&mut self, ticket: &Ticket) -> Option<&mut Upstream> {
         self.record
@@ -315,33 +296,22 @@
         self.peers.count(now) + 2
     }
 
-    /// Returns the requests a second that this router may send to a cold upstream.
-    fn cold_limit(&self, now: Time, spec: Option<&ServiceSpec>, key: u32) -> usize {
-        let Some(cold_per_s) = spec.and_then(|spec| spec.cold_per_s) else { return usize::MAX };
-        if self.settled_at > now {
-            return 0;
-        }
-        let routers = self.parts(now);
-        let bound = cold_per_s * self.settings.cold_overshoot + self.settings.cold_allowance;
-        let part = (bound / routers as f64) as usize;
-        if part > 0 {
-            return part;
-        }
-
-        // Too many routers for a part each: those ranked first send one request, and half of the
-        // bound is left for routers that rank themselves too high as they do not know all others.
-        usize::from(self.peers.rank(now, self.key(), key) < bound as usize / 2)
-    }
-
     /// Returns the cold upstreams of a service that have what they bear from this router.
     fn paced_out(&mut self, now: Time, service: &Name, spec: Option<&ServiceSpec>) -> HashSet<u32> {
+        let bound = ColdBound {
+            settings: &self.settings,
+            peers: &self.peers,
+            own: self.key(),
+            parts: self.parts(now),
+            is_settled: self.settled_at <= now,
+        };
         let cold = |upstream: &&Upstream| upstream.condition(now) == Condition::Cold;
         let limits: HashMap<u32, usize> = self
             .record
             .upstreams()
             .open(now, service)
             .filter(cold)
-            .map(|upstream| (upstream.key, self.cold_limit(now, spec, upstream.key)))
+            .map(|upstream| (upstream.key, bound.limit(now, spec, upstream.key)))
             .collect();
 
         let mut paced_out = HashSet::default();
@@ -389,17 +359,14 @@
 
         let Some(best) = candidates.first() else {
             let reason = if is_any_open { DeclineReason::Cold } else { DeclineReason::NoUpstream };
-            return Err(self.decline(call, reason, None));
+            return Err(self.refusals.decline(call, reason, None));
         };
         let own = Candidate::mean_pressure(call.target, &candidates);
         let usual = Candidate::mean_pressure(usual_target, &candidates);
-        let noted = self.pressures.entry(call.service.clone()).or_default();
-        noted.note(now, usual);
-        let others = self.peers.pressures(now, Shares::key(&call.service));
-        let pressure = own * noted.factor(now, others);
+        let pressure = own * self.pressures.note(now, &call.service, usual, &self.peers);
         let standing = Standing {
             part_of_share,
-            leeway: noted.leeway(),
+            leeway: self.pressures.leeway(&call.service),
             least_tokens: candidates.iter().map(|c| c.tokens).min().unwrap_or_default(),
             pressure,
         };
@@ -411,9 +378,9 @@
             let reason = best.objection(call, standing);
             let reason = reason.unwrap_or(DeclineReason::Overloaded);
             if reason == DeclineReason::OverShare {
-                noted.note_refusal(now);
+                self.pressures.note_refusal(now, &call.service);
             }
-            let decline = self.decline(call, reason, expected);
+            let decline = self.refusals.decline(call, reason, expected);
             return Err(Decline { part_of_share, pressure, ..decline });
         };
         let (expected, tokens, ahead) = (chosen.expected, chosen.tokens, chosen.ahead);
@@ -421,7 +388,7 @@
 
         let capacity = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.cache_tokens);
         let Some(upstream) = self.record.upstreams_mut().get_mut(id.as_str()) else {
-            return Err(self.decline(call, DeclineReason::NoUpstream, None));
+            return Err(self.refusals.decline(call, DeclineReason::NoUpstream, None));
         };
         upstream.load.sent(now, tokens);
         upstream.pace.take(now);
@@ -453,21 +420,4 @@
             expected,
         })
     }
-
-    fn decline(
-        &mut self,
-        call: &CallInfo,
-        reason: DeclineReason,
-        expected: Option<Duration>,
-    ) -> Decline {
-        // Refused clients are spread by the golden ratio, so that they do not return together.
-        const GOLDEN: f64 = 0.618_033_988_749_895;
-        self.refusals += 1;
-        let spread = 0.5 + (self.refusals as f64 * GOLDEN).fract();
-
-        let (least, most) = Self::RETRY_AFTER;
-        let excess = expected.unwrap_or(call.target).max(least * 2);
-        let retry_after = excess.mul_f64(spread).clamp(least, most).min(call.remaining / 3);
-        Decline { reason, retry_after, expected, part_of_share: 0.0, pressure: 0.0 }
-    }
 }
--- a/sapphirespur_standin/src/processes/fleet.rs
+++ b/sapphirespur_standin/src/processes/fleet.rs
@@ -4,56 +4,19 @@
 use std::fs::{self, File};
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{Command, Output, Stdio};
+use std::time::Instant;
 
 use serde_json::{Value, json};
 
+use crate::processes::addresses::Addresses;
 use crate::processes::layout::{Layout, data_centre_of};
+use crate::processes::process::{LISTEN_TIMEOUT, POLL_INTERVAL, Process, Signal};
 use crate::processes::{ProcessError, settings};
 
-/// Time within which a process must listen.
-const LISTEN_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Pause between two looks at a log.
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// What a process says whose port another one holds.
-const PORT_TAKEN: &str = "Address already in use";
-
 /// Address at which the system chooses the port.
 const ANY_PORT: &str = "127.0.0.1:0";
 
-/// Addresses of a router or sidecar.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Addresses {
-    /// Callers' requests or routers' attempts.
-    pub traffic: String,
-    /// Control links.
-    pub control: String,
-    /// Operators' requests.
-    pub admin: String,
-}
-
-/// Signal to a process.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Signal {
-    /// Ends it at once.
-    Kill,
-    /// Asks it to shut down.
-    Terminate,
-    /// Pauses it.
-    Stop,
-    /// Lets it go on.
-    Continue,
-}
-
-/// Process with its log.
-struct Process {
-    child: Child,
-    log: PathBuf,
-}
-
 /// Processes of a fleet; they end when the value is dropped.
 pub struct ProcessFleet {
     /// Sizes.
@@ -223,22 +186,7 @@
     ///
     /// Returns an error when there is no such process.
     pub fn signal(&mut self, name: &str, signal: Signal) -> Result<(), ProcessError> {
-        let process = self
-            .processes
-            .get_mut(name)
-            .ok_or_else(|| ProcessError::NotListening(name.to_owned()))?;
-        let flag = match signal {
-            Signal::Kill => "-KILL",
-            Signal::Terminate => "-TERM",
-            Signal::Stop => "-STOP",
-            Signal::Continue => "-CONT",
-        };
-
-        Command::new("kill").arg(flag).arg(process.child.id().to_string()).status()?;
-        if signal == Signal::Kill {
-            process.child.wait()?;
-        }
-        Ok(())
+        self.process(name)?.signal(signal)
     }
 
     /// Waits until a process has ended and returns its exit code.
@@ -247,12 +195,12 @@
     ///
     /// Returns an error when there is no such process.
     pub fn wait(&mut self, name: &str) -> Result<Option<i32>, ProcessError> {
-        let process = self
-            .processes
-            .get_mut(name)
-            .ok_or_else(|| ProcessError::NotListening(name.to_owned()))?;
+        self.process(name)?.wait()
+    }
 
-        Ok(process.child.wait()?.code())
+    fn process(&mut self, name: &str) -> Result<&mut Process, ProcessError> {
+        let process = self.processes.get_mut(name);
+        process.ok_or_else(|| ProcessError::NotListening(name.to_owned()))
     }
 
     /// Starts a router or sidecar, at its former addresses when it has run before.
@@ -320,23 +268,16 @@
         let args = [args, &["--listen", ANY_PORT]].concat();
         self.spawn(name, "sapphirespur-standin", &args)?;
 
-        let line = self.wait_for_line(name, "listening ")?;
+        let line = self.process(name)?.wait_for_line("listening ")?;
         let address = line.trim_start_matches("listening ").trim().to_owned();
         self.standins.insert(name.to_owned(), address);
         Ok(())
     }
 
     fn spawn(&mut self, name: &str, program: &str, args: &[&str]) -> Result<(), ProcessError> {
-        let log = self.dir.join(format!("{name}.log"));
-        let f = File::create(&log)?;
-        let child = Command::new(self.bin.join(program))
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(f.try_clone()?)
-            .stderr(f)
-            .spawn()?;
-
-        self.processes.insert(name.to_owned(), Process { child, log });
+        let program = self.bin.join(program);
+        let process = Process::spawn(name, &program, args, &self.dir)?;
+        self.processes.insert(name.to_owned(), process);
         Ok(())
     }
 
@@ -352,7 +293,7 @@
         let end = Instant::now() + LISTEN_TIMEOUT;
         loop {
             self.spawn(name, program, args)?;
-            match self.wait_for_line(name, "\"listening\"") {
+            match self.process(name)?.wait_for_line("\"listening\"") {
                 Err(ProcessError::PortTaken(_)) if Instant::now() < end => {
                     std::thread::sleep(POLL_INTERVAL);
                 }
@@ -361,25 +302,6 @@
         }
     }
 
-    fn wait_for_line(&self, name: &str, mark: &str) -> Result<String, ProcessError> {
-        let log = &self.processes[name].log;
-        let end = Instant::now() + LISTEN_TIMEOUT;
-        while Instant::now() < end {
-            let text = fs::read_to_string(log)?;
-            // A line without its end may not be whole yet.
-            let whole = text.rsplit_once('\n').map_or("", |(whole, _)| whole);
-            if let Some(line) = whole.lines().find(|line| line.contains(mark)) {
-                return Ok(line.to_owned());
-            }
-            if whole.contains(PORT_TAKEN) {
-                return Err(ProcessError::PortTaken(name.to_owned()));
-            }
-            std::thread::sleep(POLL_INTERVAL);
-        }
-
-        Err(ProcessError::NotListening(name.to_owned()))
-    }
-
     /// Puts the routers and sidecars on the VM list.
     fn publish_vms(&self) -> Result<(), ProcessError> {
         let vm = |name: &String, role: &str| {
@@ -428,16 +350,6 @@
     }
 }
 
-impl Drop for ProcessFleet {
-    fn drop(&mut self) {
-        for process in self.processes.values_mut() {
-            // A process that has ended already needs no end.
-            let _ = process.child.kill();
-            let _ = process.child.wait();
-        }
-    }
-}
-
 fn upstream_of(sidecar: &str) -> String {
     format!("{sidecar}-upstream")
 }
--- a/sapphirespur_standin/src/processes/settings.rs
+++ b/sapphirespur_standin/src/processes/settings.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::processes::fleet::Addresses;
+use crate::processes::addresses::Addresses;
 use crate::processes::layout::{Layout, data_centre_of};
 
 /// Returns the section that tells where the platform is.
