Fetch kept prompt parts from the upstream that keeps them

The configuration names the memory of a token and the bandwidth between engines: 5,000 tokens pass in 1 ms and are read in 104 ms. Change: where another warm, sound upstream keeps more of the prompt and the hand-over takes less time than reading, the request names it; the time, the tokens ahead and the cost of reading again are weighed with that.

--- a/sapphirespur_bench/src/placement/engine.rs
+++ b/sapphirespur_bench/src/placement/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use sapphirespur_core::direct::{PrefixCache, Prompt};
+use sapphirespur_core::direct::{PrefixCache, Prompt, PromptPart};
 
 /// Figures of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +21,10 @@
     pub chunk_tokens: u64,
     /// Tokens in one event.
     pub tokens_per_event: u32,
+    /// Memory of one token, in bytes.
+    pub token_bytes: u64,
+    /// Bandwidth between engines in megabits a second; zero when they hand nothing over.
+    pub link_mbps: f64,
 }
 
 /// Request at an engine.
@@ -87,6 +91,18 @@
         self.waiting.push_back(Work { request, prompt, unread, generated: 0, output });
     }
 
+    /// Returns the first parts of a prompt that are kept.
+    pub fn kept_parts(&self, prompt: &Prompt) -> Vec<PromptPart> {
+        let kept = |part: &&PromptPart| self.cache.has(**part);
+
+        prompt.parts.iter().take_while(kept).copied().collect()
+    }
+
+    /// Takes over parts from another engine.
+    pub fn take_over(&mut self, parts: &[PromptPart]) {
+        self.cache.read(parts, self.model.memory_tokens);
+    }
+
     /// Drops a request whose caller has left.
     pub fn drop_request(&mut self, request: usize) {
         self.waiting.retain(|work| work.request != request);
--- a/sapphirespur_bench/src/placement/world.rs
+++ b/sapphirespur_bench/src/placement/world.rs
@@ -75,6 +75,8 @@
                 tokens_per_us: 0.0482,
                 chunk_tokens: 2_048,
                 tokens_per_event: 8,
+                token_bytes: 18_432,
+                link_mbps: 740_000.0,
             },
             speeds: vec![1.0, 1.0, 1.3],
             tokens_per_s: 320_000,
@@ -96,6 +98,8 @@
             slots: self.model.slots as u32,
             cache_tokens: self.model.memory_tokens,
             tokens_per_event: self.model.tokens_per_event,
+            token_bytes: self.model.token_bytes,
+            link_mbps: self.model.link_mbps,
         };
         let spec = ServiceSpec {
             connection_limit: 360,
@@ -257,6 +261,12 @@
             return;
         };
 
+        let source = placement.as_ref().and_then(|placement| placement.fetch_from);
+        if let Some(source) = source {
+            // A hand-over takes much less time than a step.
+            let parts = self.engines[usize::from(source.port()) - 1].kept_parts(&request.prompt);
+            self.engines[engine].take_over(&parts);
+        }
         self.in_flight[engine] += 1;
         self.flights[index] = Some(Flight {
             engine,
--- a/sapphirespur_core/src/direct/admission.rs
+++ b/sapphirespur_core/src/direct/admission.rs
@@ -15,6 +15,8 @@
     pub address: SocketAddr,
     /// Name of the upstream's start, which it checks.
     pub instance: Name,
+    /// Upstream from which this one takes over kept parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// Expected time to the first event or answer.
     pub expected: Duration,
 }
--- a/sapphirespur_core/src/direct/candidate.rs
+++ b/sapphirespur_core/src/direct/candidate.rs
@@ -1,7 +1,9 @@
 //! Upstream with what it would cost to place a request there.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::direct::fetch::Sources;
 use crate::direct::{
     CallInfo, DeclineReason, Peers, Pressure, Prompt, ServiceSpec, Upstream, UpstreamLoad,
 };
@@ -25,6 +27,8 @@
     pub peers: &'a Peers,
     /// Data centre of the router.
     pub data_centre: &'a Name,
+    /// Upstreams that keep parts of the prompt.
+    pub sources: &'a Sources<'a>,
     /// Service.
     pub spec: Option<&'a ServiceSpec>,
     /// Key of the upstream to which the prompt's last shared part belongs.
@@ -86,6 +90,8 @@
     pub is_full: bool,
     /// Cost; the least is the best.
     pub score: f64,
+    /// Upstream from which kept parts are fetched.
+    pub fetch_from: Option<SocketAddr>,
     /// Prompt tokens that the upstream has to read.
     pub tokens: u64,
     /// Prompt tokens that are ahead, these included.
@@ -126,18 +132,21 @@
         let peers = cx.peers.load(cx.now, upstream.key);
         let in_flight = upstream.load.in_flight + peers.in_flight;
         let speed = upstream.load.tokens_per_ms.unwrap_or(cx.usual_speed).max(MIN_SPEED);
-        let tokens = cx.call.prompt.as_ref().map_or(0, |prompt| unread(upstream, prompt));
+        let prompt = cx.call.prompt.as_ref();
+        let kept =
+            prompt.map(|prompt| cx.sources.kept(upstream, prompt, speed)).unwrap_or_default();
+        let tokens = prompt.map_or(0, |prompt| unread(prompt, kept.tokens));
         let ahead = upstream.load.pending_tokens + peers.pending_tokens + tokens;
 
         let own_ms = tokens as f64 / speed;
         let batch_ms = f64::from(in_flight) * Self::BATCH_MS;
         let queue_ms = queue_ms(upstream, in_flight, cx.spec);
-        let expected_ms = ahead as f64 / speed + queue_ms + batch_ms;
+        let expected_ms = ahead as f64 / speed + queue_ms + batch_ms + kept.fetch_ms;
         let event_ms = pace_of(upstream, &peers);
         let score = expected_ms
             + cx.events * event_ms * Self::FINISH_WEIGHT
             + f64::from(in_flight) * own_ms * Self::DELAY_WEIGHT
-            + Self::affinity_ms(cx, upstream, speed, in_flight)
+            + Self::affinity_ms(cx, upstream, kept.tokens, speed, in_flight)
             + Self::avoidance_ms(cx, upstream);
 
         Self {
@@ -147,6 +156,7 @@
             slowness: if cx.needed_event_ms > 0.0 { event_ms / cx.needed_event_ms } else { 0.0 },
             is_full: cx.spec.is_some_and(|spec| in_flight >= spec.connection_limit),
             score,
+            fetch_from: kept.from,
             tokens,
             ahead,
         }
@@ -189,12 +199,18 @@
 
     /// Returns the cost of reading parts again that others keep, less what reading them at their
     /// home saves later; for plain calls, the cost of places taken.
-    fn affinity_ms(cx: &Weighing<'_>, upstream: &Upstream, speed: f64, in_flight: u32) -> f64 {
+    fn affinity_ms(
+        cx: &Weighing<'_>,
+        upstream: &Upstream,
+        kept: u64,
+        speed: f64,
+        in_flight: u32,
+    ) -> f64 {
         let Some(prompt) = &cx.call.prompt else {
             return f64::from(in_flight) / f64::from(upstream.entry.slots.max(1)) * target_ms(cx);
         };
 
-        let again = shared_unread(upstream, prompt) as f64 * Self::READ_AGAIN_WEIGHT;
+        let again = shared_unread(prompt, kept) as f64 * Self::READ_AGAIN_WEIGHT;
         let saved = match prompt.shared().last() {
             Some(part) if cx.home == Some(upstream.key) && !upstream.cache.has(*part) => {
                 f64::from(part.tokens) * Self::HOME_PART
@@ -244,14 +260,14 @@
     (own * own_weight + others * other_weight) / (own_weight + other_weight).max(1.0)
 }
 
-/// Returns the tokens of `prompt` that an upstream has to read.
-fn unread(upstream: &Upstream, prompt: &Prompt) -> u64 {
-    u64::from(prompt.input_tokens).saturating_sub(upstream.cache.kept_tokens(prompt))
+/// Returns the tokens of `prompt` that are read when `kept` are not.
+fn unread(prompt: &Prompt, kept: u64) -> u64 {
+    u64::from(prompt.input_tokens).saturating_sub(kept)
 }
 
-/// Returns the shared tokens of `prompt` that an upstream has to read.
-fn shared_unread(upstream: &Upstream, prompt: &Prompt) -> u64 {
+/// Returns the shared tokens of `prompt` that are read when `kept` are not.
+fn shared_unread(prompt: &Prompt, kept: u64) -> u64 {
     let shared: u64 = prompt.shared().iter().map(|part| u64::from(part.tokens)).sum();
 
-    shared.saturating_sub(upstream.cache.kept_tokens(prompt))
+    shared.saturating_sub(kept)
 }
--- a/sapphirespur_core/src/direct/mod.rs
+++ b/sapphirespur_core/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod candidate;
 mod cold_bound;
+mod fetch;
 mod in_flight;
 mod load;
 mod outputs;
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -5,6 +5,7 @@
 use crate::collections::{HashMap, HashSet};
 use crate::direct::candidate::{Candidate, Standing, Weighing};
 use crate::direct::cold_bound::ColdBound;
+use crate::direct::fetch::Sources;
 use crate::direct::{
     Admission, CallInfo, Condition, Decline, DeclineReason, Outputs, PartRead, Payer, PeerReport,
     Peers, Placement, Pressures, PromptPart, Record, Refusals, RepeatBudget, RouterSettings,
@@ -336,11 +337,16 @@
         let routes = self.record.routes(&call.service);
         let usual_target = routes.map_or(call.target, |routes| routes.mean_target);
         let needed_event_ms = self.outputs.needed_event_ms(routes, spec.as_ref());
+        let engine = spec.and_then(|spec| spec.engine);
+        let upstreams = self.record.upstreams();
+        let prompt = call.prompt.as_ref();
+        let sources = Sources::new(now, prompt, &call.service, upstreams, engine);
         let cx = Weighing {
             now,
             call,
             peers: &self.peers,
             data_centre: &self.settings.data_centre,
+            sources: &sources,
             spec: spec.as_ref(),
             home: self.record.home(call),
             events: self.outputs.events(call, spec.as_ref()),
@@ -384,9 +390,10 @@
             return Err(Decline { part_of_share, pressure, ..decline });
         };
         let (expected, tokens, ahead) = (chosen.expected, chosen.tokens, chosen.ahead);
+        let fetch_from = chosen.fetch_from;
         let id = chosen.upstream.entry.id.clone();
 
-        let capacity = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.cache_tokens);
+        let capacity = engine.map_or(0, |engine| engine.cache_tokens);
         let Some(upstream) = self.record.upstreams_mut().get_mut(id.as_str()) else {
             return Err(self.refusals.decline(call, DeclineReason::NoUpstream, None));
         };
@@ -417,6 +424,7 @@
             },
             address: upstream.entry.address,
             instance: id,
+            fetch_from,
             expected,
         })
     }
--- a/sapphirespur_core/src/direct/service.rs
+++ b/sapphirespur_core/src/direct/service.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Model engine of a service.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineSpec {
     /// Requests in one batch.
     pub slots: u32,
@@ -13,6 +13,22 @@
     pub cache_tokens: u64,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Memory of one token, in bytes.
+    pub token_bytes: u64,
+    /// Bandwidth between engines in megabits a second; zero when they hand nothing over.
+    pub link_mbps: f64,
+}
+
+impl EngineSpec {
+    /// Returns the time in which one engine hands the memory of `tokens` to another one, in
+    /// milliseconds, if engines do that.
+    pub fn fetch_ms(&self, tokens: u64) -> Option<f64> {
+        const BITS_PER_BYTE: f64 = 8.0;
+        const BITS_PER_MS: f64 = 1_000.0;
+
+        let bits = (tokens * self.token_bytes) as f64 * BITS_PER_BYTE;
+        (bits > 0.0 && self.link_mbps > 0.0).then(|| bits / (self.link_mbps * BITS_PER_MS))
+    }
 }
 
 /// Service.
--- /dev/null
+++ b/sapphirespur_core/tests/direct/fetch.rs
@@ -0,0 +1,104 @@
+//! Prompt parts that one upstream keeps are handed to another one rather than read again.
+
+use sapphirespur_core::direct::{EngineSpec, Placement, Router, SendOutcome, UpstreamState};
+use sapphirespur_core::name::Name;
+
+use crate::support::{START, answer, call, entry, ms, router, table};
+
+/// Service whose engines hand parts over much faster than they read them.
+const FAST: (u64, f64) = (20_000, 100_000.0);
+
+/// Service whose engines hand parts over more slowly than they read them.
+const SLOW: (u64, f64) = (20_000, 100.0);
+
+/// Returns a router before three upstreams whose engines are linked.
+fn linked(link: (u64, f64)) -> Router {
+    let mut router = router("r", 3);
+    let mut table = table(2, 100_000);
+    let (token_bytes, link_mbps) = link;
+    for spec in table.services.values_mut() {
+        spec.engine = spec.engine.map(|engine| EngineSpec { token_bytes, link_mbps, ..engine });
+    }
+    assert!(router.record_mut().take_table(table));
+    router
+}
+
+/// Lets an upstream read a part, and returns its placement and the one of the next request, which
+/// may not go there.
+fn twice(router: &mut Router, between: impl FnOnce(&mut Router, &Placement)) -> [Placement; 2] {
+    let call = call("w", 7, 5_000, 100);
+    let first = router.admit(START, &call).expect("placed");
+    answer(router, &first, ms(50));
+    between(router, &first);
+    let tried = [first.instance.clone()];
+    let second = router.admit_again(START + ms(1_000), &call, &tried, false).expect("placed");
+    [first, second]
+}
+
+#[test]
+fn a_part_is_fetched_from_where_it_is_kept() {
+    let [first, second] = twice(&mut linked(FAST), |_, _| {});
+    assert_eq!(first.fetch_from, None);
+    assert_eq!(second.fetch_from, Some(first.address));
+    assert_eq!(second.ticket.tokens, 0);
+}
+
+#[test]
+fn a_part_is_read_where_fetching_takes_longer() {
+    let [_, second] = twice(&mut linked(SLOW), |_, _| {});
+    assert_eq!((second.fetch_from, second.ticket.tokens), (None, 5_100));
+}
+
+#[test]
+fn engines_without_a_link_hand_nothing_over() {
+    let [_, second] = twice(&mut linked((0, 0.0)), |_, _| {});
+    assert_eq!((second.fetch_from, second.ticket.tokens), (None, 5_100));
+}
+
+#[test]
+fn nothing_is_fetched_from_an_upstream_that_fails() {
+    let [_, second] = twice(&mut linked(FAST), |router, first| {
+        let others = ["u0", "u1", "u2"].map(Name::new);
+        let others: Vec<_> = others.into_iter().filter(|id| *id != first.instance).collect();
+        for _ in 0..3 {
+            let now = START + ms(100);
+            let placement =
+                router.admit_again(now, &call("w", 7, 5_000, 100), &others, false).expect("placed");
+            router.finish(now, &placement.ticket, SendOutcome::Failed);
+        }
+    });
+    assert_eq!(second.fetch_from, None);
+}
+
+#[test]
+fn nothing_is_fetched_from_an_upstream_that_leaves() {
+    let [_, second] = twice(&mut linked(FAST), |router, first| {
+        let number: u16 = first.instance.as_str()[1..].parse().expect("a number");
+        let mut leaving = entry(first.instance.as_str(), 8_000 + number);
+        leaving.state = UpstreamState::Draining;
+        router.record_mut().take_upstream(START, leaving);
+    });
+    assert_eq!(second.fetch_from, None);
+}
+
+#[test]
+fn nothing_is_fetched_from_an_upstream_that_started_anew() {
+    let [_, second] = twice(&mut linked(FAST), |router, first| {
+        let number: u16 = first.instance.as_str()[1..].parse().expect("a number");
+        let mut anew = entry(first.instance.as_str(), 8_000 + number);
+        anew.started_ms = Some(2);
+        router.record_mut().take_upstream(START, anew);
+    });
+    assert_eq!(second.fetch_from, None);
+}
+
+#[test]
+fn a_fetched_part_is_kept_where_it_went() {
+    let mut router = linked(FAST);
+    let [first, second] = twice(&mut router, |_, _| {});
+    answer(&mut router, &second, ms(50));
+    let tried = [first.instance, Name::new("elsewhere")];
+    let now = START + ms(2_000);
+    let third = router.admit_again(now, &call("w", 7, 5_000, 100), &tried, false).expect("placed");
+    assert_eq!((third.instance, third.fetch_from), (second.instance, None));
+}
--- a/sapphirespur_core/tests/direct/main.rs
+++ b/sapphirespur_core/tests/direct/main.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod cold_return;
+mod fetch;
 mod hot_key;
 mod hot_tenant;
 mod membership;
--- a/sapphirespur_core/tests/direct/support.rs
+++ b/sapphirespur_core/tests/direct/support.rs
@@ -52,7 +52,13 @@
         connection_limit: 360,
         cold_start: Duration::from_secs(3),
         cold_per_s: Some(COLD_PER_S),
-        engine: Some(EngineSpec { slots: 64, cache_tokens: 400_000, tokens_per_event: 8 }),
+        engine: Some(EngineSpec {
+            slots: 64,
+            cache_tokens: 400_000,
+            tokens_per_event: 8,
+            token_bytes: 0,
+            link_mbps: 0.0,
+        }),
     };
     table.services.insert(Name::new("pool"), spec);
     table.add_route("host", route("notes", "/notes/", RouteKind::Stream { resumable: true }));
--- a/sapphirespur_node/src/direct/dialect.rs
+++ b/sapphirespur_node/src/direct/dialect.rs
@@ -1,5 +1,6 @@
 //! Headers and paths by which callers and upstreams of a platform speak.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -41,6 +42,8 @@
 pub struct SendHead<'a> {
     /// Start of the upstream that is meant.
     pub instance: &'a Name,
+    /// Upstream from which this one takes over kept parts of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// Workspace that pays.
     pub workspace: Option<&'a Name>,
     /// Time that is left for the answer.
--- a/sapphirespur_node/src/direct/send.rs
+++ b/sapphirespur_node/src/direct/send.rs
@@ -102,6 +102,7 @@
         *req.headers_mut() = self.parts.headers.clone();
         let head = SendHead {
             instance: &placement.instance,
+            fetch_from: placement.fetch_from,
             workspace: self.info.workspace.as_ref(),
             remaining: self.left(cx.now()),
             last_event_id,
