Count the memory of unshared prompt parts at all routers

The model gave shared parts the whole memory of an upstream: of other routers' requests it knew the shared parts alone, while two thirds of a prompt are the request's own and push them out. And parts were fetched from upstreams that were still reading them. Ruled out: requests that come while a part is being read. Change: reports tell the tokens of unshared parts sent to each upstream since the last report; they take memory in the model like any part. A part can be fetched once its first reader is expected to have read it.

--- a/sapphirespur_bench/src/placement/engine.rs
+++ b/sapphirespur_bench/src/placement/engine.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use sapphirespur_core::direct::{PrefixCache, Prompt, PromptPart};
+use sapphirespur_core::time::Time;
 
 /// Figures of an engine.
 #[derive(Clone, Copy, Debug)]
@@ -100,7 +101,7 @@
 
     /// Takes over parts from another engine.
     pub fn take_over(&mut self, parts: &[PromptPart]) {
-        self.cache.read(parts, self.model.memory_tokens);
+        self.cache.read(Time::default(), parts, self.model.memory_tokens);
     }
 
     /// Drops a request whose caller has left.
@@ -128,7 +129,7 @@
             self.shared_tokens += shared;
             self.shared_read_tokens += shared.saturating_sub(kept);
             work.unread = work.unread.saturating_sub(kept);
-            self.cache.read(&work.prompt.parts, self.model.memory_tokens);
+            self.cache.read(Time::default(), &work.prompt.parts, self.model.memory_tokens);
             self.running.push(work);
         }
     }
--- a/sapphirespur_core/src/direct/fetch.rs
+++ b/sapphirespur_core/src/direct/fetch.rs
@@ -51,7 +51,7 @@
         let sources = upstreams
             .open(now, service)
             .filter(sound)
-            .map(|upstream| (upstream, upstream.cache.kept_tokens(prompt)))
+            .map(|upstream| (upstream, upstream.cache.read_tokens(now, prompt)))
             .filter(|(_, kept)| *kept > 0)
             .collect();
 
--- a/sapphirespur_core/src/direct/load.rs
+++ b/sapphirespur_core/src/direct/load.rs
@@ -25,6 +25,8 @@
     pub event_ms: f64,
     /// Part of the latest requests that failed.
     pub failure_rate: f64,
+    /// Tokens of prompt parts that no other request shares, sent since the last report.
+    pub unshared_tokens: u32,
     /// When a request was sent that the upstream has met with silence since.
     silent_since: Option<Time>,
 }
@@ -49,6 +51,7 @@
             service_ms,
             event_ms: 0.0,
             failure_rate: 0.0,
+            unshared_tokens: 0,
             silent_since: None,
         }
     }
--- a/sapphirespur_core/src/direct/prefix_cache.rs
+++ b/sapphirespur_core/src/direct/prefix_cache.rs
@@ -4,12 +4,14 @@
 
 use crate::collections::HashMap;
 use crate::direct::{Prompt, PromptPart};
+use crate::time::Time;
 
 /// Kept part.
 #[derive(Clone, Copy, Debug)]
 struct Kept {
     tokens: u32,
     used: u64,
+    read_at: Time,
 }
 
 /// Prompt parts that an upstream is expected to keep; the least recently used ones yield.
@@ -47,11 +49,31 @@
             .sum()
     }
 
-    /// Notes that the upstream has read `parts` and may keep `capacity` tokens in all.
-    pub fn read(&mut self, parts: &[PromptPart], capacity: u64) {
+    /// Returns the tokens of the first parts of `prompt` that are kept and were read by `now`.
+    pub fn read_tokens(&self, now: Time, prompt: &Prompt) -> u64 {
+        let is_read =
+            |part: &&PromptPart| self.kept.get(&part.chain).is_some_and(|kept| kept.read_at <= now);
+
+        prompt.parts.iter().take_while(is_read).map(|part| u64::from(part.tokens)).sum()
+    }
+
+    /// Notes that the upstream has read `parts` at `read_at` and may keep `capacity` tokens in all.
+    pub fn read(&mut self, read_at: Time, parts: &[PromptPart], capacity: u64) {
         for part in parts {
-            self.touch(*part);
+            self.touch(read_at, *part);
         }
+        self.yield_to(capacity);
+    }
+
+    /// Notes that the upstream has read `tokens` of parts that nobody else shares.
+    pub fn read_unshared(&mut self, now: Time, tokens: u32, capacity: u64) {
+        // The clock's value names the part; identities of shared ones are hashes.
+        let part = PromptPart { chain: self.clock, tokens };
+        self.touch(now, part);
+        self.yield_to(capacity);
+    }
+
+    fn yield_to(&mut self, capacity: u64) {
         while self.tokens > capacity {
             let Some((_, chain)) = self.by_use.pop_first() else { break };
             if let Some(kept) = self.kept.remove(&chain) {
@@ -60,9 +82,11 @@
         }
     }
 
-    fn touch(&mut self, part: PromptPart) {
+    fn touch(&mut self, read_at: Time, part: PromptPart) {
         self.clock += 1;
-        let kept = Kept { tokens: part.tokens, used: self.clock };
+        let known = self.kept.get(&part.chain);
+        let read_at = known.map_or(read_at, |known| known.read_at.min(read_at));
+        let kept = Kept { tokens: part.tokens, used: self.clock, read_at };
         if let Some(before) = self.kept.insert(part.chain, kept) {
             self.by_use.remove(&before.used);
             self.tokens -= u64::from(before.tokens);
--- a/sapphirespur_core/src/direct/prompt.rs
+++ b/sapphirespur_core/src/direct/prompt.rs
@@ -37,6 +37,13 @@
         Self { parts, input_tokens, max_output_tokens }
     }
 
+    /// Returns the tokens that no other request shares.
+    pub fn unshared_tokens(&self) -> u32 {
+        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
+
+        self.input_tokens.saturating_sub(shared)
+    }
+
     /// Returns the parts that other requests may share.
     pub fn shared(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
--- a/sapphirespur_core/src/direct/record.rs
+++ b/sapphirespur_core/src/direct/record.rs
@@ -6,7 +6,7 @@
 use crate::collections::HashSet;
 use crate::direct::{
     CallInfo, Load, PartRead, PromptPart, RouteTable, ServiceRoutes, ServiceSpec, Snapshot,
-    TableIndex, UpstreamEntry, Upstreams,
+    TableIndex, Upstream, UpstreamEntry, Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -150,15 +150,29 @@
     }
 
     /// Notes a part of a prompt that another router has sent to an upstream.
-    pub fn note_read(&mut self, read: &PartRead) {
-        let Some(upstream) = self.upstreams.iter_mut().find(|u| u.key == read.upstream) else {
-            return;
-        };
+    pub fn note_read(&mut self, now: Time, read: &PartRead) {
+        let part = PromptPart { chain: read.chain, tokens: read.tokens };
+        if let Some((upstream, capacity)) = self.cache_of(read.upstream) {
+            upstream.cache.read(now, &[part], capacity);
+        }
+    }
+
+    /// Notes parts of prompts that no other request shares, which another router has sent to an
+    /// upstream: they take memory from the parts that are kept there.
+    pub fn note_unshared(&mut self, now: Time, upstream: u32, tokens: u32) {
+        if let Some((upstream, capacity)) = self.cache_of(upstream) {
+            upstream.cache.read_unshared(now, tokens, capacity);
+        }
+    }
+
+    /// Returns an upstream by its key, and the tokens that it can keep.
+    fn cache_of(&mut self, key: u32) -> Option<(&mut Upstream, u64)> {
+        let upstream = self.upstreams.iter_mut().find(|upstream| upstream.key == key)?;
         let services = self.table.as_ref().map(|table| &table.services);
         let spec = services.and_then(|services| services.get(&upstream.entry.service));
         let capacity = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.cache_tokens);
-        let part = PromptPart { chain: read.chain, tokens: read.tokens };
-        upstream.cache.read(&[part], capacity);
+
+        Some((upstream, capacity))
     }
 
     /// Returns a service of the configuration.
--- a/sapphirespur_core/src/direct/report.rs
+++ b/sapphirespur_core/src/direct/report.rs
@@ -13,6 +13,8 @@
     pub pending_tokens: u64,
     /// Time between two events of a stream, in milliseconds; zero when not known.
     pub event_ms: u32,
+    /// Tokens of prompt parts that no other request shares, sent since the report before.
+    pub unshared_tokens: u32,
 }
 
 /// Tokens of one workspace at one router, in the last window.
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -98,12 +98,16 @@
     /// Takes the report of another router, and tells whether it was news.
     pub fn take_report(&mut self, now: Time, report: PeerReport) -> bool {
         let reads = report.reads.clone();
+        let loads = report.upstreams.clone();
         if !self.peers.take(now, report) {
             return false;
         }
 
+        for load in loads.iter().filter(|load| load.unshared_tokens > 0) {
+            self.record.note_unshared(now, load.upstream, load.unshared_tokens);
+        }
         for read in reads {
-            self.record.note_read(&read);
+            self.record.note_read(now, &read);
         }
         true
     }
@@ -113,14 +117,15 @@
         self.sequence += 1;
         let upstreams = self
             .record
-            .upstreams()
-            .iter()
-            .filter(|upstream| upstream.load.in_flight > 0)
+            .upstreams_mut()
+            .iter_mut()
+            .filter(|upstream| upstream.load.in_flight > 0 || upstream.load.unshared_tokens > 0)
             .map(|upstream| UpstreamLoad {
                 upstream: upstream.key,
                 in_flight: upstream.load.in_flight,
                 pending_tokens: upstream.load.pending_tokens,
                 event_ms: upstream.load.event_ms as u32,
+                unshared_tokens: std::mem::take(&mut upstream.load.unshared_tokens),
             })
             .collect();
 
@@ -400,7 +405,8 @@
         upstream.load.sent(now, tokens);
         upstream.pace.take(now);
         if let Some(prompt) = &call.prompt {
-            upstream.cache.read(&prompt.parts, capacity);
+            upstream.cache.read(now + expected, &prompt.parts, capacity);
+            upstream.load.unshared_tokens += prompt.unshared_tokens();
             let key = upstream.key;
             let read = |part: &PromptPart| PartRead {
                 upstream: key,
--- a/sapphirespur_core/tests/direct/fetch.rs
+++ b/sapphirespur_core/tests/direct/fetch.rs
@@ -102,3 +102,18 @@
     let third = router.admit_again(now, &call("w", 7, 5_000, 100), &tried, false).expect("placed");
     assert_eq!((third.instance, third.fetch_from), (second.instance, None));
 }
+
+#[test]
+fn a_part_that_is_still_being_read_is_not_fetched() {
+    let mut router = linked(FAST);
+    let call = call("w", 7, 5_000, 100);
+    let first = router.admit(START, &call).expect("placed");
+    let tried = [first.instance.clone()];
+    let early = router.admit_again(START, &call, &tried, false).expect("placed");
+    assert_eq!(early.fetch_from, None);
+    let now = START + first.expected;
+    router.finish(now, &early.ticket, SendOutcome::Abandoned);
+    let tried = [first.instance, early.instance];
+    let late = router.admit_again(now, &call, &tried, false).expect("placed");
+    assert_eq!(late.fetch_from, Some(first.address));
+}
--- a/sapphirespur_core/tests/direct/hot_key.rs
+++ b/sapphirespur_core/tests/direct/hot_key.rs
@@ -69,7 +69,7 @@
     let mut cache = PrefixCache::default();
     let prompt = |id| Prompt::new(&[(id, 40)], 40, 0);
     for id in [1, 2, 1, 3] {
-        cache.read(&prompt(id).parts, 100);
+        cache.read(START, &prompt(id).parts, 100);
     }
     let kept: Vec<u64> = (1..=3).filter(|id| cache.kept_tokens(&prompt(*id)) > 0).collect();
     assert_eq!(kept, [1, 3]);
@@ -79,9 +79,38 @@
 fn a_part_behind_one_that_is_gone_does_not_count() {
     let mut cache = PrefixCache::default();
     let chain = Prompt::new(&[(1, 60), (2, 60)], 120, 0);
-    cache.read(&chain.parts, 60);
+    cache.read(START, &chain.parts, 60);
     assert_eq!(cache.kept_tokens(&chain), 0);
     // The same part behind another one is another part.
-    cache.read(&Prompt::new(&[(9, 10), (2, 50)], 60, 0).parts, 1_000);
+    cache.read(START, &Prompt::new(&[(9, 10), (2, 50)], 60, 0).parts, 1_000);
     assert_eq!(cache.kept_tokens(&chain), 0);
 }
+
+#[test]
+fn parts_that_nobody_shares_take_memory_from_those_that_are_kept() {
+    let mut cache = PrefixCache::default();
+    let prompt = Prompt::new(&[(1, 40)], 40, 0);
+    cache.read(START, &prompt.parts, 100);
+    cache.read_unshared(START, 60, 100);
+    assert_eq!(cache.kept_tokens(&prompt), 40);
+    cache.read_unshared(START, 60, 100);
+    assert_eq!(cache.kept_tokens(&prompt), 0);
+}
+
+#[test]
+fn requests_at_other_routers_take_memory_at_their_upstream() {
+    let mut one = router("r1", 1);
+    let mut two = router("r2", 1);
+    let kept = call("w", 7, 5_000, 100);
+    one.admit(START, &kept).expect("placed");
+    // 400,000 tokens are kept; the other router sends more than that, of which little is shared.
+    for request in 0..30 {
+        let now = START + ms(1_000 * request);
+        let placement = two.admit(now, &call("w", 100 + request, 10, 15_000)).expect("placed");
+        answer(&mut two, &placement, ms(500));
+        assert!(one.take_report(now, two.report(now)));
+    }
+    let now = START + ms(30_000);
+    let placement = one.admit(now, &kept).expect("placed");
+    assert_eq!(placement.ticket.tokens, 5_100);
+}
