Keep sums over other routers' reports instead of adding them up for each candidate

Parts that others had read were noted by a search over all upstreams. Ruled out: the search for sources of kept parts (one pass for each request). Change: sums that change with each report and lose old ones; upstreams by their key. A test with random reports compares them with a count from scratch.

--- /dev/null
+++ b/sapphirespur_core/src/direct/fleet_sums.rs
@@ -0,0 +1,115 @@
+//! Sums over the reports of other routers, kept up to date report by report.
+
+use crate::collections::HashMap;
+use crate::direct::{PeerReport, UpstreamLoad, WorkspaceUse};
+
+/// Work of several routers at one upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct UpstreamSum {
+    reports: u32,
+    in_flight: u32,
+    pending_tokens: u64,
+    /// Requests whose time between events is known, and these times in all.
+    paced: u32,
+    weighted_ms: u64,
+}
+
+/// Use of one workspace at several routers.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkspaceSum {
+    reports: u32,
+    asked: u64,
+    admitted: u64,
+}
+
+/// Sums over reports.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FleetSums {
+    upstreams: HashMap<u32, UpstreamSum>,
+    workspaces: HashMap<u32, WorkspaceSum>,
+}
+
+impl FleetSums {
+    /// Returns the sums over some reports.
+    pub fn of<'a>(reports: impl Iterator<Item = &'a PeerReport>) -> Self {
+        let mut sums = Self::default();
+        for report in reports {
+            sums.add(report);
+        }
+        sums
+    }
+
+    /// Adds a report.
+    pub fn add(&mut self, report: &PeerReport) {
+        for load in &report.upstreams {
+            let sum = self.upstreams.entry(load.upstream).or_default();
+            sum.reports += 1;
+            sum.in_flight += load.in_flight;
+            sum.pending_tokens += load.pending_tokens;
+            sum.paced += paced(load);
+            sum.weighted_ms += weighted_ms(load);
+        }
+        for used in &report.workspaces {
+            let sum = self.workspaces.entry(used.workspace).or_default();
+            sum.reports += 1;
+            sum.asked += used.asked;
+            sum.admitted += used.admitted;
+        }
+    }
+
+    /// Takes a report out that was added before.
+    pub fn remove(&mut self, report: &PeerReport) {
+        for load in &report.upstreams {
+            let Some(sum) = self.upstreams.get_mut(&load.upstream) else { continue };
+            sum.reports -= 1;
+            sum.in_flight -= load.in_flight;
+            sum.pending_tokens -= load.pending_tokens;
+            sum.paced -= paced(load);
+            sum.weighted_ms -= weighted_ms(load);
+            if sum.reports == 0 {
+                self.upstreams.remove(&load.upstream);
+            }
+        }
+        for used in &report.workspaces {
+            let Some(sum) = self.workspaces.get_mut(&used.workspace) else { continue };
+            sum.reports -= 1;
+            sum.asked -= used.asked;
+            sum.admitted -= used.admitted;
+            if sum.reports == 0 {
+                self.workspaces.remove(&used.workspace);
+            }
+        }
+    }
+
+    /// Returns the work at an upstream.
+    pub fn load(&self, upstream: u32) -> UpstreamLoad {
+        let sum = self.upstreams.get(&upstream).copied().unwrap_or_default();
+        let event_ms = sum.weighted_ms.checked_div(u64::from(sum.paced)).unwrap_or(0);
+
+        UpstreamLoad {
+            upstream,
+            in_flight: sum.in_flight,
+            pending_tokens: sum.pending_tokens,
+            event_ms: event_ms as u32,
+            unshared_tokens: 0,
+        }
+    }
+
+    /// Returns the use by workspaces.
+    pub fn uses(&self) -> impl Iterator<Item = WorkspaceUse> {
+        self.workspaces.iter().map(|(workspace, sum)| WorkspaceUse {
+            workspace: *workspace,
+            asked: sum.asked,
+            admitted: sum.admitted,
+        })
+    }
+}
+
+/// Returns the requests whose time between events is known.
+fn paced(load: &UpstreamLoad) -> u32 {
+    if load.event_ms > 0 { load.in_flight } else { 0 }
+}
+
+fn weighted_ms(load: &UpstreamLoad) -> u64 {
+    u64::from(load.in_flight) * u64::from(load.event_ms)
+}
--- a/sapphirespur_core/src/direct/mod.rs
+++ b/sapphirespur_core/src/direct/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod cold_bound;
 mod fetch;
+mod fleet_sums;
 mod in_flight;
 mod load;
 mod outputs;
--- a/sapphirespur_core/src/direct/peers.rs
+++ b/sapphirespur_core/src/direct/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::direct::fleet_sums::FleetSums;
 use crate::direct::{PeerReport, UpstreamLoad, WorkspaceUse};
 use crate::hash::stable_hash;
 use crate::time::Time;
@@ -12,12 +13,17 @@
 struct Peer {
     report: PeerReport,
     heard: Time,
+    /// Whether the report is in the sums.
+    is_counted: bool,
 }
 
 /// Other routers.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     by_router: HashMap<u64, Peer>,
+    sums: FleetSums,
+    /// When the first report that is in the sums is too old for them.
+    expires: Option<Time>,
 }
 
 impl Peers {
@@ -38,10 +44,40 @@
             }
         }
 
-        self.by_router.insert(report.router, Peer { report, heard: now });
+        self.sums.add(&report);
+        let expires = now + Self::REPORT_LIFE;
+        self.expires = Some(self.expires.map_or(expires, |first| first.min(expires)));
+        let peer = Peer { report, heard: now, is_counted: true };
+        if let Some(before) = self.by_router.insert(peer.report.router, peer)
+            && before.is_counted
+        {
+            self.sums.remove(&before.report);
+        }
         true
     }
 
+    /// Takes reports out of the sums that have become too old.
+    pub fn expire(&mut self, now: Time) {
+        if self.is_current(now) {
+            return;
+        }
+
+        self.expires = None;
+        for peer in self.by_router.values_mut().filter(|peer| peer.is_counted) {
+            let expires = peer.heard + Self::REPORT_LIFE;
+            if expires <= now {
+                peer.is_counted = false;
+                self.sums.remove(&peer.report);
+            } else {
+                self.expires = Some(self.expires.map_or(expires, |first| first.min(expires)));
+            }
+        }
+    }
+
+    fn is_current(&self, now: Time) -> bool {
+        self.expires.is_none_or(|expires| now < expires)
+    }
+
     /// Returns the number of routers that were heard of lately, this one not counted.
     pub fn count(&self, now: Time) -> usize {
         let is_member = |peer: &&Peer| now.since(peer.heard) < Self::MEMBER_LIFE;
@@ -67,25 +103,17 @@
 
     /// Returns the work of all other routers at an upstream.
     pub fn load(&self, now: Time, upstream: u32) -> UpstreamLoad {
-        let mut sum = UpstreamLoad { upstream, ..UpstreamLoad::default() };
-        let (mut paced, mut weighted) = (0, 0);
-        for load in self.fresh(now).flat_map(|report| &report.upstreams) {
-            if load.upstream == upstream {
-                sum.in_flight += load.in_flight;
-                sum.pending_tokens += load.pending_tokens;
-                if load.event_ms > 0 {
-                    paced += load.in_flight;
-                    weighted += load.in_flight * load.event_ms;
-                }
-            }
+        if self.is_current(now) {
+            return self.sums.load(upstream);
         }
-        sum.event_ms = weighted.checked_div(paced).unwrap_or(0);
-        sum
+
+        FleetSums::of(self.fresh(now)).load(upstream)
     }
 
-    /// Returns what other routers tell of workspaces.
-    pub fn uses(&self, now: Time) -> impl Iterator<Item = WorkspaceUse> {
-        self.fresh(now).flat_map(|report| report.workspaces.iter().copied())
+    /// Returns what other routers tell of workspaces, as of the last time that old reports were
+    /// taken out.
+    pub fn uses(&self) -> impl Iterator<Item = WorkspaceUse> {
+        self.sums.uses()
     }
 
     /// Returns the pressure that other routers see on the upstreams of a service.
@@ -107,7 +135,10 @@
 
     /// Forgets all work that was reported, after a time in which this process did not run.
     pub fn forget_reports(&mut self) {
+        self.sums = FleetSums::default();
+        self.expires = None;
         for peer in self.by_router.values_mut() {
+            peer.is_counted = false;
             peer.report.upstreams.clear();
             peer.report.workspaces.clear();
             peer.report.pressures.clear();
--- a/sapphirespur_core/src/direct/record.rs
+++ b/sapphirespur_core/src/direct/record.rs
@@ -167,7 +167,7 @@
 
     /// Returns an upstream by its key, and the tokens that it can keep.
     fn cache_of(&mut self, key: u32) -> Option<(&mut Upstream, u64)> {
-        let upstream = self.upstreams.iter_mut().find(|upstream| upstream.key == key)?;
+        let upstream = self.upstreams.by_key_mut(key)?;
         let services = self.table.as_ref().map(|table| &table.services);
         let spec = services.and_then(|services| services.get(&upstream.entry.service));
         let capacity = spec.and_then(|spec| spec.engine).map_or(0, |engine| engine.cache_tokens);
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -158,9 +158,10 @@
         let limits = self.settings.repeats;
         self.budgets.entry(call.service.clone()).or_default().request(now, limits);
 
+        self.peers.expire(now);
         let charge = self.charge_of(call);
         let part = charge.map_or(0.0, |(payer, tokens, capacity)| {
-            self.shares.part_of_share(now, payer, tokens, capacity, self.peers.uses(now))
+            self.shares.part_of_share(now, payer, tokens, capacity, self.peers.uses())
         });
         let decision = self.choose(now, call, &[], part);
         if let Some((payer, tokens, _)) = charge {
@@ -179,6 +180,7 @@
         tried: &[Name],
         has_arrived: bool,
     ) -> Admission {
+        self.peers.expire(now);
         let limits = self.settings.repeats;
         let routers = self.parts(now);
         let budget = self.budgets.entry(call.service.clone()).or_default();
--- a/sapphirespur_core/src/direct/upstreams.rs
+++ b/sapphirespur_core/src/direct/upstreams.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
     by_id: HashMap<Name, Upstream>,
+    /// Names by their keys in reports.
+    names: HashMap<u32, Name>,
     out: HashSet<Name>,
 }
 
@@ -36,6 +38,7 @@
         }
 
         self.by_id.retain(|_, other| other.entry.address != entry.address);
+        self.names.insert(Upstream::key_of(&entry.id), entry.id.clone());
         self.by_id.insert(entry.id.clone(), Upstream::new(entry, load, cold_until));
         true
     }
@@ -61,6 +64,7 @@
         self.by_id.retain(|_, upstream| {
             upstream.load.in_flight > 0 || upstream.gone_at.is_none_or(|at| at > now)
         });
+        self.names.retain(|_, id| self.by_id.contains_key(id));
     }
 
     /// Takes a data centre out.
@@ -96,6 +100,11 @@
         self.by_id.get_mut(id)
     }
 
+    /// Returns the upstream with a key of reports, to change it.
+    pub fn by_key_mut(&mut self, key: u32) -> Option<&mut Upstream> {
+        self.by_id.get_mut(self.names.get(&key)?)
+    }
+
     /// Returns all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
         self.by_id.values()
--- a/sapphirespur_core/tests/direct/main.rs
+++ b/sapphirespur_core/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod cold_return;
 mod fetch;
+mod fleet_sums;
 mod hot_key;
 mod hot_tenant;
 mod membership;
