Tell reads by upstream, and take the router's decision in shorter steps

Change: parts read are grouped by upstream; weighing all upstreams, taking the place, ending a request and reporting an upstream are functions of the types that they concern.

--- a/sapphirespur_core/src/direct/candidate.rs
+++ b/sapphirespur_core/src/direct/candidate.rs
@@ -42,6 +42,20 @@
     pub usual_speed: f64,
 }
 
+impl Weighing<'_> {
+    /// Weighs upstreams, the best first.
+    pub fn candidates<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a Upstream>,
+    ) -> Vec<Candidate<'a>> {
+        let mut candidates: Vec<_> =
+            upstreams.map(|upstream| Candidate::weigh(self, upstream)).collect();
+        candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
+
+        candidates
+    }
+}
+
 /// Where the workspace of a request stands.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Standing {
@@ -98,6 +112,33 @@
     pub ahead: u64,
 }
 
+/// Candidate that was chosen.
+#[derive(Clone, Debug)]
+pub(super) struct Chosen {
+    /// Name of the upstream.
+    pub id: Name,
+    /// Upstream from which kept parts are fetched.
+    pub fetch_from: Option<SocketAddr>,
+    /// Time to the first event.
+    pub expected: Duration,
+    /// Prompt tokens that the upstream has to read.
+    pub tokens: u64,
+    /// Prompt tokens that are ahead, these included.
+    pub ahead: u64,
+}
+
+impl From<&Candidate<'_>> for Chosen {
+    fn from(candidate: &Candidate<'_>) -> Self {
+        Self {
+            id: candidate.upstream.entry.id.clone(),
+            fetch_from: candidate.fetch_from,
+            expected: candidate.expected,
+            tokens: candidate.tokens,
+            ahead: candidate.ahead,
+        }
+    }
+}
+
 impl<'a> Candidate<'a> {
     /// Weight of failures and silence in the score, in times the target.
     const FAILURE_WEIGHT: f64 = 4.0;
--- a/sapphirespur_core/src/direct/mod.rs
+++ b/sapphirespur_core/src/direct/mod.rs
@@ -48,7 +48,7 @@
 pub use record::Record;
 pub use refusals::Refusals;
 pub use repeat_budget::{RepeatBudget, RepeatLimits};
-pub use report::{PartRead, PeerReport, ServicePressure, UpstreamLoad, WorkspaceUse};
+pub use report::{PartsRead, PeerReport, ServicePressure, UpstreamLoad, WorkspaceUse};
 pub use route::{Route, RouteKind, Split};
 pub use route_table::{ClientLimits, RouteMiss, RouteTable, WorkspaceKeys};
 pub use router::Router;
--- a/sapphirespur_core/src/direct/prompt.rs
+++ b/sapphirespur_core/src/direct/prompt.rs
@@ -1,9 +1,11 @@
 //! Prompt of a call as a chain of parts.
 
+use serde::{Deserialize, Serialize};
+
 use crate::hash::stable_hash;
 
 /// Part of a prompt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PromptPart {
     /// Identity of the part together with all parts before it.
     pub chain: u64,
--- a/sapphirespur_core/src/direct/record.rs
+++ b/sapphirespur_core/src/direct/record.rs
@@ -5,8 +5,8 @@
 
 use crate::collections::HashSet;
 use crate::direct::{
-    CallInfo, Load, PartRead, PromptPart, RouteTable, ServiceRoutes, ServiceSpec, Snapshot,
-    TableIndex, Upstream, UpstreamEntry, Upstreams,
+    CallInfo, Load, PartsRead, RouteTable, ServiceRoutes, ServiceSpec, Snapshot, TableIndex,
+    Upstream, UpstreamEntry, Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -149,11 +149,10 @@
         true
     }
 
-    /// Notes a part of a prompt that another router has sent to an upstream.
-    pub fn note_read(&mut self, now: Time, read: &PartRead) {
-        let part = PromptPart { chain: read.chain, tokens: read.tokens };
+    /// Notes parts of prompts that another router has sent to an upstream.
+    pub fn note_read(&mut self, now: Time, read: &PartsRead) {
         if let Some((upstream, capacity)) = self.cache_of(read.upstream) {
-            upstream.cache.read(now, &[part], capacity);
+            upstream.cache.read(now, &read.parts, capacity);
         }
     }
 
--- a/sapphirespur_core/src/direct/report.rs
+++ b/sapphirespur_core/src/direct/report.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::direct::PromptPart;
+
 /// Work of one router at one upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamLoad {
@@ -39,15 +41,13 @@
     pub leeway_percent: u16,
 }
 
-/// Shared part of a prompt that one router has sent to an upstream.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartRead {
+/// Shared parts of prompts that one router has sent to an upstream.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartsRead {
     /// Hash of the upstream's name.
     pub upstream: u32,
-    /// Identity of the part together with all parts before it.
-    pub chain: u64,
-    /// Tokens of the part alone.
-    pub tokens: u32,
+    /// Parts.
+    pub parts: Vec<PromptPart>,
 }
 
 /// Report of one router; each one replaces the report before.
@@ -68,5 +68,5 @@
     /// Pressure by service, where decisions were made lately.
     pub pressures: Vec<ServicePressure>,
     /// Parts of prompts that were sent since the report before; lost with a lost report.
-    pub reads: Vec<PartRead>,
+    pub reads: Vec<PartsRead>,
 }
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, HashSet};
-use crate::direct::candidate::{Candidate, Standing, Weighing};
+use crate::direct::candidate::{Candidate, Chosen, Standing, Weighing};
 use crate::direct::cold_bound::ColdBound;
 use crate::direct::fetch::Sources;
 use crate::direct::{
-    Admission, CallInfo, Condition, Decline, DeclineReason, Outputs, PartRead, Payer, PeerReport,
+    Admission, CallInfo, Condition, Decline, DeclineReason, Outputs, PartsRead, Payer, PeerReport,
     Peers, Placement, Pressures, PromptPart, Record, Refusals, RepeatBudget, RouterSettings,
-    SendOutcome, ServiceSpec, Shares, Ticket, Upstream, UpstreamLoad,
+    SendOutcome, ServiceSpec, Shares, Ticket, Upstream,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -25,7 +25,7 @@
     budgets: HashMap<Name, RepeatBudget>,
     pressures: Pressures,
     outputs: Outputs,
-    reads: Vec<PartRead>,
+    reads: HashMap<u32, Vec<PromptPart>>,
     sequence: u64,
     refusals: Refusals,
     last_tick: Time,
@@ -33,10 +33,6 @@
 }
 
 impl Router {
-    /// Time for which an upstream with failed connections is treated as cold: until its entry must
-    /// tell of a restart.
-    const SUSPICION: Duration = Duration::from_secs(5);
-
     /// Time after the start in which other routers make themselves known, and in which requests of
     /// an earlier process of this VM leave the window of the bound on cold upstreams.
     const SETTLE: Duration = Duration::from_millis(1_200);
@@ -56,7 +52,7 @@
             budgets: HashMap::default(),
             pressures: Pressures::default(),
             outputs: Outputs::default(),
-            reads: Vec::new(),
+            reads: HashMap::default(),
             sequence: 0,
             refusals: Refusals::default(),
             last_tick: Time::default(),
@@ -115,19 +111,10 @@
     /// Returns the report for the other routers.
     pub fn report(&mut self, now: Time) -> PeerReport {
         self.sequence += 1;
-        let upstreams = self
-            .record
-            .upstreams_mut()
-            .iter_mut()
-            .filter(|upstream| upstream.load.in_flight > 0 || upstream.load.unshared_tokens > 0)
-            .map(|upstream| UpstreamLoad {
-                upstream: upstream.key,
-                in_flight: upstream.load.in_flight,
-                pending_tokens: upstream.load.pending_tokens,
-                event_ms: upstream.load.event_ms as u32,
-                unshared_tokens: std::mem::take(&mut upstream.load.unshared_tokens),
-            })
-            .collect();
+        let upstreams = self.record.upstreams_mut().iter_mut().filter_map(Upstream::report);
+        let upstreams = upstreams.collect();
+        let reads = self.reads.drain();
+        let reads = reads.map(|(upstream, parts)| PartsRead { upstream, parts }).collect();
 
         PeerReport {
             router: self.key(),
@@ -137,7 +124,7 @@
             upstreams,
             workspaces: self.shares.uses(now),
             pressures: self.pressures.reports(now),
-            reads: std::mem::take(&mut self.reads),
+            reads,
         }
     }
 
@@ -211,7 +198,7 @@
     /// Treats all upstreams as cold for a while, after a time in which the process was paused.
     pub fn distrust(&mut self, now: Time) {
         for upstream in self.record.upstreams_mut().iter_mut() {
-            upstream.suspect_until = now + Self::SUSPICION;
+            upstream.suspect(now);
         }
         self.peers.forget_reports();
     }
@@ -254,23 +241,7 @@
             self.outputs.learn(&ticket.route, tokens);
         }
         let Some(upstream) = self.holder(ticket) else { return };
-
-        let pending = if ticket.first_event.is_some() { 0 } else { ticket.tokens };
-        let begun = ticket.first_event.unwrap_or(ticket.placed);
-        let served = (outcome == SendOutcome::Answered).then(|| now.since(begun));
-        upstream.load.ended(pending, served);
-        match outcome {
-            SendOutcome::Answered => upstream.load.judged(false),
-            SendOutcome::Failed | SendOutcome::Rejected | SendOutcome::Silent => {
-                upstream.load.judged(true);
-            }
-            SendOutcome::Broken => {
-                upstream.load.judged(true);
-                upstream.suspect_until = now + Self::SUSPICION;
-            }
-            SendOutcome::Misdirected => upstream.gone_at = Some(now),
-            SendOutcome::Abandoned => {}
-        }
+        upstream.ended(now, ticket, outcome);
     }
 
     /// Returns the upstream of a ticket, unless it has started anew since.
@@ -332,6 +303,7 @@
         paced_out
     }
 
+    /// Chooses the best upstream to which there is no objection, and takes the place.
     fn choose(
         &mut self,
         now: Time,
@@ -341,13 +313,10 @@
     ) -> Admission {
         let spec = self.record.spec(&call.service).copied();
         let paced_out = self.paced_out(now, &call.service, spec.as_ref());
-        let routes = self.record.routes(&call.service);
-        let usual_target = routes.map_or(call.target, |routes| routes.mean_target);
-        let needed_event_ms = self.outputs.needed_event_ms(routes, spec.as_ref());
         let engine = spec.and_then(|spec| spec.engine);
         let upstreams = self.record.upstreams();
-        let prompt = call.prompt.as_ref();
-        let sources = Sources::new(now, prompt, &call.service, upstreams, engine);
+        let routes = self.record.routes(&call.service);
+        let sources = Sources::new(now, call.prompt.as_ref(), &call.service, upstreams, engine);
         let cx = Weighing {
             now,
             call,
@@ -357,24 +326,20 @@
             spec: spec.as_ref(),
             home: self.record.home(call),
             events: self.outputs.events(call, spec.as_ref()),
-            needed_event_ms,
+            needed_event_ms: self.outputs.needed_event_ms(routes, spec.as_ref()),
             usual_speed: self.record.usual_speed(&call.service),
         };
-        let mut candidates: Vec<Candidate<'_>> = Vec::new();
-        let mut is_any_open = false;
-        for upstream in self.record.upstreams().open(now, &call.service) {
-            is_any_open = true;
-            if !paced_out.contains(&upstream.key) && !tried.contains(&upstream.entry.id) {
-                candidates.push(Candidate::weigh(&cx, upstream));
-            }
-        }
-        candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-
+        let is_free = |upstream: &&Upstream| {
+            !paced_out.contains(&upstream.key) && !tried.contains(&upstream.entry.id)
+        };
+        let candidates = cx.candidates(upstreams.open(now, &call.service).filter(is_free));
         let Some(best) = candidates.first() else {
+            let is_any_open = self.record.upstreams().open(now, &call.service).next().is_some();
             let reason = if is_any_open { DeclineReason::Cold } else { DeclineReason::NoUpstream };
             return Err(self.refusals.decline(call, reason, None));
         };
         let own = Candidate::mean_pressure(call.target, &candidates);
+        let usual_target = routes.map_or(call.target, |routes| routes.mean_target);
         let usual = Candidate::mean_pressure(usual_target, &candidates);
         let pressure = own * self.pressures.note(now, &call.service, usual, &self.peers);
         let standing = Standing {
@@ -396,10 +361,14 @@
             let decline = self.refusals.decline(call, reason, expected);
             return Err(Decline { part_of_share, pressure, ..decline });
         };
-        let (expected, tokens, ahead) = (chosen.expected, chosen.tokens, chosen.ahead);
-        let fetch_from = chosen.fetch_from;
-        let id = chosen.upstream.entry.id.clone();
+        let chosen = Chosen::from(chosen);
+        self.place(now, call, chosen)
+    }
 
+    /// Takes the place that was chosen.
+    fn place(&mut self, now: Time, call: &CallInfo, chosen: Chosen) -> Admission {
+        let Chosen { id, fetch_from, expected, tokens, ahead } = chosen;
+        let engine = self.record.spec(&call.service).and_then(|spec| spec.engine);
         let capacity = engine.map_or(0, |engine| engine.cache_tokens);
         let Some(upstream) = self.record.upstreams_mut().get_mut(id.as_str()) else {
             return Err(self.refusals.decline(call, DeclineReason::NoUpstream, None));
@@ -408,14 +377,12 @@
         upstream.pace.take(now);
         if let Some(prompt) = &call.prompt {
             upstream.cache.read(now + expected, &prompt.parts, capacity);
-            upstream.load.unshared_tokens += prompt.unshared_tokens();
-            let key = upstream.key;
-            let read = |part: &PromptPart| PartRead {
-                upstream: key,
-                chain: part.chain,
-                tokens: part.tokens,
-            };
-            self.reads.extend(prompt.shared().iter().map(read));
+            let unshared = &mut upstream.load.unshared_tokens;
+            *unshared = unshared.saturating_add(prompt.unshared_tokens());
+            let shared = prompt.shared();
+            if !shared.is_empty() {
+                self.reads.entry(upstream.key).or_default().extend_from_slice(shared);
+            }
         }
         Ok(Placement {
             ticket: Ticket {
--- a/sapphirespur_core/src/direct/upstream.rs
+++ b/sapphirespur_core/src/direct/upstream.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::direct::{Load, Pace, PrefixCache, UpstreamEntry, UpstreamState};
+use crate::direct::{
+    Load, Pace, PrefixCache, SendOutcome, Ticket, UpstreamEntry, UpstreamLoad, UpstreamState,
+};
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
@@ -10,6 +12,10 @@
 /// Window of the bound on requests to a cold upstream, with room for requests that arrive late.
 const COLD_WINDOW: Duration = Duration::from_millis(1_150);
 
+/// Time for which an upstream with failed connections is treated as cold: until its entry must
+/// tell of a restart.
+const SUSPICION: Duration = Duration::from_secs(5);
+
 /// Whether an upstream may get work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Condition {
@@ -68,6 +74,47 @@
         }
     }
 
+    /// Treats the upstream as cold for a while.
+    pub fn suspect(&mut self, now: Time) {
+        self.suspect_until = now + SUSPICION;
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&mut self, now: Time, ticket: &Ticket, outcome: SendOutcome) {
+        let pending = if ticket.first_event.is_some() { 0 } else { ticket.tokens };
+        let begun = ticket.first_event.unwrap_or(ticket.placed);
+        let served = (outcome == SendOutcome::Answered).then(|| now.since(begun));
+        self.load.ended(pending, served);
+        match outcome {
+            SendOutcome::Answered => self.load.judged(false),
+            SendOutcome::Failed | SendOutcome::Rejected | SendOutcome::Silent => {
+                self.load.judged(true);
+            }
+            SendOutcome::Broken => {
+                self.load.judged(true);
+                self.suspect(now);
+            }
+            SendOutcome::Misdirected => self.gone_at = Some(now),
+            SendOutcome::Abandoned => {}
+        }
+    }
+
+    /// Returns what other routers are told, if there is anything to tell.
+    pub fn report(&mut self) -> Option<UpstreamLoad> {
+        let load = &mut self.load;
+        if load.in_flight == 0 && load.unshared_tokens == 0 {
+            return None;
+        }
+
+        Some(UpstreamLoad {
+            upstream: self.key,
+            in_flight: load.in_flight,
+            pending_tokens: load.pending_tokens,
+            event_ms: load.event_ms as u32,
+            unshared_tokens: std::mem::take(&mut load.unshared_tokens),
+        })
+    }
+
     /// Returns the key of an upstream in reports.
     pub fn key_of(id: &Name) -> u32 {
         stable_hash(&[id.as_str().as_bytes()]) as u32
