--- a/sapphirespur_core/src/direct/admission.rs
+++ b/sapphirespur_core/src/direct/admission.rs
@@ -62,6 +62,8 @@
     pub part_of_share: f64,
     /// How busy the upstreams are: zero when idle, one when they are just in time.
     pub pressure: f64,
+    /// How many times their share workspaces may have while upstreams are not busy.
+    pub leeway: f64,
 }
 
 /// Decision about a request.
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -359,7 +359,8 @@
                 self.pressures.note_refusal(now, &call.service);
             }
             let decline = self.refusals.decline(call, reason, expected);
-            return Err(Decline { part_of_share, pressure, ..decline });
+            let leeway = standing.leeway;
+            return Err(Decline { part_of_share, pressure, leeway, ..decline });
         };
         let chosen = Chosen::from(chosen);
         self.place(now, call, chosen)
--- a/sapphirespur_node/src/direct/plain.rs
+++ b/sapphirespur_node/src/direct/plain.rs
@@ -161,6 +161,7 @@
             reason = decline.reason.as_str(),
             share_percent = (decline.part_of_share * 100.0) as u64,
             pressure_percent = (decline.pressure * 100.0) as u64,
+            leeway_percent = (decline.leeway * 100.0) as u64,
             version = cx.router.borrow().record().table().map_or(0, |table| table.version),
             expected_ms = decline.expected.map_or(0, |span| span.as_millis() as u64),
             target_ms = call.info.target.as_millis() as u64,
