--- a/sapphirespur_core/src/direct/cold_bound.rs
+++ b/sapphirespur_core/src/direct/cold_bound.rs
@@ -1,6 +1,8 @@
 //! What one router may send to cold upstreams, of what the whole fleet may.
 
-use crate::direct::{Peers, RouterSettings, ServiceSpec};
+use crate::collections::{HashMap, HashSet};
+use crate::direct::{Condition, Peers, RouterSettings, ServiceSpec, Upstream, Upstreams};
+use crate::name::Name;
 use crate::time::Time;
 
 /// What decides a router's part.
@@ -19,8 +21,33 @@
 }
 
 impl ColdBound<'_> {
+    /// Returns the cold upstreams of a service that have what they bear from the router.
+    pub fn paced_out(
+        &self,
+        now: Time,
+        service: &Name,
+        spec: Option<&ServiceSpec>,
+        upstreams: &mut Upstreams,
+    ) -> HashSet<u32> {
+        let cold = |upstream: &&Upstream| upstream.condition(now) == Condition::Cold;
+        let limits: HashMap<u32, usize> = upstreams
+            .open(now, service)
+            .filter(cold)
+            .map(|upstream| (upstream.key, self.limit(now, spec, upstream.key)))
+            .collect();
+
+        let mut paced_out = HashSet::default();
+        for upstream in upstreams.iter_mut() {
+            let Some(limit) = limits.get(&upstream.key) else { continue };
+            if !upstream.pace.has_room(now, *limit) {
+                paced_out.insert(upstream.key);
+            }
+        }
+        paced_out
+    }
+
     /// Returns the requests a second that the router may send to the cold upstream `key`.
-    pub fn limit(&self, now: Time, spec: Option<&ServiceSpec>, key: u32) -> usize {
+    fn limit(&self, now: Time, spec: Option<&ServiceSpec>, key: u32) -> usize {
         let Some(cold_per_s) = spec.and_then(|spec| spec.cold_per_s) else { return usize::MAX };
         if !self.is_settled {
             return 0;
--- a/sapphirespur_core/src/direct/mod.rs
+++ b/sapphirespur_core/src/direct/mod.rs
@@ -42,7 +42,7 @@
 pub use pace::Pace;
 pub use peers::Peers;
 pub use prefix_cache::PrefixCache;
-pub use pressure::Pressure;
+pub use pressure::{Pressure, SeenPressure};
 pub use pressures::Pressures;
 pub use prompt::{Prompt, PromptPart};
 pub use record::Record;
--- a/sapphirespur_core/src/direct/peers.rs
+++ b/sapphirespur_core/src/direct/peers.rs
@@ -4,7 +4,7 @@
 
 use crate::collections::HashMap;
 use crate::direct::fleet_sums::FleetSums;
-use crate::direct::{PeerReport, UpstreamLoad, WorkspaceUse};
+use crate::direct::{PeerReport, SeenPressure, UpstreamLoad, WorkspaceUse};
 use crate::hash::stable_hash;
 use crate::time::Time;
 
@@ -125,11 +125,14 @@
     }
 
     /// Returns pressure and leeway of the routers that refuse workspaces beyond their share.
-    pub fn leeways(&self, now: Time, service: u32) -> Vec<(f64, f64)> {
+    pub fn leeways(&self, now: Time, service: u32) -> Vec<SeenPressure> {
         self.fresh(now)
             .flat_map(|report| &report.pressures)
             .filter(|pressure| pressure.service == service && pressure.leeway_percent > 0)
-            .map(|p| (f64::from(p.per_mille) / 1_000.0, f64::from(p.leeway_percent) / 100.0))
+            .map(|pressure| SeenPressure {
+                mean: f64::from(pressure.per_mille) / 1_000.0,
+                leeway: f64::from(pressure.leeway_percent) / 100.0,
+            })
             .collect()
     }
 
--- a/sapphirespur_core/src/direct/pressure.rs
+++ b/sapphirespur_core/src/direct/pressure.rs
@@ -4,6 +4,15 @@
 
 use crate::time::Time;
 
+/// What one router that refuses workspaces beyond their share sees.
+#[derive(Clone, Copy, Debug)]
+pub struct SeenPressure {
+    /// Mean of the pressure.
+    pub mean: f64,
+    /// How many times their share workspaces may have.
+    pub leeway: f64,
+}
+
 /// Running mean of the pressure at the decisions of one router, and what it leaves to workspaces
 /// beyond their share.
 #[derive(Clone, Copy, Debug)]
@@ -61,11 +70,11 @@
     /// Moves the leeway towards where upstreams are busy as far as they may be with workspaces
     /// beyond their share.
     ///
-    /// `others` are the means and leeways of the routers that refuse such workspaces.
-    pub fn adapt(&mut self, now: Time, elapsed: Duration, others: &[(f64, f64)]) {
+    /// `others` is what the other routers see that refuse such workspaces.
+    pub fn adapt(&mut self, now: Time, elapsed: Duration, others: &[SeenPressure]) {
         let mut seen = others.to_vec();
         if let Some(mean) = self.mean(now).filter(|_| self.is_refusing(now)) {
-            seen.push((mean, self.leeway));
+            seen.push(SeenPressure { mean, leeway: self.leeway });
         }
         let spans = elapsed.as_secs_f64() / Self::LEEWAY_SPAN.as_secs_f64();
         if seen.is_empty() {
@@ -74,8 +83,8 @@
         }
 
         let count = seen.len() as f64;
-        let mean = seen.iter().map(|(mean, _)| mean).sum::<f64>() / count;
-        let leeway = seen.iter().map(|(_, leeway)| leeway).sum::<f64>() / count;
+        let mean = seen.iter().map(|seen| seen.mean).sum::<f64>() / count;
+        let leeway = seen.iter().map(|seen| seen.leeway).sum::<f64>() / count;
         let step = (spans * (Self::SPARE - mean) / Self::SPARE).exp();
         self.leeway = (leeway * step).clamp(1.0, Self::MAX_LEEWAY);
     }
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::direct::candidate::{Candidate, Chosen, Standing, Weighing};
 use crate::direct::cold_bound::ColdBound;
 use crate::direct::fetch::Sources;
 use crate::direct::{
-    Admission, CallInfo, Condition, Decline, DeclineReason, Outputs, PartsRead, Payer, PeerReport,
-    Peers, Placement, Pressures, PromptPart, Record, Refusals, RepeatBudget, RouterSettings,
-    SendOutcome, ServiceSpec, Shares, Ticket, Upstream,
+    Admission, CallInfo, Decline, DeclineReason, Outputs, PartsRead, Payer, PeerReport, Peers,
+    Placement, Pressures, PromptPart, Record, Refusals, RepeatBudget, RouterSettings, SendOutcome,
+    Shares, Ticket, Upstream,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -275,34 +275,6 @@
         self.peers.count(now) + 2
     }
 
-    /// Returns the cold upstreams of a service that have what they bear from this router.
-    fn paced_out(&mut self, now: Time, service: &Name, spec: Option<&ServiceSpec>) -> HashSet<u32> {
-        let bound = ColdBound {
-            settings: &self.settings,
-            peers: &self.peers,
-            own: self.key(),
-            parts: self.parts(now),
-            is_settled: self.settled_at <= now,
-        };
-        let cold = |upstream: &&Upstream| upstream.condition(now) == Condition::Cold;
-        let limits: HashMap<u32, usize> = self
-            .record
-            .upstreams()
-            .open(now, service)
-            .filter(cold)
-            .map(|upstream| (upstream.key, bound.limit(now, spec, upstream.key)))
-            .collect();
-
-        let mut paced_out = HashSet::default();
-        for upstream in self.record.upstreams_mut().iter_mut() {
-            let Some(limit) = limits.get(&upstream.key) else { continue };
-            if !upstream.pace.has_room(now, *limit) {
-                paced_out.insert(upstream.key);
-            }
-        }
-        paced_out
-    }
-
     /// Chooses the best upstream to which there is no objection, and takes the place.
     fn choose(
         &mut self,
@@ -312,7 +284,15 @@
         part_of_share: f64,
     ) -> Admission {
         let spec = self.record.spec(&call.service).copied();
-        let paced_out = self.paced_out(now, &call.service, spec.as_ref());
+        let bound = ColdBound {
+            settings: &self.settings,
+            peers: &self.peers,
+            own: self.key(),
+            parts: self.parts(now),
+            is_settled: self.settled_at <= now,
+        };
+        let upstreams = self.record.upstreams_mut();
+        let paced_out = bound.paced_out(now, &call.service, spec.as_ref(), upstreams);
         let engine = spec.and_then(|spec| spec.engine);
         let upstreams = self.record.upstreams();
         let routes = self.record.routes(&call.service);
--- a/sapphirespur_core/tests/direct/spare_room.rs
+++ b/sapphirespur_core/tests/direct/spare_room.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::direct::Pressure;
+use sapphirespur_core::direct::{Pressure, SeenPressure};
 use sapphirespur_core::time::Time;
 
 use crate::support::{START, ms};
@@ -62,7 +62,10 @@
             router.note(now, pressure);
             router.note_refusal(now);
         }
-        let seen = routers.map(|router| (router.mean(now).expect("noted"), router.leeway()));
+        let seen = routers.map(|router| SeenPressure {
+            mean: router.mean(now).expect("noted"),
+            leeway: router.leeway(),
+        });
         for (index, router) in routers.iter_mut().enumerate() {
             router.adapt(now, STEP, &[seen[1 - index]]);
         }
@@ -75,7 +78,7 @@
 fn a_router_that_refuses_nobody_follows_the_others() {
     let mut quiet = Pressure::default();
     for step in 0..10 {
-        quiet.adapt(START + ms(100 * step), STEP, &[(0.4, 3.0)]);
+        quiet.adapt(START + ms(100 * step), STEP, &[SeenPressure { mean: 0.4, leeway: 3.0 }]);
     }
     assert!((quiet.leeway() - 3.0).abs() < 0.01, "{}", quiet.leeway());
 }
