Mend what a last reading of the whole change found twice or too long

- The tokens of a prompt's shared parts were summed in three places: Prompt::shared_tokens.
- A report was copied before it was known to be news: Peers::take lends the one it keeps.
When reports grow old was worked out in two places.
- What a candidate offers stood in a second type with the same fields: Offer.
- Cold upstreams were found by a pass over all, though they are known by key.
- When an upstream counts as gone was worked out twice: Upstream::lose.
- The model's outcomes were numbered twice.

--- a/sapphirespur_bench/src/placement/engine.rs
+++ b/sapphirespur_bench/src/placement/engine.rs
@@ -125,7 +125,7 @@
         while self.running.len() < self.model.slots {
             let Some(mut work) = self.waiting.pop_front() else { return };
             let kept = self.cache.kept_tokens(&work.prompt);
-            let shared: u64 = work.prompt.shared().iter().map(|part| u64::from(part.tokens)).sum();
+            let shared = u64::from(work.prompt.shared_tokens());
             self.shared_tokens += shared;
             self.shared_read_tokens += shared.saturating_sub(kept);
             work.unread = work.unread.saturating_sub(kept);
--- a/sapphirespur_bench/src/placement/outcome.rs
+++ b/sapphirespur_bench/src/placement/outcome.rs
@@ -15,6 +15,18 @@
     Failed,
 }
 
+impl Outcome {
+    /// Returns the place of the outcome in counts.
+    fn index(self) -> usize {
+        match self {
+            Self::Refused => 0,
+            Self::InTime => 1,
+            Self::Late => 2,
+            Self::Failed => 3,
+        }
+    }
+}
+
 /// Sums over a run.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
@@ -43,13 +55,7 @@
     /// Notes what came of a request of `tokens`.
     pub fn note(&mut self, workspace: usize, tokens: u64, outcome: Outcome) {
         self.asked[workspace] += tokens;
-        let index = match outcome {
-            Outcome::Refused => 0,
-            Outcome::InTime => 1,
-            Outcome::Late => 2,
-            Outcome::Failed => 3,
-        };
-        self.counts[index] += 1;
+        self.counts[outcome.index()] += 1;
         if outcome == Outcome::InTime {
             self.served[workspace] += tokens;
         }
@@ -57,13 +63,7 @@
 
     /// Returns the part of the requests with an outcome.
     pub fn part(&self, outcome: Outcome) -> f64 {
-        let index = match outcome {
-            Outcome::Refused => 0,
-            Outcome::InTime => 1,
-            Outcome::Late => 2,
-            Outcome::Failed => 3,
-        };
-        f64::from(self.counts[index]) / f64::from(self.counts.iter().sum::<u32>().max(1))
+        f64::from(self.counts[outcome.index()]) / f64::from(self.counts.iter().sum::<u32>().max(1))
     }
 
     /// Returns the tokens served in time in a second, in thousands.
--- a/sapphirespur_core/src/direct/candidate.rs
+++ b/sapphirespur_core/src/direct/candidate.rs
@@ -89,14 +89,27 @@
     }
 }
 
+/// What placing a request at an upstream means for it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Offer {
+    /// Time to the first event.
+    pub expected: Duration,
+    /// Upstream from which kept parts are fetched.
+    pub fetch_from: Option<SocketAddr>,
+    /// Prompt tokens that the upstream has to read.
+    pub tokens: u64,
+    /// Prompt tokens that are ahead, these included.
+    pub ahead: u64,
+}
+
 /// Upstream with what it would cost to place a request there.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate<'a> {
     /// Upstream.
     pub upstream: &'a Upstream,
-    /// Time to the first event.
-    pub expected: Duration,
-    /// Part of it that other requests cause.
+    /// What it offers.
+    pub offer: Offer,
+    /// Part of the time to the first event that other requests cause.
     pub wait: Duration,
     /// Time between events against the one that most streams need to end in time.
     pub slowness: f64,
@@ -104,39 +117,6 @@
     pub is_full: bool,
     /// Cost; the least is the best.
     pub score: f64,
-    /// Upstream from which kept parts are fetched.
-    pub fetch_from: Option<SocketAddr>,
-    /// Prompt tokens that the upstream has to read.
-    pub tokens: u64,
-    /// Prompt tokens that are ahead, these included.
-    pub ahead: u64,
-}
-
-/// Candidate that was chosen.
-#[derive(Clone, Debug)]
-pub(super) struct Chosen {
-    /// Name of the upstream.
-    pub id: Name,
-    /// Upstream from which kept parts are fetched.
-    pub fetch_from: Option<SocketAddr>,
-    /// Time to the first event.
-    pub expected: Duration,
-    /// Prompt tokens that the upstream has to read.
-    pub tokens: u64,
-    /// Prompt tokens that are ahead, these included.
-    pub ahead: u64,
-}
-
-impl From<&Candidate<'_>> for Chosen {
-    fn from(candidate: &Candidate<'_>) -> Self {
-        Self {
-            id: candidate.upstream.entry.id.clone(),
-            fetch_from: candidate.fetch_from,
-            expected: candidate.expected,
-            tokens: candidate.tokens,
-            ahead: candidate.ahead,
-        }
-    }
 }
 
 impl<'a> Candidate<'a> {
@@ -192,14 +172,16 @@
 
         Self {
             upstream,
-            expected: from_millis(expected_ms),
+            offer: Offer {
+                expected: from_millis(expected_ms),
+                fetch_from: kept.from,
+                tokens,
+                ahead,
+            },
             wait: from_millis(expected_ms - own_ms - batch_ms),
             slowness: if cx.needed_event_ms > 0.0 { event_ms / cx.needed_event_ms } else { 0.0 },
             is_full: cx.spec.is_some_and(|spec| in_flight >= spec.connection_limit),
             score,
-            fetch_from: kept.from,
-            tokens,
-            ahead,
         }
     }
 
@@ -214,14 +196,15 @@
         }
         call.prompt.as_ref()?;
         if standing.part_of_share > 1.0 {
-            let bound = standing.bound(self.tokens);
+            let bound = standing.bound(self.offer.tokens);
             let is_busy = standing.pressure > bound || self.wait_part(call.target) > bound;
             return (is_busy || self.slowness > 1.0).then_some(DeclineReason::OverShare);
         }
 
         let patience = if call.has_returned { call.remaining / 2 } else { call.target };
-        let is_late = self.expected > patience && self.wait > patience.mul_f64(Self::WAIT_PART);
-        (is_late || self.expected > call.remaining).then_some(DeclineReason::Overloaded)
+        let expected = self.offer.expected;
+        let is_late = expected > patience && self.wait > patience.mul_f64(Self::WAIT_PART);
+        (is_late || expected > call.remaining).then_some(DeclineReason::Overloaded)
     }
 
     /// Returns how busy the upstreams are on the whole: zero when idle, one when they are just in
@@ -308,7 +291,5 @@
 
 /// Returns the shared tokens of `prompt` that are read when `kept` are not.
 fn shared_unread(prompt: &Prompt, kept: u64) -> u64 {
-    let shared: u64 = prompt.shared().iter().map(|part| u64::from(part.tokens)).sum();
-
-    shared.saturating_sub(kept)
+    u64::from(prompt.shared_tokens()).saturating_sub(kept)
 }
--- a/sapphirespur_core/src/direct/cold_bound.rs
+++ b/sapphirespur_core/src/direct/cold_bound.rs
@@ -1,6 +1,6 @@
 //! What one router may send to cold upstreams, of what the whole fleet may.
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashSet;
 use crate::direct::{Condition, Peers, RouterSettings, ServiceSpec, Upstream, Upstreams};
 use crate::name::Name;
 use crate::time::Time;
@@ -30,20 +30,13 @@
         upstreams: &mut Upstreams,
     ) -> HashSet<u32> {
         let cold = |upstream: &&Upstream| upstream.condition(now) == Condition::Cold;
-        let limits: HashMap<u32, usize> = upstreams
-            .open(now, service)
-            .filter(cold)
-            .map(|upstream| (upstream.key, self.limit(now, spec, upstream.key)))
-            .collect();
-
-        let mut paced_out = HashSet::default();
-        for upstream in upstreams.iter_mut() {
-            let Some(limit) = limits.get(&upstream.key) else { continue };
-            if !upstream.pace.has_room(now, *limit) {
-                paced_out.insert(upstream.key);
-            }
-        }
-        paced_out
+        let mut keys: HashSet<u32> =
+            upstreams.open(now, service).filter(cold).map(|upstream| upstream.key).collect();
+        keys.retain(|key| {
+            let limit = self.limit(now, spec, *key);
+            upstreams.by_key_mut(*key).is_some_and(|upstream| !upstream.pace.has_room(now, limit))
+        });
+        keys
     }
 
     /// Returns the requests a second that the router may send to the cold upstream `key`.
--- a/sapphirespur_core/src/direct/peers.rs
+++ b/sapphirespur_core/src/direct/peers.rs
@@ -33,27 +33,27 @@
     /// Age at which a silent router no longer holds a part of what the fleet shares.
     const MEMBER_LIFE: Duration = Duration::from_secs(30);
 
-    /// Takes a report, and tells whether it was news.
-    pub fn take(&mut self, now: Time, report: PeerReport) -> bool {
+    /// Takes a report and returns it, if it was news.
+    pub fn take(&mut self, now: Time, report: PeerReport) -> Option<&PeerReport> {
         if let Some(peer) = self.by_router.get(&report.router) {
             let before = (peer.report.started_ms, peer.report.sequence);
             if (report.started_ms, report.sequence) <= before
                 && now.since(peer.heard) < Self::REPORT_LIFE
             {
-                return false;
+                return None;
             }
         }
 
         self.sums.add(&report);
-        let expires = now + Self::REPORT_LIFE;
-        self.expires = Some(self.expires.map_or(expires, |first| first.min(expires)));
+        self.expires.get_or_insert(now + Self::REPORT_LIFE);
+        let router = report.router;
         let peer = Peer { report, heard: now, is_counted: true };
-        if let Some(before) = self.by_router.insert(peer.report.router, peer)
+        if let Some(before) = self.by_router.insert(router, peer)
             && before.is_counted
         {
             self.sums.remove(&before.report);
         }
-        true
+        self.by_router.get(&router).map(|peer| &peer.report)
     }
 
     /// Takes reports out of the sums that have become too old.
@@ -62,16 +62,14 @@
             return;
         }
 
-        self.expires = None;
-        for peer in self.by_router.values_mut().filter(|peer| peer.is_counted) {
-            let expires = peer.heard + Self::REPORT_LIFE;
-            if expires <= now {
+        let expires = |peer: &Peer| peer.heard + Self::REPORT_LIFE;
+        for peer in self.by_router.values_mut() {
+            if peer.is_counted && expires(peer) <= now {
                 peer.is_counted = false;
                 self.sums.remove(&peer.report);
-            } else {
-                self.expires = Some(self.expires.map_or(expires, |first| first.min(expires)));
             }
         }
+        self.expires = self.by_router.values().filter(|peer| peer.is_counted).map(expires).min();
     }
 
     fn is_current(&self, now: Time) -> bool {
--- a/sapphirespur_core/src/direct/prompt.rs
+++ b/sapphirespur_core/src/direct/prompt.rs
@@ -46,9 +46,12 @@
 
     /// Returns the tokens that no other request shares.
     pub fn unshared_tokens(&self) -> u32 {
-        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
+        self.input_tokens.saturating_sub(self.shared_tokens())
+    }
 
-        self.input_tokens.saturating_sub(shared)
+    /// Returns the tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared().iter().map(|part| part.tokens).sum()
     }
 
     /// Returns the parts that other requests may share.
--- a/sapphirespur_core/src/direct/router.rs
+++ b/sapphirespur_core/src/direct/router.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
-use crate::direct::candidate::{Candidate, Chosen, Standing, Weighing};
+use crate::direct::candidate::{Candidate, Offer, Standing, Weighing};
 use crate::direct::cold_bound::ColdBound;
 use crate::direct::fetch::Sources;
 use crate::direct::{
@@ -93,17 +93,13 @@
 
     /// Takes the report of another router, and tells whether it was news.
     pub fn take_report(&mut self, now: Time, report: PeerReport) -> bool {
-        let reads = report.reads.clone();
-        let loads = report.upstreams.clone();
-        if !self.peers.take(now, report) {
-            return false;
-        }
+        let Some(report) = self.peers.take(now, report) else { return false };
 
-        for load in loads.iter().filter(|load| load.unshared_tokens > 0) {
+        for load in report.upstreams.iter().filter(|load| load.unshared_tokens > 0) {
             self.record.note_unshared(now, load.upstream, load.unshared_tokens);
         }
-        for read in reads {
-            self.record.note_read(now, &read);
+        for read in &report.reads {
+            self.record.note_read(now, read);
         }
         true
     }
@@ -325,14 +321,14 @@
         let standing = Standing {
             part_of_share,
             leeway: self.pressures.leeway(&call.service),
-            least_tokens: candidates.iter().map(|c| c.tokens).min().unwrap_or_default(),
+            least_tokens: candidates.iter().map(|c| c.offer.tokens).min().unwrap_or_default(),
             pressure,
         };
         // A request rather goes where its parts are not kept than nowhere.
         let chosen =
             candidates.iter().find(|candidate| candidate.objection(call, standing).is_none());
         let Some(chosen) = chosen else {
-            let expected = Some(best.expected);
+            let expected = Some(best.offer.expected);
             let reason = best.objection(call, standing);
             let reason = reason.unwrap_or(DeclineReason::Overloaded);
             if reason == DeclineReason::OverShare {
@@ -342,13 +338,13 @@
             let leeway = standing.leeway;
             return Err(Decline { part_of_share, pressure, leeway, ..decline });
         };
-        let chosen = Chosen::from(chosen);
-        self.place(now, call, chosen)
+        let (id, offer) = (chosen.upstream.entry.id.clone(), chosen.offer);
+        self.place(now, call, id, offer)
     }
 
     /// Takes the place that was chosen.
-    fn place(&mut self, now: Time, call: &CallInfo, chosen: Chosen) -> Admission {
-        let Chosen { id, fetch_from, expected, tokens, ahead } = chosen;
+    fn place(&mut self, now: Time, call: &CallInfo, id: Name, offer: Offer) -> Admission {
+        let Offer { expected, fetch_from, tokens, ahead } = offer;
         let engine = self.record.spec(&call.service).and_then(|spec| spec.engine);
         let capacity = engine.map_or(0, |engine| engine.cache_tokens);
         let Some(upstream) = self.record.upstreams_mut().get_mut(id.as_str()) else {
--- a/sapphirespur_core/src/direct/upstream.rs
+++ b/sapphirespur_core/src/direct/upstream.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Takes the upstream for gone at `at`, or sooner if that is known already.
+    pub fn lose(&mut self, at: Time) {
+        self.gone_at = Some(self.gone_at.map_or(at, |known| known.min(at)));
+    }
+
     /// Treats the upstream as cold for a while.
     pub fn suspect(&mut self, now: Time) {
         self.suspect_until = now + SUSPICION;
--- a/sapphirespur_core/src/direct/upstreams.rs
+++ b/sapphirespur_core/src/direct/upstreams.rs
@@ -46,7 +46,7 @@
     /// Takes an upstream for gone at `at`, as its entry is missing.
     pub fn missing(&mut self, id: &str, at: Time) {
         if let Some(upstream) = self.by_id.get_mut(id) {
-            upstream.gone_at = Some(upstream.gone_at.map_or(at, |known| known.min(at)));
+            upstream.lose(at);
         }
     }
 
@@ -54,7 +54,7 @@
     pub fn missing_beside(&mut self, listed: &HashSet<Name>, at: Time) {
         for (id, upstream) in &mut self.by_id {
             if !listed.contains(id) {
-                upstream.gone_at = Some(upstream.gone_at.map_or(at, |known| known.min(at)));
+                upstream.lose(at);
             }
         }
     }
--- a/sapphirespur_node/src/direct/plain.rs
+++ b/sapphirespur_node/src/direct/plain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::Response;
-use sapphirespur_core::direct::{Admission, SendOutcome};
+use sapphirespur_core::direct::{Admission, Decline, SendOutcome};
 use sapphirespur_core::name::Name;
 
 use super::answer::{Answer, Final, whole};
@@ -151,7 +151,7 @@
 }
 
 /// Logs why a request is not placed.
-pub(super) fn log_decline(cx: &Shared, call: &Call, decline: &sapphirespur_core::direct::Decline) {
+pub(super) fn log_decline(cx: &Shared, call: &Call, decline: &Decline) {
     cx.metrics.decline(decline.reason.as_str());
     if cx.may_log() {
         log::info!(
