Read every number of the platform's settings with a fraction

Ruled out: the template, which passes the number on as it is. Grace period, windows, memory and descriptors had the same limit.

Change: all of them are decimals; the allowance stays a fraction in the retry budget.

--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -11,7 +11,7 @@
     /// Retries allowed per request.
     pub ratio: f64,
     /// Retries allowed in addition, for the whole fleet.
-    pub allowance: u32,
+    pub allowance: f64,
     /// Window over which requests and retries are counted.
     pub window: Duration,
 }
@@ -52,7 +52,7 @@
         expire(&mut self.retries, now, limits.window);
 
         let earned = limits.ratio * self.requests.len() as f64;
-        let own = f64::from(limits.allowance) / routers.max(1) as f64;
+        let own = limits.allowance / routers.max(1) as f64;
         ((earned + own) as usize).saturating_sub(self.retries.len())
     }
 }
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -1,6 +1,7 @@
 //! Settings of the edge router.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -56,7 +57,13 @@
 }
 
 /// Divisor of the VM's memory that gives the limit for buffered request bodies.
-const BUFFERED_MEMORY_DIVISOR: u64 = 4;
+const BUFFERED_MEMORY_DIVISOR: f64 = 4.0;
+
+/// Bytes in a megabyte of the VM's memory.
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+/// Range of the grace period and of windows, in seconds.
+const SPAN_RANGE_S: RangeInclusive<f64> = 0.1..=3_600.0;
 
 /// Divisor of the VM's file descriptors that gives the number of client connections above which
 /// those of refused clients are closed.
@@ -106,18 +113,19 @@
             peers: f.address("listen", "peers")?,
             metrics: f.address("listen", "metrics")?,
         };
-        let memory_mb = f.number("limits", "memory-mb", 16..=1_048_576, 256)?;
-        let descriptors = f.number("limits", "descriptors", 256..=1_048_576, 1_024)?;
+        // The platform may state any of its limits and bounds with a fraction.
+        let memory_mb = f.decimal("limits", "memory-mb", 16.0..=1_048_576.0, 256.0)?;
+        let descriptors = f.decimal("limits", "descriptors", 256.0..=1_048_576.0, 1_024.0)?;
 
         Ok(Self {
             path: path.to_owned(),
             seeds: f.addresses("peers", "seeds")?,
             registry: f.address("record", "address")?,
             limits: EdgeLimits {
-                max_buffered_bytes: (memory_mb * 1_048_576 / BUFFERED_MEMORY_DIVISOR) as usize,
+                max_buffered_bytes: (memory_mb * BYTES_PER_MB / BUFFERED_MEMORY_DIVISOR) as usize,
                 refused_close_threshold: descriptors as usize / REFUSED_CLOSE_DIVISOR,
                 max_connections: descriptors as usize / MAX_CONNECTIONS_DIVISOR,
-                grace: Duration::from_secs(f.number("limits", "grace-s", 1..=3_600, 30)?),
+                grace: f.seconds("limits", "grace-s", SPAN_RANGE_S, Duration::from_secs(30))?,
             },
             decisions: RouterSettings {
                 name: node.name.clone(),
@@ -125,12 +133,22 @@
                 started_ms: 0,
                 retries: RetryLimits {
                     ratio: f.decimal("repeats", "ratio", 0.0..=10.0, 0.1)?,
-                    allowance: f.number("repeats", "allowance", 0..=1_000_000, 10)? as u32,
-                    window: Duration::from_secs(f.number("repeats", "window-s", 1..=3_600, 10)?),
+                    allowance: f.decimal("repeats", "allowance", 0.0..=1_000_000.0, 10.0)?,
+                    window: f.seconds(
+                        "repeats",
+                        "window-s",
+                        SPAN_RANGE_S,
+                        Duration::from_secs(10),
+                    )?,
                 },
                 cold_overshoot: f.decimal("cold", "overshoot", 0.0..=100.0, 1.0)?,
                 cold_allowance: f.decimal("cold", "allowance", 0.0..=1_000_000.0, 0.0)?,
-                share_window: Duration::from_secs(f.number("shares", "window-s", 1..=3_600, 4)?),
+                share_window: f.seconds(
+                    "shares",
+                    "window-s",
+                    SPAN_RANGE_S,
+                    Duration::from_secs(4),
+                )?,
             },
             node,
             listen,
--- a/sapphirespur_node/src/settings/settings_file.rs
+++ b/sapphirespur_node/src/settings/settings_file.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use ini::Ini;
 use sapphirespur_core::name::Name;
@@ -56,6 +57,23 @@
         Ok(file)
     }
 
+    /// Returns the number of seconds in a key, with or without a fraction, or `default` when the key
+    /// is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the value is not a number within `range`.
+    pub fn seconds(
+        &self,
+        section: &str,
+        key: &str,
+        range: RangeInclusive<f64>,
+        default: Duration,
+    ) -> Result<Duration, SettingsError> {
+        let seconds = self.decimal(section, key, range, default.as_secs_f64())?;
+        Ok(Duration::from_secs_f64(seconds))
+    }
+
     /// Returns the value of a key, or `None` when the key is missing.
     pub fn optional(&self, section: &str, key: &str) -> Option<&str> {
         self.ini.get_from(Some(section), key)
