Take up what a restored store, a leaving upstream and a pause say

Cause: three new signals of the platform were not read: the era of the store, the statement of an upstream in any response that it is leaving, and its request for a pause in a 503.

Change: versions of the registry are compared by era, then revision; a later era lists again with the two-second rule of an outage; entries carry their number, so an older copy neither opens a draining upstream nor brings back one that left; a data centre missing from a copy stays out for 3 s. A pause takes an upstream out for this router, is no failure, and sets the time to return when all pause. The stand-in store restores from a copy, the stand-in runner leaves and asks for pauses.

--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -145,6 +145,7 @@
             state: UpstreamState::Ready,
             cold: Duration::ZERO,
             started_ms: Some(1),
+            sequence: None,
         };
         (0..self.engines).map(entry).collect()
     }
--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -26,6 +26,8 @@
 pub enum DeclineReason {
     /// No upstream of the service accepts requests.
     NoUpstream,
+    /// Each upstream of the service that accepts requests has asked this router for a pause.
+    Paused,
     /// Each available upstream of the service is cold and at this router's limit, or was already
     /// tried for the request.
     Cold,
@@ -42,6 +44,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoUpstream => "no_upstream",
+            Self::Paused => "paused",
             Self::Cold => "cold",
             Self::Overloaded => "overloaded",
             Self::OverShare => "over_share",
--- a/sapphirespur_core/src/edge/backoff.rs
+++ b/sapphirespur_core/src/edge/backoff.rs
@@ -19,6 +19,15 @@
     /// clients do not all retry at the same time.
     const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
+    /// Declines a call because all upstreams are paused; the client should not retry before the end
+    /// of the shortest pause.
+    pub fn decline_for_pause(&mut self, call: &CallInfo, pause: Duration) -> Decline {
+        let decline = self.decline(call, DeclineReason::Paused, Some(pause));
+        let retry_after = decline.retry_after.max(pause).min(call.remaining / 3);
+
+        Decline { retry_after, ..decline }
+    }
+
     /// Declines a call. `expected_delay` is the time it would have waited, from which the
     /// retry-after time is derived; the target latency is used when it is absent.
     pub fn decline(
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -40,6 +40,8 @@
     Broken,
     /// The upstream reported that it did not run the request.
     Rejected,
+    /// The upstream did not run the request and asked for a pause.
+    Paused,
     /// A different upstream now has the address.
     Misdirected,
     /// No response arrived in time.
@@ -56,6 +58,7 @@
             Self::Failed => "failed",
             Self::Broken => "broken",
             Self::Rejected => "rejected",
+            Self::Paused => "paused",
             Self::Misdirected => "misdirected",
             Self::NoResponse => "silent",
             Self::Abandoned => "abandoned",
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -4,7 +4,7 @@
 
 use crate::collections::HashMap;
 use crate::edge::fleet_sums::FleetSums;
-use crate::edge::{ObservedPressure, PeerReport, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{ObservedPressure, PeerReport, RegistryVersion, UpstreamLoad, WorkspaceUsage};
 use crate::hash::stable_hash;
 use crate::time::Time;
 
@@ -98,10 +98,10 @@
         self.by_router.iter().filter(is_before).count()
     }
 
-    /// Returns the router with the newest registry revision, if it is newer than `revision`.
-    pub fn find_newer(&self, now: Time, revision: u64) -> Option<u64> {
-        let revisions = self.fresh_reports(now).map(|report| (report.revision, report.router));
-        revisions.max().filter(|(other, _)| *other > revision).map(|(_, router)| router)
+    /// Returns the router with the newest registry version, if it is newer than `version`.
+    pub fn find_newer(&self, now: Time, version: RegistryVersion) -> Option<u64> {
+        let versions = self.fresh_reports(now).map(|report| (report.version, report.router));
+        versions.max().filter(|(other, _)| *other > version).map(|(_, router)| router)
     }
 
     /// Returns the total work of all other routers at an upstream.
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -5,20 +5,25 @@
 
 use crate::collections::HashSet;
 use crate::edge::{
-    CallInfo, Load, PrefilledSegments, RouteTable, ServiceRoutes, ServiceSpec, Snapshot,
-    TableIndex, Upstream, UpstreamEntry, Upstreams,
+    CallInfo, Load, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes, ServiceSpec,
+    Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
-/// Configuration, upstreams and data centres that are out, as of a registry revision.
+/// Configuration, upstreams and data centres that are out, as of a registry version.
 #[derive(Debug, Default)]
 pub struct RegistryState {
     table: Option<Arc<RouteTable>>,
     index: TableIndex,
     upstreams: Upstreams,
-    revision: u64,
+    version: RegistryVersion,
+    /// End of the time after a restore in which upstreams and operators write again what the
+    /// restored copy lacks.
+    restored_until: Time,
+    /// Data centres that are out although the restored copy does not say so.
+    unconfirmed_out: HashSet<Name>,
 }
 
 impl RegistryState {
@@ -28,6 +33,9 @@
     /// Prefill speed assumed when no capacity is configured, in tokens per millisecond.
     const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 20.0;
 
+    /// Time after a restore in which a data centre stays out whose entry the restored copy lacks.
+    const RESTORE_GRACE: Duration = Duration::from_secs(3);
+
     /// Returns the configuration in force; none before the first one.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
         self.table.as_ref()
@@ -79,26 +87,50 @@
         self.upstreams.remove_unlisted_at(listed, at);
     }
 
-    /// Replaces the set of data centres that are out.
+    /// Replaces the set of data centres that are out. Shortly after a restore, data centres that
+    /// `out` lacks stay out until the end of the grace period.
     pub fn set_data_centres_out(&mut self, now: Time, out: &HashSet<Name>) {
         let returned: Vec<Name> =
             self.upstreams.data_centres_out().difference(out).cloned().collect();
-        for data_centre in returned {
-            self.mark_data_centre_back(now, data_centre.as_str());
+        if now < self.restored_until {
+            self.unconfirmed_out.extend(returned);
+        } else {
+            for data_centre in returned {
+                self.mark_data_centre_back(now, data_centre.as_str());
+            }
         }
         for data_centre in out {
-            self.upstreams.mark_data_centre_out(data_centre.clone());
+            self.mark_data_centre_out(data_centre.clone());
+        }
+    }
+
+    /// Records that the registry was restored from an older copy: what the copy lacks is written
+    /// again soon, so nothing is taken from its absence until then.
+    pub fn on_restored(&mut self, now: Time) {
+        self.restored_until = now + Self::RESTORE_GRACE;
+    }
+
+    /// Removes upstreams that are gone, and ends the grace period after a restore.
+    pub fn tick(&mut self, now: Time) {
+        self.upstreams.remove_gone(now);
+        if now < self.restored_until {
+            return;
+        }
+        for data_centre in std::mem::take(&mut self.unconfirmed_out) {
+            self.mark_data_centre_back(now, data_centre.as_str());
         }
     }
 
     /// Marks a data centre as out; its upstreams get no requests.
     pub fn mark_data_centre_out(&mut self, data_centre: Name) {
+        self.unconfirmed_out.remove(&data_centre);
         self.upstreams.mark_data_centre_out(data_centre);
     }
 
     /// Marks a data centre as back; its upstreams count as cold for the cold start time of their
     /// service.
     pub fn mark_data_centre_back(&mut self, now: Time, data_centre: &str) {
+        self.unconfirmed_out.remove(data_centre);
         let table = self.table.clone();
         let cold = |service: &Name| {
             let spec = table.as_ref().and_then(|table| table.services.get(service));
@@ -109,14 +141,19 @@
         self.upstreams.mark_data_centre_back(now, data_centre, cold);
     }
 
-    /// Returns the registry revision that has been applied.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the registry version that has been applied.
+    pub fn version(&self) -> RegistryVersion {
+        self.version
     }
 
-    /// Sets the registry revision that has been applied.
-    pub fn set_revision(&mut self, revision: u64) {
-        self.revision = revision;
+    /// Sets the registry version that has been applied.
+    pub fn set_version(&mut self, version: RegistryVersion) {
+        self.version = version;
+    }
+
+    /// Returns whether a version belongs to a later era than the one that has been applied.
+    pub fn is_restored_at(&self, version: RegistryVersion) -> bool {
+        self.version != RegistryVersion::default() && version.era > self.version.era
     }
 
     /// Returns a copy of the state for other routers; none without a configuration.
@@ -128,28 +165,36 @@
             .filter(|upstream| upstream.gone_at.is_none())
             .map(|upstream| UpstreamEntry {
                 cold: upstream.cold_until.since(now),
+                state: if upstream.is_leaving {
+                    UpstreamState::Draining
+                } else {
+                    upstream.entry.state
+                },
                 ..upstream.entry.clone()
             })
             .collect();
 
         let out = self.upstreams.data_centres_out().iter().cloned().collect();
-        Some(Snapshot { revision: self.revision, table, upstreams, out })
+        Some(Snapshot { version: self.version, table, upstreams, out })
     }
 
-    /// Applies the state of another router if its revision is newer. Returns whether it was.
+    /// Applies the state of another router if its version is newer. Returns whether it was.
     pub fn apply_snapshot(&mut self, now: Time, snapshot: Snapshot) -> bool {
-        if snapshot.revision <= self.revision {
+        if snapshot.version <= self.version {
             return false;
         }
+        if self.is_restored_at(snapshot.version) {
+            self.on_restored(now);
+        }
 
         self.apply_table(snapshot.table);
         let listed = snapshot.upstreams.iter().map(|entry| entry.id.clone()).collect();
         for entry in snapshot.upstreams {
             self.apply_upstream(now, entry);
         }
-        self.remove_unlisted_at(&listed, now);
+        self.remove_unlisted_at(&listed, now.max(self.restored_until));
         self.set_data_centres_out(now, &snapshot.out.into_iter().collect());
-        self.revision = snapshot.revision;
+        self.version = snapshot.version;
         true
     }
 
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::PromptSegment;
+use crate::edge::{PromptSegment, RegistryVersion};
 
 /// Work of one router at one upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -60,8 +60,8 @@
     pub started_ms: u64,
     /// Sequence number of the report since the start of the process.
     pub sequence: u64,
-    /// Registry revision that the router has applied.
-    pub revision: u64,
+    /// Registry version that the router has applied.
+    pub version: RegistryVersion,
     /// Work at each upstream with requests in flight or unshared tokens to report.
     pub upstreams: Vec<UpstreamLoad>,
     /// Usage of each workspace.
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -120,7 +120,7 @@
             router: self.name_hash(),
             started_ms: self.settings.started_ms,
             sequence: self.sequence,
-            revision: self.registry.revision(),
+            version: self.registry.version(),
             upstreams,
             workspaces: self.shares.usage(now),
             pressures: self.pressures.reports(now),
@@ -134,7 +134,7 @@
         let elapsed = now.since(self.last_tick);
         self.last_tick = now;
 
-        self.registry.upstreams_mut().remove_gone(now);
+        self.registry.tick(now);
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
         }
@@ -239,6 +239,21 @@
         }
     }
 
+    /// Records that the instance which responded to a request is leaving; it gets no further
+    /// requests, whatever the registry says. Returns whether this was not known before.
+    pub fn on_leaving(&mut self, request: &InFlightRequest) -> bool {
+        self.find_upstream(request)
+            .is_some_and(|upstream| !std::mem::replace(&mut upstream.is_leaving, true))
+    }
+
+    /// Records that the instance which responded to a request wants no requests from this router
+    /// for a while.
+    pub fn on_pause_requested(&mut self, now: Time, request: &InFlightRequest, pause: Duration) {
+        if let Some(upstream) = self.find_upstream(request) {
+            upstream.pause(now, pause);
+        }
+    }
+
     /// Records the end of a request.
     pub fn finish(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
         let engine = self.registry.service_spec(&request.service).and_then(|spec| spec.engine);
@@ -328,9 +343,13 @@
         let Some(best) = candidates.first() else {
             let is_any_available =
                 self.registry.upstreams().available(now, &call.service).next().is_some();
-            let reason =
-                if is_any_available { DeclineReason::Cold } else { DeclineReason::NoUpstream };
-            return Err(self.backoff.decline(call, reason, None));
+            if is_any_available {
+                return Err(self.backoff.decline(call, DeclineReason::Cold, None));
+            }
+            return Err(match self.registry.upstreams().shortest_pause(now, &call.service) {
+                Some(pause) => self.backoff.decline_for_pause(call, pause),
+                None => self.backoff.decline(call, DeclineReason::NoUpstream, None),
+            });
         };
         let own_pressure = Candidate::mean_pressure(call.target, &candidates);
         let mean_target = routes.map_or(call.target, |routes| routes.mean_target);
--- a/sapphirespur_core/src/edge/snapshot.rs
+++ b/sapphirespur_core/src/edge/snapshot.rs
@@ -2,14 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{RouteTable, UpstreamEntry};
+use crate::edge::{RegistryVersion, RouteTable, UpstreamEntry};
 use crate::name::Name;
 
-/// Registry state as of a revision.
+/// Registry state as of a version.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Snapshot {
-    /// Registry revision up to which the snapshot is current.
-    pub revision: u64,
+    /// Registry version up to which the snapshot is current.
+    pub version: RegistryVersion,
     /// Configuration in force.
     pub table: RouteTable,
     /// Upstreams with a registry entry; their remaining cold time counts from when the snapshot was
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -25,6 +25,8 @@
     Warm,
     /// Accepts a few requests per second.
     Cold,
+    /// Has asked this router for a pause.
+    Paused,
     /// Accepts no requests: it drains, is gone, or its data centre is out.
     Closed,
 }
@@ -35,6 +37,7 @@
         match self {
             Self::Warm => "warm",
             Self::Cold => "cold",
+            Self::Paused => "paused",
             Self::Closed => "closed",
         }
     }
@@ -62,6 +65,10 @@
     /// When the upstream counts as gone because its entry is missing or its address has another
     /// owner; none while it is present.
     pub gone_at: Option<Time>,
+    /// Until when the upstream wants no requests from this router.
+    pub paused_until: Time,
+    /// Whether the instance has said in a response that it is leaving.
+    pub is_leaving: bool,
 }
 
 impl Upstream {
@@ -76,6 +83,8 @@
             cold_until,
             unhealthy_until: Time::default(),
             gone_at: None,
+            paused_until: Time::default(),
+            is_leaving: false,
         }
     }
 
@@ -89,6 +98,11 @@
         self.unhealthy_until = now + UNHEALTHY_DURATION;
     }
 
+    /// Stops requests of this router for the time that the upstream asks for.
+    pub fn pause(&mut self, now: Time, pause: Duration) {
+        self.paused_until = self.paused_until.max(now + pause);
+    }
+
     /// Records the end of a request.
     pub fn on_end(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
         let pending = if request.first_event_at.is_some() { 0 } else { request.prefill_tokens };
@@ -105,7 +119,7 @@
                 self.mark_unhealthy(now);
             }
             SendOutcome::Misdirected => self.gone_at = Some(now),
-            SendOutcome::Abandoned => {}
+            SendOutcome::Abandoned | SendOutcome::Paused => {}
         }
     }
 
@@ -133,19 +147,16 @@
 
     /// Returns whether the upstream may receive requests.
     pub fn condition(&self, now: Time) -> Condition {
-        if self.entry.state == UpstreamState::Draining || self.gone_at.is_some_and(|at| at <= now) {
+        let is_draining = self.is_leaving || self.entry.state == UpstreamState::Draining;
+        if is_draining || self.gone_at.is_some_and(|at| at <= now) {
             return Condition::Closed;
         }
+        if self.paused_until > now {
+            return Condition::Paused;
+        }
         if self.cold_until > now || self.unhealthy_until > now {
             return Condition::Cold;
         }
         Condition::Warm
     }
-
-    /// Returns whether `entry` belongs to the same process instance of the same upstream.
-    pub fn is_same_instance(&self, entry: &UpstreamEntry) -> bool {
-        self.entry.id == entry.id
-            && self.entry.started_ms == entry.started_ms
-            && self.entry.address == entry.address
-    }
 }
--- a/sapphirespur_core/src/edge/upstream_entry.rs
+++ b/sapphirespur_core/src/edge/upstream_entry.rs
@@ -35,4 +35,18 @@
     pub cold: Duration,
     /// Start of the process, in milliseconds since the Unix epoch; none when not published.
     pub started_ms: Option<u64>,
+    /// Number of the entry since the start of the process; none when not published.
+    pub sequence: Option<u64>,
+}
+
+impl UpstreamEntry {
+    /// Returns whether both entries belong to the same process instance of the same upstream.
+    pub fn is_same_instance(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms == other.started_ms && self.address == other.address
+    }
+
+    /// Returns whether this entry was certainly written before `other` by the same process instance.
+    pub fn precedes(&self, other: &Self) -> bool {
+        self.sequence.zip(other.sequence).is_some_and(|(own, others)| own < others)
+    }
 }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, HashSet};
+use crate::edge::departed::Departed;
 use crate::edge::{Condition, Load, ServiceSpec, Upstream, UpstreamEntry};
 use crate::name::Name;
 use crate::time::Time;
@@ -14,11 +15,13 @@
     /// Identities by their hashes in reports.
     ids_by_key: HashMap<u32, Name>,
     data_centres_out: HashSet<Name>,
+    departed: Departed,
 }
 
 impl Upstreams {
     /// Applies a registry entry. A new process instance starts without the load, cache and health
-    /// of the previous one, and replaces any other upstream at the same address.
+    /// of the previous one, and replaces any other upstream at the same address. An entry that is
+    /// older than the known one, as from a restored registry, changes nothing.
     ///
     /// Returns whether the entry belongs to a new process instance.
     pub fn apply_entry(
@@ -28,17 +31,30 @@
         spec: Option<&ServiceSpec>,
         load: Load,
     ) -> bool {
+        if self.departed.contains(&entry) {
+            return false;
+        }
         let cold_until = now + cold_time(&entry, spec);
         if let Some(existing) = self.by_id.get_mut(&entry.id)
-            && existing.is_same_instance(&entry)
+            && existing.entry.is_same_instance(&entry)
         {
+            if entry.precedes(&existing.entry) {
+                return false;
+            }
             existing.gone_at = None;
             existing.cold_until = existing.cold_until.max(cold_until);
             existing.entry = entry;
             return false;
         }
 
-        self.by_id.retain(|_, other| other.entry.address != entry.address);
+        let departed = &mut self.departed;
+        self.by_id.retain(|id, other| {
+            let is_replaced = *id == entry.id || other.entry.address == entry.address;
+            if is_replaced {
+                departed.record(now, other.entry.clone());
+            }
+            !is_replaced
+        });
         self.ids_by_key.insert(Upstream::hash_id(&entry.id), entry.id.clone());
         self.by_id.insert(entry.id.clone(), Upstream::new(entry, load, cold_until));
         true
@@ -62,9 +78,16 @@
 
     /// Removes upstreams that are gone and have no requests left.
     pub fn remove_gone(&mut self, now: Time) {
+        let departed = &mut self.departed;
         self.by_id.retain(|_, upstream| {
-            upstream.load.in_flight > 0 || upstream.gone_at.is_none_or(|at| at > now)
+            let is_gone = upstream.gone_at.is_some_and(|at| at <= now);
+            if is_gone && upstream.load.in_flight == 0 {
+                departed.record(now, upstream.entry.clone());
+                return false;
+            }
+            true
         });
+        departed.expire(now);
         self.ids_by_key.retain(|_, id| self.by_id.contains_key(id));
     }
 
@@ -131,9 +154,20 @@
         self.by_id.values().filter(move |upstream| {
             upstream.entry.service == *service
                 && !self.data_centres_out.contains(&upstream.entry.data_centre)
-                && upstream.condition(now) != Condition::Closed
+                && matches!(upstream.condition(now), Condition::Cold | Condition::Warm)
         })
     }
+
+    /// Returns the time until the first paused upstream of a service accepts requests again; none
+    /// when no upstream is paused.
+    pub fn shortest_pause(&self, now: Time, service: &Name) -> Option<Duration> {
+        self.by_id
+            .values()
+            .filter(|upstream| upstream.entry.service == *service)
+            .filter(|upstream| upstream.condition(now) == Condition::Paused)
+            .map(|upstream| upstream.paused_until.since(now))
+            .min()
+    }
 }
 
 fn cold_time(entry: &UpstreamEntry, spec: Option<&ServiceSpec>) -> Duration {
--- /dev/null
+++ b/sapphirespur_core/tests/edge/leaving_and_pause.rs
@@ -0,0 +1,85 @@
+//! Upstreams that say in a response that they leave, or that they want a pause.
+
+use std::time::Duration;
+
+use sapphirespur_core::edge::{
+    Condition, DeclineReason, SendOutcome, UpstreamEntry, UpstreamState,
+};
+
+use crate::support::{START, call, entry, ms, router};
+
+#[test]
+fn upstream_that_says_it_leaves_gets_no_requests_whatever_the_registry_says() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    assert!(router.on_leaving(&placed.request));
+    assert!(!router.on_leaving(&placed.request), "it is known already");
+
+    let heartbeat = UpstreamEntry { sequence: Some(9), ..entry("u0", 8_000) };
+    router.registry_mut().apply_upstream(START, heartbeat);
+    let decline = router.admit(START, &call("w", 1, 10, 10)).expect_err("it is closed");
+    assert_eq!(decline.reason, DeclineReason::NoUpstream);
+
+    let restarted = UpstreamEntry { started_ms: Some(2), ..entry("u0", 8_000) };
+    router.registry_mut().apply_upstream(START, restarted);
+    assert!(router.admit(START, &call("w", 1, 10, 10)).is_ok(), "another instance is not leaving");
+}
+
+#[test]
+fn response_of_an_earlier_instance_does_not_close_the_new_one() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    let restarted = UpstreamEntry { started_ms: Some(2), ..entry("u0", 8_000) };
+    router.registry_mut().apply_upstream(START, restarted);
+    assert!(!router.on_leaving(&placed.request));
+    assert!(router.admit(START, &call("w", 1, 10, 10)).is_ok());
+}
+
+#[test]
+fn snapshot_tells_other_routers_that_an_upstream_leaves() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    router.on_leaving(&placed.request);
+    let snapshot = router.registry().snapshot(START).expect("there is a configuration");
+    assert_eq!(snapshot.upstreams[0].state, UpstreamState::Draining);
+}
+
+#[test]
+fn paused_upstream_gets_no_requests_until_the_end_of_the_pause() {
+    let mut router = router("r", 2);
+    let first = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    router.on_pause_requested(START, &first.request, ms(3_000));
+    router.finish(START, &first.request, SendOutcome::Paused);
+    for step in 0..29 {
+        let now = START + ms(100 * step);
+        let placed = router.admit(now, &call("w", 1, 10, 10)).expect("the other one serves");
+        assert_ne!(placed.instance, first.instance);
+    }
+
+    let paused = router.registry().upstreams().get(first.instance.as_str()).expect("it exists");
+    assert_eq!(paused.condition(START + ms(2_999)), Condition::Paused);
+    assert_eq!(paused.condition(START + ms(3_000)), Condition::Warm);
+    assert_eq!(paused.load.failure_rate, 0.0, "a pause is no failure");
+}
+
+#[test]
+fn shorter_pause_does_not_end_a_longer_one() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    router.on_pause_requested(START, &placed.request, ms(3_000));
+    router.on_pause_requested(START, &placed.request, ms(100));
+    assert!(router.admit(START + ms(2_900), &call("w", 1, 10, 10)).is_err());
+}
+
+#[test]
+fn client_is_told_to_return_after_the_shortest_pause() {
+    let mut router = router("r", 2);
+    for pause in [ms(2_500), ms(1_500)] {
+        let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+        router.on_pause_requested(START, &placed.request, pause);
+    }
+    let decline = router.admit(START, &call("w", 1, 10, 10)).expect_err("all are paused");
+    assert_eq!(decline.reason, DeclineReason::Paused);
+    assert!(decline.retry_after >= ms(1_500), "{decline:?}");
+    assert!(decline.retry_after <= Duration::from_secs(4), "{decline:?}");
+}
--- a/sapphirespur_core/tests/edge/membership.rs
+++ b/sapphirespur_core/tests/edge/membership.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashSet;
-use sapphirespur_core::edge::{PeerReport, SendOutcome, UpstreamState};
+use sapphirespur_core::edge::{PeerReport, RegistryVersion, SendOutcome, UpstreamState};
 use sapphirespur_core::name::Name;
 
 use crate::support::{START, call, entry, ms, router, table};
@@ -102,12 +102,12 @@
     newer.registry_mut().apply_upstream(START, draining);
     newer.registry_mut().remove_upstream_at("u2", START);
     newer.registry_mut().mark_data_centre_out(Name::new("torino"));
-    newer.registry_mut().set_revision(50);
+    newer.registry_mut().set_version(RegistryVersion { era: 1, revision: 50 });
 
     let mut older = router("r2", 3);
-    older.registry_mut().set_revision(40);
+    older.registry_mut().set_version(RegistryVersion { era: 1, revision: 40 });
     older.apply_report(START, newer.report(START));
-    assert!(older.peers().find_newer(START, older.registry().revision()).is_some());
+    assert!(older.peers().find_newer(START, older.registry().version()).is_some());
 
     let snapshot = newer.registry().snapshot(START).expect("there is a configuration");
     assert!(older.registry_mut().apply_snapshot(START, snapshot.clone()));
@@ -119,7 +119,7 @@
         !older.registry_mut().apply_snapshot(START, snapshot),
         "the snapshot is applied already"
     );
-    assert!(older.peers().find_newer(START, older.registry().revision()).is_none());
+    assert!(older.peers().find_newer(START, older.registry().version()).is_none());
 }
 
 #[test]
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -76,6 +76,7 @@
         state: UpstreamState::Ready,
         cold: Duration::ZERO,
         started_ms: Some(1),
+        sequence: None,
     }
 }
 
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -54,8 +54,11 @@
     ) {
         cx.metrics.record_failed_send(outcome.as_str());
         self.tried.push(Name::new(upstream));
-        self.reached_upstream |=
-            may_have_run || matches!(outcome, SendOutcome::Rejected | SendOutcome::Misdirected);
+        let is_rejected = matches!(
+            outcome,
+            SendOutcome::Misdirected | SendOutcome::Paused | SendOutcome::Rejected
+        );
+        self.reached_upstream |= may_have_run || is_rejected;
         if may_have_run {
             self.possible_runs += 1;
         }
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -65,6 +65,10 @@
     pub is_misdirected: bool,
     /// Whether the body has a content coding, which the client did not ask for.
     pub is_encoded: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the upstream wants no requests from this router; absent when it does not say.
+    pub pause: Option<Duration>,
 }
 
 /// HTTP conventions of a platform; implemented by its adapter.
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -4,6 +4,7 @@
 
 use sapphirespur_core::edge::{InFlightRequest, SendOutcome};
 
+use super::dialect::ResponseHead;
 use super::shared::Shared;
 
 /// Reservation at an upstream for one send; ends as abandoned when dropped before it is finished.
@@ -24,10 +25,25 @@
         self.request.upstream.as_str()
     }
 
-    /// Records the head of a response, which arrives with its first event.
-    pub fn on_first_event(&mut self) {
+    /// Records the head of a response, which arrives with its first event, and what it says of the
+    /// upstream.
+    pub fn on_head(&mut self, head: &ResponseHead) {
         let now = self.cx.now();
-        self.cx.router.borrow_mut().on_first_event(now, &mut self.request);
+        let mut router = self.cx.router.borrow_mut();
+        router.on_first_event(now, &mut self.request);
+        // A different instance has responded; nothing is known of the one that was meant.
+        if head.is_misdirected {
+            return;
+        }
+        if head.is_leaving && router.on_leaving(&self.request) {
+            log::info!(upstream = self.request.upstream.as_str(); "upstream leaves, as it responded");
+        }
+        if let Some(pause) = head.pause {
+            router.on_pause_requested(now, &self.request, pause);
+            if self.cx.may_log_failure() {
+                log::info!(upstream = self.request.upstream.as_str(), pause_ms = pause.as_millis() as u64; "upstream asked for a pause");
+            }
+        }
     }
 
     /// Records `count` complete events of a stream.
--- a/sapphirespur_node/src/edge/registry.rs
+++ b/sapphirespur_node/src/edge/registry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{RouteTable, UpstreamEntry};
+use sapphirespur_core::edge::{RegistryVersion, RouteTable, UpstreamEntry};
 use sapphirespur_core::name::Name;
 use thiserror::Error;
 
@@ -35,20 +35,20 @@
     DataCentreRestored(Name),
 }
 
-/// All entries of the registry as of a revision.
+/// All entries of the registry as of a version.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryListing {
-    /// Revision after which to watch for changes.
-    pub revision: u64,
+    /// Version after which to watch for changes.
+    pub version: RegistryVersion,
     /// Entries in no particular order.
     pub entries: Vec<RegistryEntry>,
 }
 
-/// Changes of the registry up to a revision.
+/// Changes of the registry up to a version.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryChanges {
-    /// Revision after which to continue watching.
-    pub revision: u64,
+    /// Version after which to continue watching.
+    pub version: RegistryVersion,
     /// Changes in the order in which they were made.
     pub changes: Vec<RegistryChange>,
 }
@@ -59,6 +59,9 @@
     /// Changes since the revision have been compacted; the registry must be listed again.
     #[error("changes since the revision have been compacted")]
     Compacted,
+    /// The registry was restored from an older copy; it must be listed again.
+    #[error("restored from an older copy")]
+    Restored,
     /// The registry cannot be reached or does not respond; holds the cause.
     #[error("unreachable: {0}")]
     Unreachable(String),
@@ -79,14 +82,15 @@
     /// Returns an error when the registry cannot be read.
     fn list(&mut self) -> impl Future<Output = Result<RegistryListing, RegistryError>>;
 
-    /// Waits at most `max_wait` for changes after `after_revision`.
+    /// Waits at most `max_wait` for changes after a version.
     ///
     /// # Errors
     ///
-    /// Returns an error when the registry cannot be watched or has compacted the revision.
+    /// Returns an error when the registry cannot be watched, has compacted the revision or was
+    /// restored since.
     fn watch(
         &mut self,
-        after_revision: u64,
+        after: RegistryVersion,
         max_wait: Duration,
     ) -> impl Future<Output = Result<RegistryChanges, RegistryError>>;
 }
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashSet;
-use sapphirespur_core::edge::Router;
+use sapphirespur_core::edge::{RegistryVersion, Router};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
@@ -48,14 +48,14 @@
 impl RegistrySync {
     /// Lists the registry or watches for its next changes, and applies them.
     async fn poll(&mut self, registry: &mut impl Registry) -> Result<(), RegistryError> {
-        match self.cx.watch_revision.get() {
+        match self.cx.watch_version.get() {
             None => {
                 let listing = registry.list().await?;
                 self.on_contact();
                 self.apply_listing(listing);
             }
-            Some(revision) => {
-                let changes = registry.watch(revision, WATCH_TIMEOUT).await?;
+            Some(version) => {
+                let changes = registry.watch(version, WATCH_TIMEOUT).await?;
                 self.on_contact();
                 self.apply_changes(changes);
             }
@@ -69,9 +69,14 @@
         match result {
             Ok(()) => return Duration::ZERO,
             Err(RegistryError::Compacted) => {
-                log::warn!(revision = self.cx.watch_revision.get().unwrap_or_default(); "record forgot the revision; it is listed again");
+                log::warn!(revision = self.watch_version().revision; "record forgot the revision; it is listed again");
                 self.on_contact();
-                self.cx.watch_revision.set(None);
+                self.cx.watch_version.set(None);
+                return Duration::ZERO;
+            }
+            Err(RegistryError::Restored) => {
+                self.on_contact();
+                self.cx.watch_version.set(None);
                 return Duration::ZERO;
             }
             Err(e) => {
@@ -97,6 +102,30 @@
         self.cx.last_registry_response.set(Some(now));
     }
 
+    /// Returns the version after which the registry is watched; zero when it is to be listed.
+    fn watch_version(&self) -> RegistryVersion {
+        self.cx.watch_version.get().unwrap_or_default()
+    }
+
+    /// Records that the registry was restored if a listing is from a later era: like after an
+    /// outage, what the copy lacks is written again soon.
+    fn check_restored(&mut self, version: RegistryVersion) {
+        let now = self.cx.now();
+        let mut router = self.cx.router.borrow_mut();
+        let known = router.registry().version();
+        if router.registry().is_restored_at(version) {
+            log::warn!(
+                era = version.era,
+                revision = version.revision,
+                known_era = known.era,
+                known_revision = known.revision;
+                "record restored from an older copy"
+            );
+            router.registry_mut().on_restored(now);
+            self.recovered_at = Some(now);
+        }
+    }
+
     /// Returns when to remove an upstream whose entry is missing now.
     fn removal_time(&self, now: Time) -> Time {
         self.recovered_at.map_or(now, |recovered_at| now.max(recovered_at + OUTAGE_GRACE))
@@ -104,6 +133,7 @@
 
     /// Applies a listing; upstreams that it lacks are scheduled for removal.
     fn apply_listing(&mut self, listing: RegistryListing) {
+        self.check_restored(listing.version);
         let now = self.cx.now();
         let remove_at = self.removal_time(now);
         let mut router = self.cx.router.borrow_mut();
@@ -130,15 +160,16 @@
         router.registry_mut().set_data_centres_out(now, &out);
         router.registry_mut().remove_unlisted_at(&listed, remove_at);
         log::info!(
-            revision = listing.revision,
+            era = listing.version.era,
+            revision = listing.version.revision,
             upstreams = listed.len(),
             data_centres_out = out.len(),
             version = router.registry().table().map_or(0, |table| table.version);
             "record listed"
         );
-        router.registry_mut().set_revision(listing.revision);
+        router.registry_mut().set_version(listing.version);
         drop(router);
-        self.cx.watch_revision.set(Some(listing.revision));
+        self.cx.watch_version.set(Some(listing.version));
     }
 
     /// Applies changes in their order.
@@ -150,7 +181,7 @@
             match change {
                 RegistryChange::Written(entry) => apply_entry(&mut router, now, entry),
                 RegistryChange::UpstreamRemoved(id) => {
-                    log::info!(upstream = id.as_str(), in_ms = remove_at.since(now).as_millis() as u64, revision = changes.revision; "upstream gone");
+                    log::info!(upstream = id.as_str(), in_ms = remove_at.since(now).as_millis() as u64, revision = changes.version.revision; "upstream gone");
                     router.registry_mut().remove_upstream_at(id.as_str(), remove_at);
                 }
                 RegistryChange::DataCentreRestored(data_centre) => {
@@ -159,9 +190,9 @@
                 }
             }
         }
-        router.registry_mut().set_revision(changes.revision);
+        router.registry_mut().set_version(changes.version);
         drop(router);
-        self.cx.watch_revision.set(Some(changes.revision));
+        self.cx.watch_version.set(Some(changes.version));
     }
 }
 
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -154,13 +154,13 @@
         Err(_) => return SendResult::Unknown(SendOutcome::NoResponse),
     };
 
-    reservation.on_first_event();
     let (parts, body) = response.into_parts();
     let head = cx.dialect.parse_response_head(
         parts.status.as_u16(),
         &parts.headers,
         &call.head.attempt_id,
     );
+    reservation.on_head(&head);
     let connection = PooledConnection {
         connection,
         key,
@@ -175,6 +175,8 @@
     if upstream_response.head.is_misdirected || upstream_response.head.is_not_run {
         let outcome = if upstream_response.head.is_misdirected {
             SendOutcome::Misdirected
+        } else if upstream_response.head.pause.is_some() {
+            SendOutcome::Paused
         } else {
             SendOutcome::Rejected
         };
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashMap;
-use sapphirespur_core::edge::{Router, RouterSettings};
+use sapphirespur_core::edge::{RegistryVersion, Router, RouterSettings};
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
 
@@ -52,8 +52,8 @@
     pub connections: Cell<usize>,
     /// Bytes of request bodies held in memory.
     pub buffered_bytes: Cell<usize>,
-    /// Revision after which the registry is watched; when absent, the registry is listed again.
-    pub watch_revision: Cell<Option<u64>>,
+    /// Version after which the registry is watched; when absent, the registry is listed again.
+    pub watch_version: Cell<Option<RegistryVersion>>,
     /// Addresses of the other routers, by the hash of the router's name.
     pub peer_addresses: RefCell<HashMap<u64, SocketAddr>>,
     /// Time of the last response from the registry; absent before the first one.
@@ -93,7 +93,7 @@
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
-            watch_revision: Cell::new(None),
+            watch_version: Cell::new(None),
             peer_addresses: RefCell::default(),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -79,7 +79,7 @@
     }
 }
 
-/// Returns the address of a router to fetch from: one that reports a newer registry revision, while
+/// Returns the address of a router to fetch from: one that reports a newer registry version, while
 /// the registry is unreachable.
 fn find_source(cx: &Shared) -> Option<SocketAddr> {
     let now = cx.now();
@@ -88,7 +88,7 @@
     }
 
     let router = cx.router.borrow();
-    let peer = router.peers().find_newer(now, router.registry().revision())?;
+    let peer = router.peers().find_newer(now, router.registry().version())?;
     cx.peer_addresses.borrow().get(&peer).copied()
 }
 
@@ -106,11 +106,11 @@
 
 /// Applies a snapshot if it is newer than this router's state.
 fn apply(cx: &Shared, peer: SocketAddr, snapshot: Snapshot) {
-    let (revision, version) = (snapshot.revision, snapshot.table.version);
+    let (revision, version) = (snapshot.version.revision, snapshot.table.version);
     let now = cx.now();
     if cx.router.borrow_mut().registry_mut().apply_snapshot(now, snapshot) {
-        // The old watch revision no longer matches the state, so the registry is listed again.
-        cx.watch_revision.set(None);
+        // The old watch version no longer matches the state, so the registry is listed again.
+        cx.watch_version.set(None);
         log::info!(peer = peer.to_string().as_str(), revision = revision, version = version; "snapshot taken from peer");
     }
 }
--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -13,6 +13,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -62,12 +63,21 @@
     /// Revision of the last compaction; watches from before it get status 410.
     compacted: Cell<u64>,
     fault: Cell<StoreFault>,
+    /// Number of times the store was restored from a copy.
+    era: Cell<u64>,
     /// Number of reads of a first page.
     list_count: Cell<u32>,
     /// Wakes watches after a change, a compaction or a new fault.
     changed: Notify,
 }
 
+/// Copy of the items of a store, from which it can be restored.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// Handle of a running metadata store; clones share its state.
 #[derive(Clone, Debug)]
 pub struct MetadataStore {
@@ -89,6 +99,7 @@
             revision: Cell::new(1),
             compacted: Cell::new(0),
             fault: Cell::new(StoreFault::None),
+            era: Cell::new(1),
             list_count: Cell::new(0),
             changed: Notify::new(),
         });
@@ -156,6 +167,21 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Returns a copy of all items.
+    pub fn take_copy(&self) -> StoreCopy {
+        StoreCopy { items: self.state.items.borrow().clone(), revision: self.state.revision.get() }
+    }
+
+    /// Restores the store from a copy: later changes are gone, their revisions are given out again,
+    /// and the era rises. Waiting watches go on as if nothing had happened.
+    pub fn restore(&self, copy: &StoreCopy) {
+        *self.state.items.borrow_mut() = copy.items.clone();
+        self.state.revision.set(copy.revision);
+        self.state.events.borrow_mut().retain(|event| event.revision <= copy.revision);
+        self.state.era.set(self.state.era.get() + 1);
+        self.state.changed.notify_waiters();
+    }
+
     /// Drops the history of changes; watches from an earlier revision get status 410 instead of the
     /// lost events.
     pub fn compact(&self) {
@@ -172,7 +198,7 @@
     let query = req.uri().query().unwrap_or_default().to_owned();
     match state.fault.get() {
         StoreFault::Unavailable => {
-            return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+            return Ok(json_response(&state, StatusCode::SERVICE_UNAVAILABLE, &json!({})));
         }
         StoreFault::Unresponsive => {
             std::future::pending::<()>().await;
@@ -185,13 +211,14 @@
         "/api/kv-watch" => watch(&state, &query).await,
         _ => (StatusCode::NOT_FOUND, json!({})),
     };
-    Ok(json_response(status, &body))
+    Ok(json_response(&state, status, &body))
 }
 
-/// Returns a response with a JSON body.
-fn json_response(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+/// Returns a response with the era of the store and a JSON body.
+fn json_response(state: &State, status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
     *response.status_mut() = status;
+    response.headers_mut().insert("store-era", HeaderValue::from(state.era.get()));
     response
 }
 
@@ -225,7 +252,8 @@
     let wait_ms = query_parameter(query, "wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        if after < state.compacted.get() {
+        // A revision that the store has not given out yet is one from before a restore.
+        if after < state.compacted.get() || after > state.revision.get() {
             return (StatusCode::GONE, json!({}));
         }
         let events: Vec<Value> = state
--- a/sapphirespur_standin/src/users_platform/mod.rs
+++ b/sapphirespur_standin/src/users_platform/mod.rs
@@ -6,5 +6,5 @@
 mod metadata_store;
 mod runner;
 
-pub use metadata_store::{MetadataStore, StoreFault};
+pub use metadata_store::{MetadataStore, StoreCopy, StoreFault};
 pub use runner::{Behaviour, ReceivedRequest, Runner};
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -26,6 +26,13 @@
     DropResponse,
     /// Refuses with 503 and marks the request as not executed, as a runner at capacity does.
     Full,
+    /// Refuses with 503, marks the request as not executed and asks for a pause of this many
+    /// milliseconds.
+    PauseRequested(u64),
+    /// Responds correctly and states that it is leaving.
+    Leaving,
+    /// Refuses as at capacity and states that it is leaving.
+    LeavingAndFull,
     /// Refuses with 421, as if the request was meant for another runner.
     Misdirected,
     /// Responds with a signed 500.
@@ -240,7 +247,9 @@
 ) -> io::Result<bool> {
     let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default().to_owned();
     let id_header = format!("X-Sapphirespur-Attempt-Id: {id}\r\n");
-    let signed = format!("{id_header}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
+    let leaving =
+        if state.behaviour.get() == Behaviour::Leaving { "Server-Leaving: 1\r\n" } else { "" };
+    let signed = format!("{id_header}{leaving}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
     let is_stream = request.line.contains("/stream/");
     match state.behaviour.get() {
         Behaviour::Full => {
@@ -248,6 +257,21 @@
             write_response(stream, "503 Service Unavailable", &headers, "").await?;
             Ok(true)
         }
+        Behaviour::PauseRequested(millis) => {
+            let seconds = millis as f64 / 1_000.0;
+            let headers = format!(
+                "{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\nRetry-After: {seconds}\r\n"
+            );
+            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            Ok(true)
+        }
+        Behaviour::LeavingAndFull => {
+            let headers = format!(
+                "{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+            );
+            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            Ok(true)
+        }
         Behaviour::Misdirected => {
             write_response(stream, "421 Misdirected Request", &id_header, "").await?;
             Ok(true)
