Watch the store at a paced rate, and tell a pause from a lack of processor time

Change: after changes, the next watch starts no sooner than an eighth of the tightest bound; a lone change is still seen at once.

Cause (floods): a tick that came 0.8 s late counted as a pause of the process, which made all upstreams cold for 5 s and dropped the peers' reports. A router short of its 0.09 of a core has such ticks while it works. Change: a pause is a gap in which the process did nothing at all, or a suspended VM; after one, upstreams are cold only until the store has answered a call that started later.

Tests flooded_router::* fail on the old rule (late tick of a busy process).

--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -197,15 +197,22 @@
             .collect()
     }
 
-    /// Treats all upstreams as cold for a while and discards reported work, after the process was
-    /// paused.
+    /// Treats all upstreams as cold and discards reported work, after the process was paused.
     pub fn on_process_pause(&mut self, now: Time) {
         for upstream in self.registry.upstreams_mut().iter_mut() {
-            upstream.mark_unhealthy(now);
+            upstream.mark_unverified(now);
         }
         self.peers.clear_reports();
     }
 
+    /// Records that the registry has answered a call that started after the last pause: the
+    /// upstreams are as their entries say.
+    pub fn on_registry_current(&mut self) {
+        for upstream in self.registry.upstreams_mut().iter_mut() {
+            upstream.unverified_until = Time::default();
+        }
+    }
+
     /// Records that an upstream has sent `count` complete events of a stream.
     pub fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
         let gap = now.since(request.last_event_at);
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -59,9 +59,11 @@
     /// When the upstream becomes warm after its start, or after its data centre was put back into
     /// service.
     pub cold_until: Time,
-    /// Until when the upstream is treated as cold after a connection failure or a pause of this
-    /// process.
+    /// Until when the upstream is treated as cold after a connection failure.
     pub unhealthy_until: Time,
+    /// Until when the upstream is treated as cold because this process was paused and may have
+    /// missed its restart.
+    pub unverified_until: Time,
     /// When the upstream counts as gone because its entry is missing or its address has another
     /// owner; none while it is present.
     pub gone_at: Option<Time>,
@@ -82,6 +84,7 @@
             send_limiter: WindowLimiter::new(COLD_WINDOW),
             cold_until,
             unhealthy_until: Time::default(),
+            unverified_until: Time::default(),
             gone_at: None,
             paused_until: Time::default(),
             is_leaving: false,
@@ -98,6 +101,12 @@
         self.unhealthy_until = now + UNHEALTHY_DURATION;
     }
 
+    /// Treats the upstream as cold until the registry has been read again, but not for longer than
+    /// after a connection failure.
+    pub fn mark_unverified(&mut self, now: Time) {
+        self.unverified_until = now + UNHEALTHY_DURATION;
+    }
+
     /// Stops requests of this router for the time that the upstream asks for.
     pub fn pause(&mut self, now: Time, pause: Duration) {
         self.paused_until = self.paused_until.max(now + pause);
@@ -154,7 +163,8 @@
         if self.paused_until > now {
             return Condition::Paused;
         }
-        if self.cold_until > now || self.unhealthy_until > now {
+        let cold_until = self.cold_until.max(self.unhealthy_until).max(self.unverified_until);
+        if cold_until > now {
             return Condition::Cold;
         }
         Condition::Warm
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod cold_return;
 mod fleet_sums;
+mod flooded_router;
 mod hot_key;
 mod hot_tenant;
 mod leaving_and_pause;
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -46,8 +46,12 @@
 }
 
 impl RegistrySync {
-    /// Lists the registry or watches for its next changes, and applies them.
-    async fn poll(&mut self, registry: &mut impl Registry) -> Result<(), RegistryError> {
+    /// Lists the registry or watches for its next changes, and applies them. Returns the delay
+    /// before the next call.
+    async fn poll(&mut self, registry: &mut impl Registry) -> Result<Duration, RegistryError> {
+        let started = self.cx.now();
+        let unverified_since = self.cx.unverified_since.get();
+        let mut has_changes = true;
         match self.cx.watch_version.get() {
             None => {
                 let listing = registry.list().await?;
@@ -55,19 +59,32 @@
                 self.apply_listing(listing);
             }
             Some(version) => {
-                let changes = registry.watch(version, WATCH_TIMEOUT).await?;
+                let max_wait =
+                    if unverified_since.is_some() { Duration::ZERO } else { WATCH_TIMEOUT };
+                let changes = tokio::select! {
+                    changes = registry.watch(version, max_wait) => changes?,
+                    () = self.cx.registry_check.notified() => return Ok(Duration::ZERO),
+                };
                 self.on_contact();
+                has_changes = !changes.changes.is_empty();
                 self.apply_changes(changes);
             }
         }
-        Ok(())
+        if unverified_since.is_some() && self.cx.unverified_since.get() == unverified_since {
+            self.cx.unverified_since.set(None);
+            self.cx.router.borrow_mut().on_registry_current();
+        }
+
+        // Changes often come in series; a pause collects them into one call.
+        let interval = if has_changes { self.cx.settings().watch_interval } else { Duration::ZERO };
+        Ok(interval.saturating_sub(self.cx.now().since(started)))
     }
 
     /// Records the result of a call and returns the delay before the next one.
-    fn on_result(&mut self, result: Result<(), RegistryError>) -> Duration {
+    fn on_result(&mut self, result: Result<Duration, RegistryError>) -> Duration {
         self.cx.metrics.record_registry_call(result.is_ok());
         match result {
-            Ok(()) => return Duration::ZERO,
+            Ok(delay) => return delay,
             Err(RegistryError::Compacted) => {
                 log::warn!(revision = self.watch_version().revision; "record forgot the revision; it is listed again");
                 self.on_contact();
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashMap;
-use sapphirespur_core::edge::{RegistryVersion, Router, RouterSettings};
+use sapphirespur_core::edge::{PauseDetector, RegistryVersion, Router, RouterSettings};
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
 
@@ -14,7 +14,7 @@
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
 use super::pool::Pool;
-use crate::clock::{Clock, wall_us};
+use crate::clock::{Clock, time_since_boot, wall_us};
 use crate::settings::EdgeSettings;
 
 /// Phase in the lifecycle of the process.
@@ -37,7 +37,13 @@
     /// HTTP conventions of the platform.
     pub dialect: Rc<dyn Dialect>,
     /// Monotonic clock.
-    pub clock: Clock,
+    clock: Clock,
+    /// Detector of pauses, which sees every reading of the clock.
+    pause_detector: Cell<PauseDetector>,
+    /// Time of a pause after which the registry has not answered yet; absent when there is none.
+    pub unverified_since: Cell<Option<Time>>,
+    /// Wakes the synchronisation with the registry for a call without a wait.
+    pub registry_check: Notify,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Routing state: registry, peers, load, shares and retry budgets.
@@ -85,6 +91,9 @@
             settings: RefCell::new(Rc::new(settings)),
             metrics: Metrics::new(),
             dialect,
+            pause_detector: Cell::new(PauseDetector::new(clock.now())),
+            unverified_since: Cell::new(None),
+            registry_check: Notify::new(),
             clock,
             started_ms,
             router: RefCell::new(router),
@@ -114,7 +123,19 @@
 
     /// Returns the current monotonic time.
     pub fn now(&self) -> Time {
-        self.clock.now()
+        let now = self.clock.now();
+        let mut detector = self.pause_detector.get();
+        detector.observe(now);
+        self.pause_detector.set(detector);
+        now
+    }
+
+    /// Returns the length of a pause of the process since the last call, if there was one.
+    pub fn check_pause(&self) -> Option<Duration> {
+        let mut detector = self.pause_detector.get();
+        let pause = detector.check(self.clock.now(), time_since_boot());
+        self.pause_detector.set(detector);
+        pause
     }
 
     /// Returns whether the registry responded recently.
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -5,7 +5,6 @@
 use std::time::{Duration, SystemTime};
 
 use super::shared::Shared;
-use crate::clock::time_since_boot;
 use crate::settings::EdgeSettings;
 
 /// Interval between ticks.
@@ -17,29 +16,25 @@
 /// Ticks between checks for a changed settings file.
 const TICKS_PER_SETTINGS_CHECK: u32 = 20;
 
-/// Delay of a tick beyond which the process counts as having been paused.
-const MAX_TICK_DELAY: Duration = Duration::from_millis(700);
-
 /// Runs the periodic work until the process exits.
 pub(super) async fn run(cx: Rc<Shared>) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut last = time_since_boot();
     let mut ticks = 0_u32;
     let mut settings_file = WatchedFile::new(&cx.settings().path);
     loop {
         interval.tick().await;
-        let boot = time_since_boot();
-        let elapsed = boot.saturating_sub(last);
-        last = boot;
         ticks = ticks.wrapping_add(1);
 
+        let pause = cx.check_pause();
         let now = cx.now();
         cx.router.borrow_mut().tick(now);
-        if elapsed > TICK_INTERVAL + MAX_TICK_DELAY {
-            log::warn!(paused_ms = elapsed.as_millis() as u64; "process was paused");
+        if let Some(pause) = pause {
+            log::warn!(paused_ms = pause.as_millis() as u64; "process was paused");
             cx.router.borrow_mut().on_process_pause(now);
             cx.pool.borrow_mut().clear();
+            cx.unverified_since.set(Some(now));
+            cx.registry_check.notify_one();
         }
         if ticks.is_multiple_of(TICKS_PER_SETTINGS_CHECK) && settings_file.has_changed() {
             reload(&cx);
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -48,6 +48,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's registry.
     pub registry: SocketAddr,
+    /// Shortest time between two watches of the registry while changes arrive.
+    pub watch_interval: Duration,
     /// Limits on buffered bodies, client connections and the time to stop.
     pub limits: EdgeLimits,
     /// Settings of admission and placement.
@@ -73,6 +75,9 @@
 /// upstreams need the rest.
 const MAX_CONNECTIONS_DIVISOR: usize = 2;
 
+/// Number of watches that fit into the shortest time within which a change must take effect.
+const WATCHES_PER_BOUND: u32 = 8;
+
 impl EdgeSettings {
     /// Sections that the file may have, with their keys.
     const SCHEMA: &[SectionSchema] = &[
@@ -80,6 +85,7 @@
         ("listen", &["http", "ready", "peers", "metrics"]),
         ("peers", &["seeds"]),
         ("record", &["address"]),
+        ("bounds", &["drain-ms", "config-ms", "evacuation-ms"]),
         ("limits", &["memory-mb", "descriptors", "grace-s"]),
         ("repeats", &["ratio", "allowance", "window-s"]),
         ("cold", &["overshoot", "allowance"]),
@@ -121,6 +127,7 @@
             path: path.to_owned(),
             seeds: f.addresses("peers", "seeds")?,
             registry: f.address("record", "address")?,
+            watch_interval: read_tightest_bound(f)? / WATCHES_PER_BOUND,
             limits: EdgeLimits {
                 max_buffered_bytes: (memory_mb * BYTES_PER_MB / BUFFERED_MEMORY_DIVISOR) as usize,
                 refused_close_threshold: descriptors as usize / REFUSED_CLOSE_DIVISOR,
@@ -156,3 +163,15 @@
         })
     }
 }
+
+/// Returns the shortest time within which a change of the registry must take effect.
+fn read_tightest_bound(f: &SettingsFile) -> Result<Duration, SettingsError> {
+    const DEFAULT_BOUND_MS: f64 = 2_000.0;
+
+    let mut tightest_ms = f64::INFINITY;
+    for key in ["drain-ms", "config-ms", "evacuation-ms"] {
+        tightest_ms =
+            tightest_ms.min(f.decimal("bounds", key, 1.0..=3_600_000.0, DEFAULT_BOUND_MS)?);
+    }
+    Ok(Duration::from_secs_f64(tightest_ms / 1_000.0))
+}
--- a/sapphirespur_node/src/settings/settings_file.rs
+++ b/sapphirespur_node/src/settings/settings_file.rs
@@ -74,9 +74,10 @@
         Ok(Duration::from_secs_f64(seconds))
     }
 
-    /// Returns the value of a key, or `None` when the key is missing.
+    /// Returns the value of a key, or `None` when the key is missing or has no value, as when a
+    /// template is filled in and there is none.
     pub fn optional(&self, section: &str, key: &str) -> Option<&str> {
-        self.ini.get_from(Some(section), key)
+        self.ini.get_from(Some(section), key).filter(|value| !value.trim().is_empty())
     }
 
     /// Returns the value of a required key.
