Exchange reports through a relay in each data centre

Cause: each router sent its whole report to every other one every 150 ms: 70,000 datagrams a second over 103 routers, 680 to decode at a router with 0.09 of a core, most bytes between data centres.

Change: fleets of more than eight routers have a relay and a standby in each data centre, by rendezvous hash over the live routers. They add up the reports of their data centre, exchange sums with the other ones, and answer each report with the sums over all others. Reports, sums and limits keep their meaning; a report now says over how many routers it sums. Contacts are passed on in turn.

Ruled out: slower reports in a full mesh (25 s apart for 8 KB a second at 103 routers); lists of members in the store (a lease each, and nothing when the store is down).

Tests: edge::exchange, up to 390 routers in one process, with relays, standbys, a data centre, or four fifths of all routers lost, all restarted, a data centre cut off for 40 s. On the way they found two splits: a standby that had no sums of its own, and survivors of a herd kill that each took themselves for the relay (now they probe silent neighbours).

--- a/sapphirespur_core/src/edge/cold_limit.rs
+++ b/sapphirespur_core/src/edge/cold_limit.rs
@@ -55,8 +55,12 @@
         }
 
         // There are too many routers for one request each. The ones ranked first may send one. Half
-        // of the limit is reserved, because a router that does not have the reports of all others
-        // ranks itself too high.
-        usize::from(self.peers.rank(now, self.own_hash, key) < fleet_limit as usize / 2)
+        // of the limit is reserved, because a router that does not know all others ranks itself too
+        // high; one that knows less than half of them does not send.
+        let known = self.peers.members().count(now) + 1;
+        if known * 2 < self.peers.count(now) {
+            return 0;
+        }
+        usize::from(self.peers.members().rank(now, self.own_hash, key) < fleet_limit as usize / 2)
     }
 }
--- /dev/null
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -0,0 +1,383 @@
+//! State of one router in the exchange of reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::edge::exchange::{
+    Contact, ExchangeRole, News, OutgoingMessage, PeerMessage, ReportScope,
+};
+use crate::edge::report_store::ReportSource;
+use crate::edge::{PeerReport, Peers};
+use crate::time::Time;
+
+/// Decides to whom a router sends its report, and which reports it adds up.
+#[derive(Clone, Debug, Default)]
+pub struct Exchange {
+    peers: Peers,
+    /// This router; none before it is set, as long as reports are exchanged without messages.
+    own: Option<Contact>,
+    /// Addresses of the first routers to contact.
+    seeds: Vec<SocketAddr>,
+    role: Option<ExchangeRole>,
+    own_report: PeerReport,
+    /// Relay whose sums are in use, and when they arrived.
+    sums_from: Option<(u64, Time)>,
+    /// Number of routers that these sums cover.
+    sums_cover: u32,
+    /// Relay that is asked, and since when it has not answered with sums.
+    unanswered: Option<(u64, Time)>,
+    /// When a router last asked this one for sums.
+    asked_at: Option<Time>,
+    /// Prefilled tokens from this data centre, for the others: of this interval and the last one.
+    own_news: [News; 2],
+    /// Prefilled tokens from everywhere, for the routers of this data centre.
+    all_news: [News; 2],
+    ticks: u32,
+}
+
+impl Exchange {
+    /// Interval between reports in a small fleet.
+    pub const MESH_INTERVAL: Duration = Duration::from_millis(150);
+
+    /// Interval between reports in a fleet with relays.
+    pub const RELAY_INTERVAL: Duration = Duration::from_millis(250);
+
+    /// Time without an answer after which a relay counts as silent; several answers must have been
+    /// lost by then.
+    const RELAY_TIMEOUT: Duration = Duration::from_millis(600);
+
+    /// Time without sums after which a relay is passed over although it is heard: it does not know
+    /// that it is one.
+    const REFUSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+    /// Routers that have fallen silent to which a relay sends its report in one interval.
+    const PROBES: usize = 2;
+
+    /// Ticks between messages to a seed that gets no reports, so that parts of the fleet that lost
+    /// each other meet again.
+    const TICKS_PER_SEED: u32 = 16;
+
+    /// Sets the address and data centre of this router, and the first routers to contact.
+    pub fn start(&mut self, own: Contact, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds.into_iter().filter(|seed| *seed != own.address).collect();
+        self.own = Some(own);
+    }
+
+    /// Returns the reports of the other routers.
+    pub fn peers(&self) -> &Peers {
+        &self.peers
+    }
+
+    /// Returns the reports of the other routers for modification.
+    pub fn peers_mut(&mut self) -> &mut Peers {
+        &mut self.peers
+    }
+
+    /// Returns the part of this router in the exchange.
+    pub fn role(&self) -> ExchangeRole {
+        self.role.unwrap_or(ExchangeRole::Mesh)
+    }
+
+    /// Returns the relay whose sums this router uses, and their age; none in other roles.
+    pub fn sums_source(&self, now: Time) -> Option<(Contact, Duration)> {
+        let (router, at) = self.sums_from?;
+        Some((self.peers.members().contact(router)?, now.since(at)))
+    }
+
+    /// Returns the interval until the next report.
+    pub fn interval(&self) -> Duration {
+        match self.role() {
+            ExchangeRole::Mesh => Self::MESH_INTERVAL,
+            _ => Self::RELAY_INTERVAL,
+        }
+    }
+
+    /// Returns the messages to send now, with this router's report.
+    pub fn tick(&mut self, now: Time, report: PeerReport) -> Vec<OutgoingMessage> {
+        let Some(own) = self.own else { return Vec::new() };
+        self.ticks = self.ticks.wrapping_add(1);
+        self.peers.expire(now);
+        self.peers.members_mut().expire(now);
+        self.watch_relay(now);
+        self.update_role(now, &own);
+        self.peers.choose_reports(now, self.role() == ExchangeRole::Relay);
+        self.rotate_news(&report);
+        self.own_report = report;
+
+        let mut out = match self.role() {
+            ExchangeRole::Mesh => self.mesh_messages(now, &own),
+            _ => self.member_messages(now, &own),
+        };
+        if self.is_acting(now) {
+            out.extend(self.relay_messages(now, &own));
+            out.extend(self.probes(now, &own));
+        }
+        out.extend(self.seed_messages(now, &own, &out));
+        out
+    }
+
+    /// Takes a message of another router. Returns its report if it is used, and the answer.
+    pub fn on_message(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: PeerMessage,
+    ) -> (Option<PeerReport>, Option<OutgoingMessage>) {
+        let Some(own) = self.own else { return (None, None) };
+        let sender = Contact { address: from, ..message.sender };
+        if sender.router == own.router {
+            return (None, None);
+        }
+
+        let members = self.peers.members_mut();
+        members.on_heard(now, sender.router, Some(sender));
+        for heard in message.contacts.iter().filter(|heard| heard.contact.router != own.router) {
+            members.on_told(now, heard);
+        }
+        let is_misdirected = self.is_misdirected(&own, &sender, message.report.as_ref());
+        let used = message
+            .report
+            .filter(|(_, report)| report.is_plausible())
+            .and_then(|(scope, report)| self.take_report(now, &sender, scope, report));
+
+        let answer = if message.wants_sums && self.role().adds_up() {
+            self.asked_at = Some(now);
+            Some(self.sums_for(now, &own, &sender))
+        } else if is_misdirected {
+            Some(self.message(now, &own, sender.data_centre, None))
+        } else {
+            None
+        };
+        let answer = answer.map(|message| OutgoingMessage { to: from, message });
+        (used, answer)
+    }
+
+    /// Returns whether a report shows that its sender knows too little of the fleet: it is sent to a
+    /// router that has no use for it.
+    fn is_misdirected(
+        &self,
+        own: &Contact,
+        sender: &Contact,
+        report: Option<&(ReportScope, PeerReport)>,
+    ) -> bool {
+        let is_relay_of_sender = self.role().adds_up() && sender.data_centre == own.data_centre;
+        matches!(report, Some((ReportScope::Router, _)))
+            && self.role() != ExchangeRole::Mesh
+            && !is_relay_of_sender
+    }
+
+    /// Stores a report if this router's role has a use for its scope; returns it if it is new.
+    fn take_report(
+        &mut self,
+        now: Time,
+        sender: &Contact,
+        scope: ReportScope,
+        report: PeerReport,
+    ) -> Option<PeerReport> {
+        let own = self.own?;
+        let is_near = sender.data_centre == own.data_centre;
+        let role = self.role();
+        let stored = match scope {
+            ReportScope::Router if role == ExchangeRole::Mesh => {
+                self.peers.receive(now, ReportSource::Router(sender.router), report)
+            }
+            ReportScope::Router if role.adds_up() && is_near => {
+                self.peers.relay(now, ReportSource::Router(sender.router), report)
+            }
+            ReportScope::DataCentre if role.adds_up() && !is_near => {
+                self.peers.relay(now, ReportSource::DataCentre(sender.data_centre), report)
+            }
+            ReportScope::Fleet if self.accept_sums(now, sender.router, report.routers) => {
+                return self.peers.receive(now, ReportSource::Fleet, report).cloned();
+            }
+            _ => None,
+        };
+
+        let report = stored?.clone();
+        if is_near {
+            self.own_news[0].add(&report);
+        }
+        self.all_news[0].add(&report);
+        Some(report)
+    }
+
+    /// Returns whether to use the sums of a relay: those of another one than before only if they
+    /// cover as many routers, or the ones in use are outdated.
+    fn accept_sums(&mut self, now: Time, relay: u64, routers: u32) -> bool {
+        if !matches!(self.role(), ExchangeRole::Member | ExchangeRole::Standby) {
+            return false;
+        }
+        if self.unanswered.is_some_and(|(asked, _)| asked == relay) {
+            self.unanswered = None;
+        }
+        let is_accepted = self.sums_from.is_none_or(|(current, at)| {
+            current == relay || now.since(at) > Self::RELAY_TIMEOUT || routers >= self.sums_cover
+        });
+        if is_accepted {
+            self.sums_from = Some((relay, now));
+            self.sums_cover = routers;
+        }
+        is_accepted
+    }
+
+    /// Passes over a relay that has not answered for too long.
+    fn watch_relay(&mut self, now: Time) {
+        let Some((relay, since)) = self.unanswered else { return };
+        let is_heard = self.peers.members().heard_at(relay).is_some_and(|at| at > since);
+        let timeout = if is_heard { Self::REFUSAL_TIMEOUT } else { Self::RELAY_TIMEOUT };
+        if now.since(since) > timeout {
+            self.peers.members_mut().on_silent(now, relay);
+            self.unanswered = None;
+        }
+    }
+
+    /// Returns whether this router exchanges sums with the other data centres: it is the relay, or
+    /// the standby to which routers have turned.
+    fn is_acting(&self, now: Time) -> bool {
+        let is_asked = self.asked_at.is_some_and(|at| now.since(at) < Self::RELAY_TIMEOUT);
+        self.role() == ExchangeRole::Relay || self.role().adds_up() && is_asked
+    }
+
+    /// Determines the role; after a change, reports that the new role does not use are dropped.
+    fn update_role(&mut self, now: Time, own: &Contact) {
+        let role = self.peers.members().role(now, own);
+        if self.role == Some(role) {
+            return;
+        }
+
+        self.role = Some(role);
+        let is_mesh = role == ExchangeRole::Mesh;
+        self.peers.received_mut().retain(|source| is_mesh == (source != ReportSource::Fleet));
+        if !role.adds_up() {
+            self.peers.clear_relayed();
+        }
+        self.unanswered = None;
+    }
+
+    /// Starts the next interval of collected news with this router's own.
+    fn rotate_news(&mut self, report: &PeerReport) {
+        for news in [&mut self.own_news, &mut self.all_news] {
+            news[1] = std::mem::take(&mut news[0]);
+            news[0].add(report);
+        }
+    }
+
+    /// Sends this router's report to all others.
+    fn mesh_messages(&self, now: Time, own: &Contact) -> Vec<OutgoingMessage> {
+        let report = Some((ReportScope::Router, self.own_report.clone()));
+        let message = self.message(now, own, own.data_centre, report);
+        let contacts = self.peers.members().contacts(now);
+        contacts
+            .into_iter()
+            .map(|contact| OutgoingMessage { to: contact.address, message: message.clone() })
+            .collect()
+    }
+
+    /// Sends this router's report to the relays of its data centre, and asks for sums.
+    fn member_messages(&mut self, now: Time, own: &Contact) -> Vec<OutgoingMessage> {
+        let relays = self.peers.members().relays(now, own.data_centre, Some(own));
+        let is_member = self.role() != ExchangeRole::Relay;
+        let first = relays.first().map(|relay| relay.router);
+        if is_member && self.unanswered.map(|(asked, _)| asked) != first {
+            self.unanswered = first.map(|relay| (relay, now));
+        }
+
+        let report = Some((ReportScope::Router, self.own_report.clone()));
+        let message = self.message(now, own, own.data_centre, report);
+        let is_current = |relay: u64| self.sums_from.is_some_and(|(current, _)| current == relay);
+        relays
+            .into_iter()
+            .filter(|relay| relay.router != own.router)
+            .map(|relay| {
+                let is_asked = Some(relay.router) == first || is_current(relay.router);
+                let wants_sums = is_member && is_asked;
+                OutgoingMessage {
+                    to: relay.address,
+                    message: PeerMessage { wants_sums, ..message.clone() },
+                }
+            })
+            .collect()
+    }
+
+    /// Sends the sums over this data centre to the relays of the other ones.
+    fn relay_messages(&self, now: Time, own: &Contact) -> Vec<OutgoingMessage> {
+        let mut sums = self.peers.relayed().sum_of_routers(&self.own_report);
+        self.own_news[1].write_to(&mut sums);
+        let report = Some((ReportScope::DataCentre, sums));
+        let message = self.message(now, own, own.data_centre, report);
+
+        let members = self.peers.members();
+        let others = members.other_data_centres(now, own.data_centre);
+        let relays = others.into_iter().flat_map(|other| members.relays(now, other, None));
+        relays
+            .map(|relay| OutgoingMessage { to: relay.address, message: message.clone() })
+            .collect()
+    }
+
+    /// Sends this router's report to routers of its data centre that have fallen silent: after the
+    /// loss of several routers, the others may each take themselves for the relay.
+    fn probes(&self, now: Time, own: &Contact) -> Vec<OutgoingMessage> {
+        let silent = self.peers.members().silent_in(now, own.data_centre, Self::RELAY_TIMEOUT);
+        let report = Some((ReportScope::Router, self.own_report.clone()));
+        let message = self.message(now, own, own.data_centre, report);
+        let count = silent.len().min(Self::PROBES);
+        let start = self.ticks as usize * Self::PROBES;
+        (0..count)
+            .map(|offset| silent[(start + offset) % silent.len()].address)
+            .map(|to| OutgoingMessage { to, message: message.clone() })
+            .collect()
+    }
+
+    /// Returns the sums over all routers but `receiver`.
+    fn sums_for(&self, now: Time, own: &Contact, receiver: &Contact) -> PeerMessage {
+        let mut sums = self.peers.relayed().sum_without(&self.own_report, receiver.router);
+        self.all_news[1].write_to(&mut sums);
+        self.message(now, own, receiver.data_centre, Some((ReportScope::Fleet, sums)))
+    }
+
+    /// Contacts all seeds while this router knows nobody, and one of them now and then later on.
+    fn seed_messages(
+        &self,
+        now: Time,
+        own: &Contact,
+        out: &[OutgoingMessage],
+    ) -> Vec<OutgoingMessage> {
+        if self.seeds.is_empty() {
+            return Vec::new();
+        }
+
+        let is_alone = self.peers.members().count(now) == 0;
+        let turn = self.ticks / Self::TICKS_PER_SEED;
+        let seeds = if is_alone || self.role() == ExchangeRole::Mesh {
+            self.seeds.clone()
+        } else if self.ticks.is_multiple_of(Self::TICKS_PER_SEED) {
+            vec![self.seeds[turn as usize % self.seeds.len()]]
+        } else {
+            return Vec::new();
+        };
+        let report = Some((ReportScope::Router, self.own_report.clone()));
+        let message = self.message(now, own, own.data_centre, report);
+        let is_new = |seed: &SocketAddr| out.iter().all(|message| message.to != *seed);
+        seeds
+            .into_iter()
+            .filter(is_new)
+            .map(|to| OutgoingMessage { to, message: message.clone() })
+            .collect()
+    }
+
+    /// Returns a message with contacts that are of use in a data centre.
+    fn message(
+        &self,
+        now: Time,
+        own: &Contact,
+        data_centre: u32,
+        report: Option<(ReportScope, PeerReport)>,
+    ) -> PeerMessage {
+        PeerMessage {
+            sender: *own,
+            contacts: self.peers.members().contacts_in_turn(now, data_centre, self.ticks),
+            wants_sums: false,
+            report,
+        }
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -0,0 +1,242 @@
+//! Routers of the fleet, and which of them relay reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::edge::exchange::{Contact, HeardContact};
+use crate::hash::stable_hash;
+use crate::time::Time;
+
+/// Part of a router in the exchange of reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExchangeRole {
+    /// Sends its reports to all other routers of a small fleet.
+    Mesh,
+    /// Sends its reports to the relays of its data centre.
+    Member,
+    /// Takes the place of the relay when that falls silent.
+    Standby,
+    /// Adds up the reports of its data centre and exchanges sums with the other ones.
+    Relay,
+}
+
+impl ExchangeRole {
+    /// Returns a short name for logs and the status.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Mesh => "mesh",
+            Self::Member => "member",
+            Self::Standby => "standby",
+            Self::Relay => "relay",
+        }
+    }
+
+    /// Returns whether the router adds up the reports of its data centre.
+    pub fn adds_up(self) -> bool {
+        matches!(self, Self::Relay | Self::Standby)
+    }
+}
+
+/// Another router.
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    /// How it is reached; none when only its reports are known.
+    contact: Option<Contact>,
+    heard_at: Time,
+    /// Until when it does not relay, because it did not answer.
+    silent_until: Time,
+}
+
+/// Other routers that were heard, directly or through others.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// Ordered, so that contacts are passed on in turn.
+    by_router: BTreeMap<u64, Member>,
+}
+
+impl Members {
+    /// Age at which a router no longer counts when fleet-wide limits are divided, and is forgotten.
+    const MEMBER_TTL: Duration = Duration::from_secs(30);
+
+    /// Age at which a router no longer relays.
+    const RELAY_TTL: Duration = Duration::from_secs(3);
+
+    /// Time for which a relay that did not answer is passed over.
+    const SILENCE_PENALTY: Duration = Duration::from_secs(4);
+
+    /// Largest number of other routers in a fleet without relays.
+    const MAX_MESH: usize = 7;
+
+    /// Relays of a data centre: the one in use and its standby.
+    const RELAYS: usize = 2;
+
+    /// Contacts in one message.
+    const CONTACTS_PER_MESSAGE: usize = 16;
+
+    /// Records that a router was heard directly.
+    pub fn on_heard(&mut self, now: Time, router: u64, contact: Option<Contact>) {
+        let member = self.by_router.entry(router).or_insert(Member {
+            contact,
+            heard_at: now,
+            silent_until: Time::default(),
+        });
+        member.heard_at = now;
+        member.contact = contact.or(member.contact);
+        member.silent_until = Time::default();
+    }
+
+    /// Records a router that another one knows. Returns whether it was unknown here.
+    pub fn on_told(&mut self, now: Time, heard: &HeardContact) -> bool {
+        if heard.age() >= Self::MEMBER_TTL {
+            return false;
+        }
+
+        let heard_at = now - heard.age();
+        let router = heard.contact.router;
+        let Some(member) = self.by_router.get_mut(&router) else {
+            let member =
+                Member { contact: Some(heard.contact), heard_at, silent_until: Time::default() };
+            self.by_router.insert(router, member);
+            return true;
+        };
+        if heard_at > member.heard_at {
+            member.heard_at = heard_at;
+            member.contact = Some(heard.contact);
+        }
+        false
+    }
+
+    /// Records that a router did not answer, so that another one relays for a while.
+    pub fn on_silent(&mut self, now: Time, router: u64) {
+        if let Some(member) = self.by_router.get_mut(&router) {
+            member.silent_until = now + Self::SILENCE_PENALTY;
+        }
+    }
+
+    /// Forgets routers that were not heard for long.
+    pub fn expire(&mut self, now: Time) {
+        self.by_router.retain(|_, member| now.since(member.heard_at) < Self::MEMBER_TTL);
+    }
+
+    /// Returns the number of routers that were heard recently.
+    pub fn count(&self, now: Time) -> usize {
+        self.recent(now).count()
+    }
+
+    /// Returns the number of routers that precede the one with hash `own` in the rendezvous order
+    /// of `key`.
+    pub fn rank(&self, now: Time, own: u64, key: u32) -> usize {
+        let weight = |router: u64| stable_hash(&[&router.to_le_bytes(), &key.to_le_bytes()]);
+        let own = weight(own);
+        self.recent(now).filter(|(router, _)| weight(**router) > own).count()
+    }
+
+    /// Returns the contact of a router.
+    pub fn contact(&self, router: u64) -> Option<Contact> {
+        self.by_router.get(&router).and_then(|member| member.contact)
+    }
+
+    /// Returns the contacts of all routers that were heard recently.
+    pub fn contacts(&self, now: Time) -> Vec<Contact> {
+        self.recent(now).filter_map(|(_, member)| member.contact).collect()
+    }
+
+    /// Returns the part of the router `own` in the exchange.
+    pub fn role(&self, now: Time, own: &Contact) -> ExchangeRole {
+        if self.count(now) <= Self::MAX_MESH {
+            return ExchangeRole::Mesh;
+        }
+
+        let relays = self.relays(now, own.data_centre, Some(own));
+        match relays.iter().position(|relay| relay.router == own.router) {
+            Some(0) => ExchangeRole::Relay,
+            Some(_) => ExchangeRole::Standby,
+            None => ExchangeRole::Member,
+        }
+    }
+
+    /// Returns the relays of a data centre, the one in use first. `own` is this router when it is
+    /// in the data centre.
+    pub fn relays(&self, now: Time, data_centre: u32, own: Option<&Contact>) -> Vec<Contact> {
+        let is_live = |member: &&Member| {
+            now.since(member.heard_at) < Self::RELAY_TTL && member.silent_until <= now
+        };
+        let others = self.by_router.values().filter(is_live).filter_map(|member| member.contact);
+        let mut ranked: Vec<(u64, Contact)> = others
+            .chain(own.copied())
+            .filter(|contact| contact.data_centre == data_centre)
+            .map(|contact| (relay_weight(&contact), contact))
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+        ranked.truncate(Self::RELAYS);
+        ranked.into_iter().map(|(_, contact)| contact).collect()
+    }
+
+    /// Returns when a router was last heard.
+    pub fn heard_at(&self, router: u64) -> Option<Time> {
+        self.by_router.get(&router).map(|member| member.heard_at)
+    }
+
+    /// Returns the routers of a data centre that were not heard for `silence`.
+    pub fn silent_in(&self, now: Time, data_centre: u32, silence: Duration) -> Vec<Contact> {
+        self.recent(now)
+            .filter(|(_, member)| now.since(member.heard_at) > silence)
+            .filter_map(|(_, member)| member.contact)
+            .filter(|contact| contact.data_centre == data_centre)
+            .collect()
+    }
+
+    /// Returns the data centres with routers other than the ones in `own`.
+    pub fn other_data_centres(&self, now: Time, own: u32) -> Vec<u32> {
+        let mut found: Vec<u32> = self
+            .contacts(now)
+            .into_iter()
+            .map(|contact| contact.data_centre)
+            .filter(|data_centre| *data_centre != own)
+            .collect();
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
+    /// Returns the contacts to pass on in round `round`: the relays of the data centre `first`, and
+    /// others in turn, of which those of that data centre take half of the places.
+    pub fn contacts_in_turn(&self, now: Time, first: u32, round: u32) -> Vec<HeardContact> {
+        let heard = |member: &Member| {
+            let age_ms = now.since(member.heard_at).as_millis() as u32;
+            Some(HeardContact { contact: member.contact?, age_ms })
+        };
+        let known: Vec<HeardContact> =
+            self.recent(now).filter_map(|(_, member)| heard(member)).collect();
+        let (near, far): (Vec<HeardContact>, Vec<HeardContact>) =
+            known.into_iter().partition(|heard| heard.contact.data_centre == first);
+
+        let mut chosen: Vec<HeardContact> = self
+            .relays(now, first, None)
+            .iter()
+            .filter_map(|relay| heard(self.by_router.get(&relay.router)?))
+            .collect();
+        chosen.extend(take_in_turn(&near, round, Self::CONTACTS_PER_MESSAGE / 2));
+        let left = Self::CONTACTS_PER_MESSAGE.saturating_sub(chosen.len());
+        chosen.extend(take_in_turn(&far, round, left));
+        chosen
+    }
+
+    fn recent(&self, now: Time) -> impl Iterator<Item = (&u64, &Member)> {
+        self.by_router
+            .iter()
+            .filter(move |(_, member)| now.since(member.heard_at) < Self::MEMBER_TTL)
+    }
+}
+
+/// Returns the weight by which the routers of a data centre are ranked.
+fn relay_weight(contact: &Contact) -> u64 {
+    stable_hash(&[&contact.router.to_le_bytes(), &contact.data_centre.to_le_bytes()])
+}
+
+/// Returns at most `count` items; successive rounds take successive items, round the list.
+fn take_in_turn(items: &[HeardContact], round: u32, count: usize) -> Vec<HeardContact> {
+    let count = count.min(items.len());
+    let start = round as usize * count;
+    (0..count).map(|offset| items[(start + offset) % items.len()]).collect()
+}
--- /dev/null
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -0,0 +1,41 @@
+//! Messages between routers.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::edge::PeerReport;
+use crate::edge::exchange::{Contact, HeardContact};
+
+/// Routers over which a report sums.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum ReportScope {
+    /// The sender alone.
+    Router,
+    /// All routers of the sender's data centre.
+    DataCentre,
+    /// All routers of the fleet but the receiver.
+    Fleet,
+}
+
+/// Message from one router to another. It holds absolute values, so a lost one does no harm.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PeerMessage {
+    /// Router that sends the message.
+    pub sender: Contact,
+    /// Some of the routers that it knows.
+    pub contacts: Vec<HeardContact>,
+    /// Whether it asks for the sums over the fleet.
+    pub wants_sums: bool,
+    /// Report and its scope; none when only contacts are sent.
+    pub report: Option<(ReportScope, PeerReport)>,
+}
+
+/// Message with the address to send it to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutgoingMessage {
+    /// Address of the receiver.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: PeerMessage,
+}
--- /dev/null
+++ b/sapphirespur_core/src/edge/exchange/mod.rs
@@ -0,0 +1,17 @@
+//! Exchange of reports among the routers of a fleet.
+//!
+//! In a small fleet, all routers send their reports to each other. In a larger one, each data centre
+//! has a relay and a standby, which add up the reports of its routers: they exchange sums with the
+//! other data centres and answer each router's report with the sums over all others.
+
+mod contact;
+mod exchange;
+mod members;
+mod message;
+mod news;
+
+pub use contact::{Contact, HeardContact};
+pub use exchange::Exchange;
+pub use members::{ExchangeRole, Members};
+pub use message::{OutgoingMessage, PeerMessage, ReportScope};
+pub use news::News;
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -1,7 +1,7 @@
 //! Sums over the reports of other routers, updated incrementally with each report.
 
 use crate::collections::HashMap;
-use crate::edge::{PeerReport, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{PeerReport, ServicePressure, UpstreamLoad, WorkspaceUsage};
 
 /// Work of several routers at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -23,11 +23,12 @@
     admitted: u64,
 }
 
-/// Sums over reports, by upstream and by workspace.
+/// Sums over reports, by upstream, by workspace and by service.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FleetSums {
     upstreams: HashMap<u32, UpstreamSum>,
     workspaces: HashMap<u32, WorkspaceSum>,
+    pressures: HashMap<u32, ServicePressure>,
 }
 
 impl FleetSums {
@@ -40,7 +41,7 @@
         sums
     }
 
-    /// Adds the upstream loads and the workspace usage of one router to the sums.
+    /// Adds the upstream loads, the workspace usage and the pressures of a report to the sums.
     pub fn add(&mut self, report: &PeerReport) {
         for load in &report.upstreams {
             let sum = self.upstreams.entry(load.upstream).or_default();
@@ -56,6 +57,15 @@
             sum.asked += usage.asked;
             sum.admitted += usage.admitted;
         }
+        for pressure in &report.pressures {
+            let sum = self.pressures.entry(pressure.service).or_default();
+            sum.service = pressure.service;
+            sum.measured += pressure.measured;
+            sum.per_mille += pressure.per_mille;
+            sum.declining += pressure.declining;
+            sum.declining_per_mille += pressure.declining_per_mille;
+            sum.leeway_percent += pressure.leeway_percent;
+        }
     }
 
     /// Subtracts a report that was added before.
@@ -80,6 +90,17 @@
                 self.workspaces.remove(&usage.workspace);
             }
         }
+        for pressure in &report.pressures {
+            let Some(sum) = self.pressures.get_mut(&pressure.service) else { continue };
+            sum.measured -= pressure.measured;
+            sum.per_mille -= pressure.per_mille;
+            sum.declining -= pressure.declining;
+            sum.declining_per_mille -= pressure.declining_per_mille;
+            sum.leeway_percent -= pressure.leeway_percent;
+            if sum.measured == 0 && sum.declining == 0 {
+                self.pressures.remove(&pressure.service);
+            }
+        }
     }
 
     /// Returns the total work at an upstream, with the mean event interval weighted by requests.
@@ -105,6 +126,39 @@
             admitted: sum.admitted,
         })
     }
+
+    /// Returns the summed pressures on the upstreams of a service.
+    pub fn pressure(&self, service: u32) -> ServicePressure {
+        self.pressures.get(&service).copied().unwrap_or_default()
+    }
+
+    /// Returns the sums as a report of the router that sends `own`; `summed` are the reports that
+    /// they contain.
+    pub fn to_report<'a>(
+        &self,
+        own: &PeerReport,
+        summed: impl Iterator<Item = &'a PeerReport>,
+    ) -> PeerReport {
+        let (mut routers, mut newest) = (0, (own.version, own.version_router));
+        for report in summed {
+            routers += report.routers;
+            newest = newest.max((report.version, report.version_router));
+        }
+        let is_busy = |load: &UpstreamLoad| load.in_flight > 0 || load.pending_tokens > 0;
+
+        PeerReport {
+            router: own.router,
+            started_ms: own.started_ms,
+            sequence: own.sequence,
+            routers,
+            version: newest.0,
+            version_router: newest.1,
+            upstreams: self.upstreams.keys().map(|key| self.load(*key)).filter(is_busy).collect(),
+            workspaces: self.usage().collect(),
+            pressures: self.pressures.values().copied().collect(),
+            reads: Vec::new(),
+        }
+    }
 }
 
 /// Returns the requests of a load that has a measured event interval.
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod candidate;
 mod cold_limit;
 mod departed;
+mod exchange;
 mod fleet_sums;
 mod in_flight_request;
 mod load;
@@ -23,6 +24,7 @@
 mod registry_state;
 mod registry_version;
 mod report;
+mod report_store;
 mod retry_budget;
 mod route;
 mod route_table;
@@ -40,13 +42,17 @@
 pub use admission::{Admission, Decline, DeclineReason, Placement};
 pub use backoff::Backoff;
 pub use call_info::CallInfo;
+pub use exchange::{
+    Contact, Exchange, ExchangeRole, HeardContact, Members, News, OutgoingMessage, PeerMessage,
+    ReportScope,
+};
 pub use in_flight_request::{InFlightRequest, SendOutcome};
 pub use load::Load;
 pub use output_lengths::OutputLengths;
 pub use pause_detector::PauseDetector;
 pub use peers::Peers;
 pub use prefix_cache::PrefixCache;
-pub use pressure::{ObservedPressure, Pressure};
+pub use pressure::Pressure;
 pub use pressures::Pressures;
 pub use prompt::{Prompt, PromptSegment};
 pub use registry_state::RegistryState;
--- a/sapphirespur_core/src/edge/pressure.rs
+++ b/sapphirespur_core/src/edge/pressure.rs
@@ -3,17 +3,9 @@
 
 use std::time::Duration;
 
+use crate::edge::ServicePressure;
 use crate::time::Time;
 
-/// Measurements of a router that is declining requests of workspaces above their share.
-#[derive(Clone, Copy, Debug)]
-pub struct ObservedPressure {
-    /// Moving average of the pressure at the router's decisions.
-    pub mean: f64,
-    /// Multiple of its share that a workspace may use while upstreams are not busy.
-    pub over_share_factor: f64,
-}
-
 /// Moving average of the pressure at a router's decisions, and the over-share factor derived from
 /// it.
 #[derive(Clone, Copy, Debug)]
@@ -71,24 +63,26 @@
 
     /// Adjusts the over-share factor over `elapsed` so that the pressure approaches its target.
     ///
-    /// `others` are the measurements of the other routers that are declining requests. All routers
-    /// start from the mean factor, so they converge. The factor decays to one while no router
-    /// declines.
-    pub fn adapt(&mut self, now: Time, elapsed: Duration, others: &[ObservedPressure]) {
-        let mut observed = others.to_vec();
-        if let Some(mean) = self.mean(now).filter(|_| self.is_declining(now)) {
-            observed.push(ObservedPressure { mean, over_share_factor: self.over_share_factor });
+    /// `others` are the measurements of the other routers, of which those that are declining
+    /// requests count. All routers start from the mean factor, so they converge. The factor decays to
+    /// one while no router declines.
+    pub fn adapt(&mut self, now: Time, elapsed: Duration, others: ServicePressure) {
+        let mut count = f64::from(others.declining);
+        let mut mean = others.declining_per_mille as f64 / 1_000.0;
+        let mut over_share_factor = others.leeway_percent as f64 / 100.0;
+        if let Some(own) = self.mean(now).filter(|_| self.is_declining(now)) {
+            count += 1.0;
+            mean += own;
+            over_share_factor += self.over_share_factor;
         }
         let elapsed_ratio = elapsed.as_secs_f64() / Self::FACTOR_TIME_CONSTANT.as_secs_f64();
-        if observed.is_empty() {
+        if count == 0.0 {
             self.over_share_factor = 1.0 + (self.over_share_factor - 1.0) * (-elapsed_ratio).exp();
             return;
         }
 
-        let count = observed.len() as f64;
-        let mean = observed.iter().map(|observed| observed.mean).sum::<f64>() / count;
-        let over_share_factor =
-            observed.iter().map(|observed| observed.over_share_factor).sum::<f64>() / count;
+        mean /= count;
+        over_share_factor /= count;
         let adjustment =
             (elapsed_ratio * (Self::OVER_SHARE_TARGET - mean) / Self::OVER_SHARE_TARGET).exp();
         self.over_share_factor =
@@ -116,15 +110,15 @@
     }
 
     /// Returns the factor that converts this router's pressure to the mean of all routers, where
-    /// `others` are the means of the other ones.
+    /// `others` are the measurements of the other ones.
     ///
     /// Routers measure upstreams by the responses that pass through them, so their measurements
     /// differ. A workspace whose clients all use one router must not be declined earlier or later
     /// for that.
-    pub fn fleet_correction(&self, now: Time, others: impl Iterator<Item = f64>) -> f64 {
+    pub fn fleet_correction(&self, now: Time, others: ServicePressure) -> f64 {
         let Some(own) = self.mean(now) else { return 1.0 };
-        let (sum, count) =
-            others.fold((own, 1.0), |(sum, count), other| (sum + other, count + 1.0));
+        let sum = own + others.per_mille as f64 / 1_000.0;
+        let count = 1.0 + f64::from(others.measured);
         let factor = (sum / count + Self::CORRECTION_OFFSET) / (own + Self::CORRECTION_OFFSET);
 
         factor.clamp(1.0 / Self::MAX_CORRECTION, Self::MAX_CORRECTION)
--- a/sapphirespur_core/src/edge/pressures.rs
+++ b/sapphirespur_core/src/edge/pressures.rs
@@ -19,7 +19,7 @@
     pub fn record(&mut self, now: Time, service: &Name, sample: f64, peers: &Peers) -> f64 {
         let pressure = self.by_service.entry(service.clone()).or_default();
         pressure.record(now, sample);
-        pressure.fleet_correction(now, peers.pressures(now, Shares::name_hash(service)))
+        pressure.fleet_correction(now, peers.pressure(now, Shares::name_hash(service)))
     }
 
     /// Records that a request was declined because its workspace is above its share.
@@ -35,24 +35,26 @@
     /// Adjusts the over-share factors over `elapsed` to the pressure at all routers.
     pub fn adapt(&mut self, now: Time, elapsed: Duration, peers: &Peers) {
         for (service, pressure) in &mut self.by_service {
-            pressure.adapt(
-                now,
-                elapsed,
-                &peers.declining_pressures(now, Shares::name_hash(service)),
-            );
+            pressure.adapt(now, elapsed, peers.pressure(now, Shares::name_hash(service)));
         }
     }
 
     /// Returns the pressures to report to the other routers, for services with a recent decision.
     pub fn reports(&self, now: Time) -> Vec<ServicePressure> {
         let report = |(service, pressure): (&Name, &Pressure)| {
-            let over_share_factor =
-                if pressure.is_declining(now) { pressure.over_share_factor() * 100.0 } else { 0.0 };
-            Some(ServicePressure {
+            let per_mille = (pressure.mean(now)? * 1_000.0).round() as u64;
+            let mut sums = ServicePressure {
                 service: Shares::name_hash(service),
-                per_mille: (pressure.mean(now)? * 1_000.0).round() as u16,
-                leeway_percent: over_share_factor as u16,
-            })
+                measured: 1,
+                per_mille,
+                ..ServicePressure::default()
+            };
+            if pressure.is_declining(now) {
+                sums.declining = 1;
+                sums.declining_per_mille = per_mille;
+                sums.leeway_percent = (pressure.over_share_factor() * 100.0) as u64;
+            }
+            Some(sums)
         };
 
         self.by_service.iter().filter_map(report).collect()
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -30,16 +30,22 @@
     pub admitted: u64,
 }
 
-/// Pressure on the upstreams of one service as measured by one router.
+/// Sums of the pressure on the upstreams of one service as measured by one or more routers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServicePressure {
     /// Hash of the service's name.
     pub service: u32,
-    /// Mean pressure in thousandths: zero when idle, 1,000 when responses are just in time.
-    pub per_mille: u16,
-    /// Over-share factor in hundredths; zero when no request is being declined for its workspace's
-    /// share.
-    pub leeway_percent: u16,
+    /// Number of routers that have measured it.
+    pub measured: u32,
+    /// Sum of their mean pressures in thousandths: zero when idle, 1,000 when responses are just in
+    /// time.
+    pub per_mille: u64,
+    /// Number of routers that are declining requests for their workspaces' shares.
+    pub declining: u32,
+    /// Sum of the mean pressures of these routers in thousandths.
+    pub declining_per_mille: u64,
+    /// Sum of the over-share factors of these routers in hundredths.
+    pub leeway_percent: u64,
 }
 
 /// Shared prompt segments that one router has sent to an upstream.
@@ -51,17 +57,21 @@
     pub parts: Vec<PromptSegment>,
 }
 
-/// Report of one router; it replaces the router's previous report.
+/// Report of one router, or sums over several; it replaces the previous report of the same source.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerReport {
-    /// Hash of the router's name.
+    /// Hash of the name of the router that sends it.
     pub router: u64,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Sequence number of the report since the start of the process.
     pub sequence: u64,
-    /// Registry version that the router has applied.
+    /// Number of routers over which it sums.
+    pub routers: u32,
+    /// Newest registry version that a router has applied.
     pub version: RegistryVersion,
+    /// Hash of the name of that router.
+    pub version_router: u64,
     /// Work at each upstream with requests in flight or unshared tokens to report.
     pub upstreams: Vec<UpstreamLoad>,
     /// Usage of each workspace.
@@ -71,3 +81,31 @@
     /// Shared prompt segments sent since the previous report; not repeated when a report is lost.
     pub reads: Vec<PrefilledSegments>,
 }
+
+impl PeerReport {
+    /// Largest number of requests at an upstream, and of routers, that a report may state.
+    const MAX_COUNT: u32 = 1_000_000;
+
+    /// Largest number of tokens, and of other summed values, that a report may state.
+    const MAX_SUM: u64 = 1 << 50;
+
+    /// Returns whether the values are in a range in which they can be added up.
+    pub fn is_plausible(&self) -> bool {
+        let is_load_plausible = |load: &UpstreamLoad| {
+            load.in_flight <= Self::MAX_COUNT && load.pending_tokens <= Self::MAX_SUM
+        };
+        let is_usage_plausible = |usage: &WorkspaceUsage| {
+            usage.asked <= Self::MAX_SUM && usage.admitted <= Self::MAX_SUM
+        };
+        let is_pressure_plausible = |pressure: &ServicePressure| {
+            pressure.measured.max(pressure.declining) <= Self::MAX_COUNT
+                && pressure.per_mille.max(pressure.declining_per_mille) <= Self::MAX_SUM
+                && pressure.leeway_percent <= Self::MAX_SUM
+        };
+
+        self.routers <= Self::MAX_COUNT
+            && self.upstreams.iter().all(is_load_plausible)
+            && self.workspaces.iter().all(is_usage_plausible)
+            && self.pressures.iter().all(is_pressure_plausible)
+    }
+}
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -1,5 +1,6 @@
 //! State machine of an edge router.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::collections::HashMap;
@@ -7,9 +8,10 @@
 use crate::edge::cold_limit::ColdLimit;
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::{
-    Admission, Backoff, CallInfo, Decline, DeclineReason, InFlightRequest, OutputLengths,
-    PeerReport, Peers, Placement, PrefilledSegments, Pressures, PromptSegment, RegistryState,
-    RetryBudget, RouterSettings, SendOutcome, Shares, Upstream, UsageKey,
+    Admission, Backoff, CallInfo, Contact, Decline, DeclineReason, Exchange, InFlightRequest,
+    OutgoingMessage, OutputLengths, PeerMessage, PeerReport, Peers, Placement, PrefilledSegments,
+    Pressures, PromptSegment, RegistryState, RetryBudget, RouterSettings, SendOutcome, Shares,
+    Upstream, UsageKey,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -21,7 +23,7 @@
 pub struct Router {
     settings: RouterSettings,
     registry: RegistryState,
-    peers: Peers,
+    exchange: Exchange,
     shares: Shares,
     retry_budgets: HashMap<Name, RetryBudget>,
     pressures: Pressures,
@@ -51,7 +53,7 @@
         Self {
             settings,
             registry: RegistryState::default(),
-            peers: Peers::default(),
+            exchange: Exchange::default(),
             shares,
             retry_budgets: HashMap::default(),
             pressures: Pressures::default(),
@@ -92,20 +94,58 @@
 
     /// Returns the reports of the other routers.
     pub fn peers(&self) -> &Peers {
-        &self.peers
+        self.exchange.peers()
+    }
+
+    /// Returns the exchange of reports.
+    pub fn exchange(&self) -> &Exchange {
+        &self.exchange
+    }
+
+    /// Sets the address of this router for the exchange of reports, and the first routers to
+    /// contact.
+    pub fn start_exchange(&mut self, address: SocketAddr, seeds: Vec<SocketAddr>) {
+        let data_centre = Shares::name_hash(&self.settings.data_centre);
+        self.exchange.start(Contact { router: self.name_hash(), address, data_centre }, seeds);
+    }
+
+    /// Returns the messages to the other routers that are due.
+    pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
+        let report = self.report(now);
+        self.exchange.tick(now, report)
+    }
+
+    /// Applies a message of another router and returns the answer, if there is one.
+    pub fn on_peer_message(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: PeerMessage,
+    ) -> Option<OutgoingMessage> {
+        let (report, answer) = self.exchange.on_message(now, from, message);
+        if let Some(report) = report {
+            self.record_prefills(now, &report);
+        }
+        answer
     }
 
     /// Applies the report of another router. Returns whether it was newer than the previous one.
     pub fn apply_report(&mut self, now: Time, report: PeerReport) -> bool {
-        let Some(report) = self.peers.insert(now, report) else { return false };
+        let Some(report) = self.exchange.peers_mut().insert(now, report).cloned() else {
+            return false;
+        };
+        self.record_prefills(now, &report);
+        true
+    }
 
+    /// Records the prompt tokens that other routers have sent to upstreams.
+    fn record_prefills(&mut self, now: Time, report: &PeerReport) {
         for load in report.upstreams.iter().filter(|load| load.unshared_tokens > 0) {
             self.registry.record_unshared_prefill(now, load.upstream, load.unshared_tokens);
         }
         for prefilled in &report.reads {
             self.registry.record_prefill(now, prefilled);
         }
-        true
     }
 
     /// Creates the next report to the other routers and resets what has been reported.
@@ -120,7 +160,9 @@
             router: self.name_hash(),
             started_ms: self.settings.started_ms,
             sequence: self.sequence,
+            routers: 1,
             version: self.registry.version(),
+            version_router: self.name_hash(),
             upstreams,
             workspaces: self.shares.usage(now),
             pressures: self.pressures.reports(now),
@@ -138,7 +180,7 @@
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
         }
-        self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY_STEP), &self.peers);
+        self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY_STEP), self.exchange.peers());
     }
 
     /// Places a call that has just arrived, or declines it.
@@ -146,10 +188,10 @@
         let limits = self.settings.retries;
         self.retry_budgets.entry(call.service.clone()).or_default().record_request(now, limits);
 
-        self.peers.expire(now);
+        self.exchange.peers_mut().expire(now);
         let charge = self.charge_for(call);
         let share_usage = charge.map_or(0.0, |(key, tokens, capacity)| {
-            self.shares.share_usage(now, key, tokens, capacity, self.peers.usage())
+            self.shares.share_usage(now, key, tokens, capacity, self.exchange.peers().usage())
         });
         let decision = self.choose_upstream(now, call, &[], share_usage);
         if let Some((key, tokens, _)) = charge {
@@ -169,7 +211,7 @@
         tried: &[Name],
         reached_upstream: bool,
     ) -> Admission {
-        self.peers.expire(now);
+        self.exchange.peers_mut().expire(now);
         let limits = self.settings.retries;
         let routers = self.assumed_routers(now);
         let budget = self.retry_budgets.entry(call.service.clone()).or_default();
@@ -202,7 +244,7 @@
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.mark_unverified(now);
         }
-        self.peers.clear_reports();
+        self.exchange.peers_mut().clear_reports();
     }
 
     /// Records that the registry has answered a call that started after the last pause: the
@@ -303,7 +345,7 @@
     /// Returns the number of routers among which fleet-wide limits are divided: this one, its
     /// peers, and one that may not have been discovered yet.
     fn assumed_routers(&self, now: Time) -> usize {
-        self.peers.count(now) + 2
+        self.peers().count(now) + 2
     }
 
     /// Places the request on the upstream with the lowest score among those without a reason to
@@ -318,7 +360,7 @@
         let spec = self.registry.service_spec(&call.service).copied();
         let cold_limit = ColdLimit {
             settings: &self.settings,
-            peers: &self.peers,
+            peers: self.exchange.peers(),
             own_hash: self.name_hash(),
             routers: self.assumed_routers(now),
             is_settled: self.settled_at <= now,
@@ -333,7 +375,7 @@
         let cx = ScoringContext {
             now,
             call,
-            peers: &self.peers,
+            peers: self.exchange.peers(),
             data_centre: &self.settings.data_centre,
             sources: &sources,
             spec: spec.as_ref(),
@@ -361,8 +403,8 @@
         let own_pressure = Candidate::mean_pressure(call.target, &candidates);
         let mean_target = routes.map_or(call.target, |routes| routes.mean_target);
         let mean_pressure = Candidate::mean_pressure(mean_target, &candidates);
-        let pressure =
-            own_pressure * self.pressures.record(now, &call.service, mean_pressure, &self.peers);
+        let pressure = own_pressure
+            * self.pressures.record(now, &call.service, mean_pressure, self.exchange.peers());
         let status = ShareStatus {
             share_usage,
             over_share_factor: self.pressures.over_share_factor(&call.service),
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod cold_return;
+mod exchange;
 mod fleet_sums;
 mod flooded_router;
 mod hot_key;
--- a/sapphirespur_core/tests/edge/over_share.rs
+++ b/sapphirespur_core/tests/edge/over_share.rs
@@ -2,13 +2,26 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{ObservedPressure, Pressure};
+use sapphirespur_core::edge::{Pressure, ServicePressure};
 use sapphirespur_core::time::Time;
 
 use crate::support::{START, ms};
 
 const STEP: Duration = Duration::from_millis(100);
 
+/// Returns the report of one router that is declining requests.
+fn declining(mean: f64, over_share_factor: f64) -> ServicePressure {
+    let per_mille = (mean * 1_000.0) as u64;
+    ServicePressure {
+        service: 0,
+        measured: 1,
+        per_mille,
+        declining: 1,
+        declining_per_mille: per_mille,
+        leeway_percent: (over_share_factor * 100.0) as u64,
+    }
+}
+
 /// Records `sample` in each of `steps` steps of 100 ms, with or without declined requests, and
 /// returns the time after them.
 fn simulate(pressure: &mut Pressure, from: Time, steps: u64, sample: f64, declines: bool) -> Time {
@@ -18,7 +31,7 @@
         if declines {
             pressure.record_decline(now);
         }
-        pressure.adapt(now, STEP, &[]);
+        pressure.adapt(now, STEP, ServicePressure::default());
     }
     from + ms(100 * steps)
 }
@@ -63,12 +76,11 @@
             router.record(now, pressure);
             router.record_decline(now);
         }
-        let observed = routers.map(|router| ObservedPressure {
-            mean: router.mean(now).expect("a sample was recorded"),
-            over_share_factor: router.over_share_factor(),
+        let observed = routers.map(|router| {
+            declining(router.mean(now).expect("a sample was recorded"), router.over_share_factor())
         });
         for (index, router) in routers.iter_mut().enumerate() {
-            router.adapt(now, STEP, &[observed[1 - index]]);
+            router.adapt(now, STEP, observed[1 - index]);
         }
     }
     let [one, two] = routers.map(|router| router.over_share_factor());
@@ -79,11 +91,7 @@
 fn router_without_declines_adopts_the_factor_of_its_peers() {
     let mut router = Pressure::default();
     for step in 0..10 {
-        router.adapt(
-            START + ms(100 * step),
-            STEP,
-            &[ObservedPressure { mean: 0.4, over_share_factor: 3.0 }],
-        );
+        router.adapt(START + ms(100 * step), STEP, declining(0.4, 3.0));
     }
     assert!((router.over_share_factor() - 3.0).abs() < 0.01, "{}", router.over_share_factor());
 }
--- a/sapphirespur_core/tests/edge/retries.rs
+++ b/sapphirespur_core/tests/edge/retries.rs
@@ -73,7 +73,7 @@
                 **at <= *end && end.since(**at) <= LIMITS.window
             };
             let earned = LIMITS.ratio * requests.iter().filter(within).count() as f64;
-            retries.iter().filter(within).count() as f64 <= earned + f64::from(LIMITS.allowance)
+            retries.iter().filter(within).count() as f64 <= earned + LIMITS.allowance
         })
     }
 }
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -13,7 +13,7 @@
 mod lifecycle;
 pub mod log_budget;
 mod metrics;
-mod peer_link;
+pub mod peer_link;
 mod pool;
 mod registry;
 mod registry_sync;
@@ -57,14 +57,19 @@
     let http = server::listen(settings.listen.http)?;
     let ready = server::listen(settings.listen.ready)?;
     let admin = server::listen(settings.listen.peers)?;
-    let peers = peer_link::PeerLink::open(local_address(&admin)?, &settings.seeds).await?;
+    let own_address = local_address(&admin)?;
+    let peers = peer_link::PeerLink::open(own_address).await?;
     let metrics = server::listen(settings.listen.metrics)?;
 
     let cx = Rc::new(Shared::new(settings, dialect));
+    // All routers receive reports on the same port; a seed names another port of its VM.
+    let seeds = cx.settings().seeds.clone();
+    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own_address.port())).collect();
+    cx.router.borrow_mut().start_exchange(own_address, seeds);
     log::info!(
         http = local_address(&http)?.to_string().as_str(),
         ready = local_address(&ready)?.to_string().as_str(),
-        peers = local_address(&admin)?.to_string().as_str(),
+        peers = own_address.to_string().as_str(),
         metrics = local_address(&metrics)?.to_string().as_str(),
         data_centre = cx.settings().node.data_centre.as_str(),
         started_ms = cx.started_ms;
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -1,11 +1,9 @@
 //! State shared by all tasks of the daemon.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use sapphirespur_core::collections::HashMap;
 use sapphirespur_core::edge::{PauseDetector, RegistryVersion, Router, RouterSettings};
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
@@ -60,8 +58,6 @@
     pub buffered_bytes: Cell<usize>,
     /// Version after which the registry is watched; when absent, the registry is listed again.
     pub watch_version: Cell<Option<RegistryVersion>>,
-    /// Addresses of the other routers, by the hash of the router's name.
-    pub peer_addresses: RefCell<HashMap<u64, SocketAddr>>,
     /// Time of the last response from the registry; absent before the first one.
     pub last_registry_response: Cell<Option<Time>>,
     /// Notifies client connections to close once idle.
@@ -103,7 +99,6 @@
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
             watch_version: Cell::new(None),
-            peer_addresses: RefCell::default(),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
             log_budget: LogBudget::default(),
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -89,7 +89,7 @@
 
     let router = cx.router.borrow();
     let peer = router.peers().find_newer(now, router.registry().version())?;
-    cx.peer_addresses.borrow().get(&peer).copied()
+    router.peers().members().contact(peer).map(|contact| contact.address)
 }
 
 /// Fetches a snapshot from a router.
