Mend five troubles that operators of similar systems have met

- A late second copy of a refusal was taken for the answer to the next request on its connection, which was then called not run or sent once more while it ran.
Cause: 'not executed' was looked at before the attempt's identifier.
Now a response to another attempt leaves the outcome unknown.
Now such a connection stays open for its first request, whose response closes it; the listener closes after the connections that wait to be accepted; the process waits until connections are closed.
- A slow but sound stream was cut when no other upstream took it.
Now it goes on where it is, and the gap that counts follows the upstream's usual interval between events.
- A stalled stream that sent a byte now and then stayed where it was, as any byte counted as progress.
Now only complete events count.

--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::Response;
-use sapphirespur_core::edge::{Admission, Decline, SendOutcome};
+use sapphirespur_core::edge::{Admission, Decline, Placement, SendOutcome};
 use sapphirespur_core::name::Name;
 
 use super::guards::UpstreamReservation;
@@ -43,6 +43,19 @@
         }
     }
 
+    /// Asks the router for another upstream than `current`, which has run the request. Returns `None`
+    /// when the request must not run once more or no other upstream takes it.
+    pub fn admit_elsewhere(&self, cx: &Shared, call: &Call, current: &str) -> Option<Placement> {
+        let runs = self.possible_runs + 1;
+        let is_safe = call.route.kind.is_retryable() && runs < call.route.attempts;
+        if !is_safe || self.tried.len() + 1 >= MAX_SENDS {
+            return None;
+        }
+
+        let tried = [self.tried.as_slice(), &[Name::new(current)]].concat();
+        cx.router.borrow_mut().admit_retry(cx.now(), &call.info, &tried, true).ok()
+    }
+
     /// Records a failed send to `upstream`.
     pub fn record_failure(
         &mut self,
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -57,6 +57,8 @@
 pub struct ResponseHead {
     /// Whether the response carries the identifier of the attempt that was sent.
     pub matches_attempt: bool,
+    /// Whether the response carries the identifier of another attempt, as a late second copy does.
+    pub is_of_other_attempt: bool,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
     /// Whether the upstream states that it did not run the request.
--- a/sapphirespur_node/src/edge/lifecycle.rs
+++ b/sapphirespur_node/src/edge/lifecycle.rs
@@ -62,7 +62,16 @@
         cx.phase.set(Phase::Closing);
         cx.closing.notify_waiters();
         log::info!(in_flight = cx.in_flight.get(); "closing");
-        while cx.in_flight.get() > 0 && cx.now().since(drain_started) < grace {
+        let is_in_time = || cx.now().since(drain_started) < grace;
+        while cx.in_flight.get() > 0 && is_in_time() {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+
+        // Connections that were accepted until now still get their responses.
+        cx.stop_accepting.notify_one();
+        cx.closing.notify_waiters();
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        while cx.connections.get() > 0 && is_in_time() {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -172,6 +172,10 @@
 
 /// Classifies a response by its head.
 async fn classify_response(cx: &Shared, upstream_response: UpstreamResponse) -> SendResult {
+    // A late second copy of an earlier response says nothing about this request.
+    if upstream_response.head.is_of_other_attempt {
+        return SendResult::Unknown(SendOutcome::Broken);
+    }
     if upstream_response.head.is_misdirected || upstream_response.head.is_not_run {
         let outcome = if upstream_response.head.is_misdirected {
             SendOutcome::Misdirected
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for clients, the load balancer, operators and other routers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
@@ -16,6 +18,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep_until};
 
 use super::connect::set_socket_options;
 use super::handle::handle;
@@ -31,6 +34,9 @@
 /// connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time for which a connection without a request stays open while connections are being closed.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Content type of the metrics.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -55,18 +61,29 @@
     bind().map_err(|source| StartError::Listen { address, source })
 }
 
-/// Accepts and serves client connections until the process exits.
+/// Accepts and serves client connections until the process stops; then closes the listener after
+/// the connections that wait to be accepted.
 pub(super) async fn serve_clients(listener: TcpListener, cx: Rc<Shared>) {
     loop {
         wait_for_free_connection(&cx).await;
-        let stream = accept(&listener).await;
-        // Counted before the task starts: many connections may be accepted before the first task
-        // runs.
-        let guard = ConnectionGuard::new(&cx);
-        actix_rt::spawn(serve_client(stream, guard));
+        tokio::select! {
+            stream = accept(&listener) => spawn_client(stream, &cx),
+            () = cx.stop_accepting.notified() => break,
+        }
+    }
+
+    while let Some(stream) = accept(&listener).now_or_never() {
+        spawn_client(stream, &cx);
     }
 }
 
+/// Serves a connection in a task of its own.
+fn spawn_client(stream: TcpStream, cx: &Rc<Shared>) {
+    // Counted before the task starts: many connections may be accepted before the first task runs.
+    let guard = ConnectionGuard::new(cx);
+    actix_rt::spawn(serve_client(stream, guard));
+}
+
 /// Closes idle connections until the process may accept another one.
 async fn wait_for_free_connection(cx: &Shared) {
     let mut is_logged = false;
@@ -119,13 +136,16 @@
     let cx = &guard.0;
     let limits =
         cx.router.borrow().registry().table().map(|table| table.limits).unwrap_or_default();
+    let has_request = Cell::new(false);
     let service = service_fn(|req| {
         let cx = Rc::clone(cx);
+        has_request.set(true);
         async move {
             let mut response = handle(Rc::clone(&cx), req).await;
             cx.metrics.record_response(response.status().as_u16());
             let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-            if is_refusal && cx.closes_refused_clients() {
+            let is_closing = cx.phase.get() == Phase::Closing;
+            if is_closing || is_refusal && cx.closes_refused_clients() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
@@ -138,10 +158,10 @@
         .serve_connection(TokioIo::new(stream), service);
 
     let mut connection = pin!(connection);
+    // A connection that was just accepted may have a request that is not read yet; its response
+    // closes it.
     let mut is_closing = cx.phase.get() == Phase::Closing;
-    if is_closing {
-        connection.as_mut().graceful_shutdown();
-    }
+    let mut close_at = is_closing.then(|| Instant::now() + FIRST_REQUEST_TIMEOUT);
     loop {
         tokio::select! {
             result = connection.as_mut() => {
@@ -152,6 +172,11 @@
             }
             () = cx.closing.notified(), if !is_closing => {
                 is_closing = true;
+                let wait = if has_request.get() { Duration::ZERO } else { FIRST_REQUEST_TIMEOUT };
+                close_at = Some(Instant::now() + wait);
+            }
+            () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => {
+                close_at = None;
                 connection.as_mut().graceful_shutdown();
             }
         }
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -62,6 +62,8 @@
     pub last_registry_response: Cell<Option<Time>>,
     /// Notifies client connections to close once idle.
     pub closing: Notify,
+    /// Notifies the task that accepts client connections to close its listener.
+    pub stop_accepting: Notify,
     /// Rate limit on log lines about requests.
     pub log_budget: LogBudget,
 }
@@ -101,6 +103,7 @@
             watch_version: Cell::new(None),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
+            stop_accepting: Notify::new(),
             log_budget: LogBudget::default(),
         }
     }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use sapphirespur_core::edge::SendOutcome;
+use sapphirespur_core::edge::{Admission, Placement, SendOutcome};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 use tokio::time::timeout;
@@ -25,9 +25,13 @@
 /// stream may be resumed at another one.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Time without an event after which a stream is resumed at another upstream, even if its upstream
-/// still serves other requests.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1_800);
+/// Range of the time without a complete event after which another upstream is asked to resume a
+/// stream, even if its upstream still serves other requests.
+const EVENT_GAP_RANGE: (Duration, Duration) =
+    (Duration::from_millis(1_800), Duration::from_millis(4_000));
+
+/// Multiple of the upstream's usual interval between events that counts as a gap.
+const EVENT_GAP_FACTOR: f64 = 6.0;
 
 /// Largest incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -46,6 +50,9 @@
     last_id: Option<u64>,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
     last_received: Time,
+    /// Time of the last complete event of the current upstream, or when it was last decided to go on
+    /// waiting for one. Bytes that complete no event don't count.
+    last_progress: Time,
     /// Time from the arrival of the call to its first response head.
     first_event_after: Option<Duration>,
     request_guard: RequestGuard,
@@ -71,6 +78,7 @@
 ) -> ClientResponse {
     let mut relay = StreamRelay {
         last_received: call.arrived_at,
+        last_progress: call.arrived_at,
         last_id: call.head.last_event_id,
         cx,
         call,
@@ -82,23 +90,26 @@
         request_guard,
     };
 
-    if let Err(error) = relay.start().await {
+    if let Err(error) = relay.start(None).await {
         return error;
     }
     relay.into_response()
 }
 
 impl StreamRelay {
-    /// Sends the call until an upstream responds with a stream.
+    /// Sends the call until an upstream responds with a stream; `first` is the first placement, if
+    /// it is made already.
     ///
     /// # Errors
     ///
     /// Returns the response for the client when no upstream starts a stream.
-    async fn start(&mut self) -> Result<(), ClientResponse> {
+    async fn start(&mut self, mut first: Option<Placement>) -> Result<(), ClientResponse> {
         let id = self.call.head.attempt_id.clone();
         let cx = Rc::clone(&self.cx);
         loop {
-            let placement = match self.sends.admit(&cx, &self.call) {
+            let admission =
+                first.take().map_or_else(|| self.sends.admit(&cx, &self.call), Admission::Ok);
+            let placement = match admission {
                 Ok(placement) => placement,
                 Err(decline) => {
                     log_decline(&cx, &self.call, &decline);
@@ -116,6 +127,7 @@
                     if upstream_response.parts.status.is_success() =>
                 {
                     self.on_bytes_received();
+                    self.last_progress = cx.now();
                     self.reservation = Some(reservation);
                     self.upstream_response = Some(upstream_response);
                     return Ok(());
@@ -239,6 +251,7 @@
         }
 
         let Some(first) = first else { return Ok(None) };
+        self.last_progress = self.cx.now();
         if let Some(reservation) = &mut self.reservation {
             reservation.on_events(count);
         }
@@ -252,9 +265,6 @@
 
     /// Waits for bytes of the upstream and buffers them.
     async fn read_body(&mut self) -> ReadOutcome {
-        let Some(upstream_response) = &mut self.upstream_response else {
-            return ReadOutcome::Lost(SendOutcome::Broken);
-        };
         let now = self.cx.now();
         let left = self.call.time_left(now);
         if left.is_zero() {
@@ -263,6 +273,12 @@
 
         let may_resume = self.sends.possible_runs + 1 < self.call.route.attempts
             && self.call.route.kind.is_retryable();
+        if may_resume && self.is_stalled(now) {
+            return ReadOutcome::Lost(SendOutcome::NoResponse);
+        }
+        let Some(upstream_response) = &mut self.upstream_response else {
+            return ReadOutcome::Lost(SendOutcome::Broken);
+        };
         let read_timeout = if may_resume { left.min(MIN_IDLE_TIMEOUT) } else { left };
         match timeout(read_timeout, upstream_response.body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -279,29 +295,30 @@
             Ok(None) if self.events.is_empty() => ReadOutcome::End,
             Ok(None) => ReadOutcome::Lost(SendOutcome::Broken),
             Err(_) if self.call.time_left(self.cx.now()).is_zero() => ReadOutcome::TimedOut,
-            Err(_) if self.is_unresponsive() => ReadOutcome::Lost(SendOutcome::NoResponse),
             Err(_) => ReadOutcome::Continue,
         }
     }
 
-    /// Returns whether the upstream counts as unresponsive: this stream has been idle for
-    /// [`MAX_EVENT_GAP`], or the upstream has not responded to any request for
-    /// [`MIN_IDLE_TIMEOUT`], or it has been removed.
-    fn is_unresponsive(&self) -> bool {
-        let now = self.cx.now();
-        if now.since(self.last_received) >= MAX_EVENT_GAP {
-            return true;
-        }
+    /// Returns whether no complete event has arrived for too long, or the upstream has not responded
+    /// to any request for [`MIN_IDLE_TIMEOUT`], or it has been removed.
+    fn is_stalled(&self, now: Time) -> bool {
+        let idle = now.since(self.last_progress);
         let Some(reservation) = &self.reservation else { return true };
         let router = self.cx.router.borrow();
-        router
-            .registry()
-            .upstreams()
-            .get(reservation.upstream())
-            .is_none_or(|upstream| upstream.load.unresponsive_for(now) >= MIN_IDLE_TIMEOUT)
+        let upstreams = router.registry().upstreams();
+        let Some(upstream) = upstreams.get(reservation.upstream()) else {
+            return idle >= MIN_IDLE_TIMEOUT;
+        };
+
+        let usual = Duration::from_secs_f64(upstream.load.event_interval_ms.max(0.0) / 1_000.0);
+        let (shortest, longest) = EVENT_GAP_RANGE;
+        let is_silent = upstream.load.unresponsive_for(now) >= MIN_IDLE_TIMEOUT;
+        idle >= usual.mul_f64(EVENT_GAP_FACTOR).clamp(shortest, longest)
+            || is_silent && idle >= MIN_IDLE_TIMEOUT
     }
 
-    /// Resumes the stream at another upstream after the last event that was passed on.
+    /// Resumes the stream at another upstream after the last event that was passed on. A stream that
+    /// is only late goes on where it is when no other upstream takes it.
     ///
     /// # Errors
     ///
@@ -309,10 +326,16 @@
     async fn resume(&mut self, outcome: SendOutcome) -> Result<(), AbortReason> {
         let upstream =
             self.reservation.as_ref().map_or("", UpstreamReservation::upstream).to_owned();
+        let placement = self.sends.admit_elsewhere(&self.cx, &self.call, &upstream);
+        if placement.is_none() && outcome == SendOutcome::NoResponse {
+            self.last_progress = self.cx.now();
+            return Ok(());
+        }
+
         self.sends.record_failure(&self.cx, &self.call, &upstream, outcome, true);
         self.finish(outcome, false);
         self.events = EventBuffer::default();
-        if !self.sends.may_retry(&self.call) || self.start().await.is_err() {
+        if placement.is_none() || self.start(placement).await.is_err() {
             self.log_aborted(outcome.as_str());
             return Err(AbortReason::UpstreamLost);
         }
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -43,6 +43,11 @@
     ExtraResponse,
     /// Sends a second response this many milliseconds after the first one; streams are normal.
     DelayedExtraResponse(u64),
+    /// Sends a refusal for the same request this many milliseconds after the response.
+    DelayedExtraRefusal(u64),
+    /// Sends three events of a stream, then one byte every this many milliseconds without ever
+    /// completing an event.
+    Trickle(u64),
     /// Waits this many milliseconds before it responds; streams are normal.
     DelayedResponse(u64),
     /// Responds before it has read the body, and reads the body this many milliseconds later.
@@ -309,6 +314,13 @@
             write_response(stream, "200 OK", &signed, "second answer").await?;
             Ok(true)
         }
+        Behaviour::DelayedExtraRefusal(millis) => {
+            write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            let headers = format!("{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\n");
+            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            Ok(true)
+        }
         Behaviour::DelayedResponse(millis) if !is_stream => {
             tokio::time::sleep(Duration::from_millis(millis)).await;
             write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
@@ -353,7 +365,7 @@
     let last_received: u64 =
         request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     let last_event = match state.behaviour.get() {
-        Behaviour::LargeEvents(_) => u64::MAX,
+        Behaviour::LargeEvents(_) | Behaviour::Trickle(_) => u64::MAX,
         _ => Runner::EVENTS_PER_STREAM,
     };
     for id in last_received + 1..=last_event {
@@ -363,6 +375,11 @@
                 return Ok(false);
             }
             Behaviour::MissingEvent if id == 5 => continue,
+            Behaviour::Trickle(millis) if id > 3 => {
+                tokio::time::sleep(Duration::from_millis(millis)).await;
+                write_chunk(stream, ":").await?;
+                continue;
+            }
             Behaviour::SlowEvents(millis) => {
                 tokio::time::sleep(Duration::from_millis(millis)).await
             }
