Learn from other routers what a restored store has lost

Cause: a router that starts on a restored store finds an older configuration and older entries there, and used a withdrawn key and a runner that had left until they were written again.

An entry of an earlier start does not replace a running instance.

--- a/sapphirespur_core/src/edge/departed.rs
+++ b/sapphirespur_core/src/edge/departed.rs
@@ -30,14 +30,26 @@
         self.by_id.insert(entry.id.clone(), Departure { entry, at: now });
     }
 
-    /// Returns whether `entry` is no newer than the last one of an instance that has left.
-    pub fn contains(&self, entry: &UpstreamEntry) -> bool {
+    /// Forgets an upstream that is back.
+    pub fn forget(&mut self, id: &Name) {
+        self.by_id.remove(id);
+    }
+
+    /// Returns whether `entry` is older than the last one of an instance that has left, or no newer
+    /// if it may be from a restored copy of the registry.
+    pub fn contains(&self, entry: &UpstreamEntry, is_from_copy: bool) -> bool {
         self.by_id.get(&entry.id).is_some_and(|departure| {
             let last = &departure.entry;
-            entry.is_same_instance(last) && !last.precedes(entry)
+            let is_old = entry.precedes(last) || is_from_copy && !last.precedes(entry);
+            entry.is_same_instance(last) && is_old
         })
     }
 
+    /// Returns the last entries of the instances that have left.
+    pub fn entries(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.by_id.values().map(|departure| &departure.entry)
+    }
+
     /// Forgets instances that left long ago.
     pub fn expire(&mut self, now: Time) {
         self.by_id.retain(|_, departure| now.since(departure.at) < Self::TTL);
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -140,9 +140,11 @@
         summed: impl Iterator<Item = &'a PeerReport>,
     ) -> PeerReport {
         let (mut routers, mut newest) = (0, (own.version, own.version_router));
+        let mut newest_config = (own.config_version, own.config_router);
         for report in summed {
             routers += report.routers;
             newest = newest.max((report.version, report.version_router));
+            newest_config = newest_config.max((report.config_version, report.config_router));
         }
         let is_busy = |load: &UpstreamLoad| load.in_flight > 0 || load.pending_tokens > 0;
 
@@ -153,6 +155,8 @@
             routers,
             version: newest.0,
             version_router: newest.1,
+            config_version: newest_config.0,
+            config_router: newest_config.1,
             upstreams: self.upstreams.keys().map(|key| self.load(*key)).filter(is_busy).collect(),
             workspaces: self.usage().collect(),
             pressures: self.pressures.values().copied().collect(),
--- a/sapphirespur_core/src/edge/load.rs
+++ b/sapphirespur_core/src/edge/load.rs
@@ -45,13 +45,16 @@
     /// Half-life of the failure rate, and of the event interval of an idle upstream.
     const HALF_LIFE: Duration = Duration::from_secs(3);
 
-    /// Creates a load without requests; `service_ms` is the initial estimate of the service time.
-    pub fn new(service_ms: f64) -> Self {
+    /// Initial estimate of the service time, in milliseconds.
+    const INITIAL_SERVICE_MS: f64 = 1_000.0;
+
+    /// Creates a load without requests.
+    pub fn new() -> Self {
         Self {
             in_flight: 0,
             pending_tokens: 0,
             prefill_tokens_per_ms: None,
-            service_ms,
+            service_ms: Self::INITIAL_SERVICE_MS,
             event_interval_ms: 0.0,
             failure_rate: 0.0,
             unshared_tokens: 0,
@@ -137,3 +140,9 @@
         }
     }
 }
+
+impl Default for Load {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -97,6 +97,11 @@
         self.current().find_newer(now, version)
     }
 
+    /// Returns the router with the newest configuration, if it is newer than `version`.
+    pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
+        self.current().find_newer_config(now, version)
+    }
+
     /// Returns the total work of all other routers at an upstream.
     pub fn load(&self, now: Time, upstream: u32) -> UpstreamLoad {
         self.current().load(now, upstream)
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -5,8 +5,8 @@
 
 use crate::collections::HashSet;
 use crate::edge::{
-    CallInfo, Load, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes, ServiceSpec,
-    Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
+    CallInfo, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes, ServiceSpec, Snapshot,
+    TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -27,9 +27,6 @@
 }
 
 impl RegistryState {
-    /// Initial estimate of an upstream's service time, in milliseconds.
-    const INITIAL_SERVICE_MS: f64 = 1_000.0;
-
     /// Prefill speed assumed when no capacity is configured, in tokens per millisecond.
     const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 20.0;
 
@@ -71,9 +68,9 @@
     /// instance.
     pub fn apply_upstream(&mut self, now: Time, entry: UpstreamEntry) -> bool {
         let spec = self.service_spec(&entry.service).copied();
-        let load = Load::new(Self::INITIAL_SERVICE_MS);
+        let is_from_copy = now < self.restored_until;
 
-        self.upstreams.apply_entry(now, entry, spec.as_ref(), load)
+        self.upstreams.apply_entry(now, entry, spec.as_ref(), is_from_copy)
     }
 
     /// Schedules the removal of an upstream at `at`; it is cancelled if the upstream's entry is
@@ -175,7 +172,8 @@
             .collect();
 
         let out = self.upstreams.data_centres_out().iter().cloned().collect();
-        Some(Snapshot { version: self.version, table, upstreams, out })
+        let departed = self.upstreams.departed().cloned().collect();
+        Some(Snapshot { version: self.version, table, upstreams, departed, out })
     }
 
     /// Applies the state of another router if its version is newer. Returns whether it was.
@@ -192,12 +190,31 @@
         for entry in snapshot.upstreams {
             self.apply_upstream(now, entry);
         }
+        for last in snapshot.departed {
+            self.upstreams.mark_departed(now, last);
+        }
         self.remove_unlisted_at(&listed, now.max(self.restored_until));
         self.set_data_centres_out(now, &snapshot.out.into_iter().collect());
         self.version = snapshot.version;
         true
     }
 
+    /// Takes a newer configuration from another router, with what it knows of upstreams that leave or
+    /// have left: a registry that was restored may have an older copy of both. Returns whether the
+    /// configuration was newer.
+    pub fn merge_snapshot(&mut self, now: Time, snapshot: Snapshot) -> bool {
+        let is_newer = self.apply_table(snapshot.table);
+        for entry in snapshot.upstreams {
+            if entry.state == UpstreamState::Draining {
+                self.apply_upstream(now, entry);
+            }
+        }
+        for last in snapshot.departed {
+            self.upstreams.mark_departed(now, last);
+        }
+        is_newer
+    }
+
     /// Records shared prompt segments that another router has sent to an upstream.
     pub fn record_prefill(&mut self, now: Time, prefilled: &PrefilledSegments) {
         if let Some((upstream, capacity)) = self.upstream_with_capacity_mut(prefilled.upstream) {
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -72,6 +72,10 @@
     pub version: RegistryVersion,
     /// Hash of the name of that router.
     pub version_router: u64,
+    /// Newest version of the configuration that a router has in force; zero before the first one.
+    pub config_version: u64,
+    /// Hash of the name of that router.
+    pub config_router: u64,
     /// Work at each upstream with requests in flight or unshared tokens to report.
     pub upstreams: Vec<UpstreamLoad>,
     /// Usage of each workspace.
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -120,6 +120,13 @@
         versions.max().filter(|(other, _)| *other > version).map(|(_, router)| router)
     }
 
+    /// Returns the router with the newest configuration, if it is newer than `version`.
+    pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
+        let configs =
+            self.fresh_reports(now).map(|report| (report.config_version, report.config_router));
+        configs.max().filter(|(other, _)| *other > version).map(|(_, router)| router)
+    }
+
     /// Returns the total work of all other routers at an upstream.
     pub fn load(&self, now: Time, upstream: u32) -> UpstreamLoad {
         if self.are_sums_current(now) {
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -163,6 +163,8 @@
             routers: 1,
             version: self.registry.version(),
             version_router: self.name_hash(),
+            config_version: self.registry.table().map_or(0, |table| table.version),
+            config_router: self.name_hash(),
             upstreams,
             workspaces: self.shares.usage(now),
             pressures: self.pressures.reports(now),
--- a/sapphirespur_core/src/edge/snapshot.rs
+++ b/sapphirespur_core/src/edge/snapshot.rs
@@ -15,6 +15,8 @@
     /// Upstreams with a registry entry; their remaining cold time counts from when the snapshot was
     /// taken.
     pub upstreams: Vec<UpstreamEntry>,
+    /// Last entries of instances that have left recently.
+    pub departed: Vec<UpstreamEntry>,
     /// Data centres that are out.
     pub out: Vec<Name>,
 }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -29,9 +29,9 @@
         now: Time,
         entry: UpstreamEntry,
         spec: Option<&ServiceSpec>,
-        load: Load,
+        is_from_copy: bool,
     ) -> bool {
-        if self.departed.contains(&entry) {
+        if self.departed.contains(&entry, is_from_copy) {
             return false;
         }
         let cold_until = now + cold_time(&entry, spec);
@@ -47,7 +47,14 @@
             return false;
         }
 
+        if is_from_copy
+            && self.by_id.get(&entry.id).is_some_and(|known| is_later(&known.entry, &entry))
+        {
+            return false;
+        }
+
         let departed = &mut self.departed;
+        departed.forget(&entry.id);
         self.by_id.retain(|id, other| {
             let is_replaced = *id == entry.id || other.entry.address == entry.address;
             if is_replaced {
@@ -56,10 +63,26 @@
             !is_replaced
         });
         self.ids_by_key.insert(Upstream::hash_id(&entry.id), entry.id.clone());
-        self.by_id.insert(entry.id.clone(), Upstream::new(entry, load, cold_until));
+        self.by_id.insert(entry.id.clone(), Upstream::new(entry, Load::new(), cold_until));
         true
     }
 
+    /// Returns the last entries of the instances that have left recently.
+    pub fn departed(&self) -> impl Iterator<Item = &UpstreamEntry> {
+        self.departed.entries()
+    }
+
+    /// Marks the instance of `last` as gone, unless a newer entry of it is known.
+    pub fn mark_departed(&mut self, now: Time, last: UpstreamEntry) {
+        if let Some(existing) = self.by_id.get_mut(&last.id) {
+            if existing.entry.is_same_instance(&last) && !last.precedes(&existing.entry) {
+                existing.set_gone_at(now);
+            }
+            return;
+        }
+        self.departed.record(now, last);
+    }
+
     /// Marks an upstream as gone from `at`, because its entry is missing.
     pub fn remove_at(&mut self, id: &str, at: Time) {
         if let Some(upstream) = self.by_id.get_mut(id) {
@@ -170,6 +193,11 @@
     }
 }
 
+/// Returns whether `entry` is of a process that started after that of `other`.
+fn is_later(entry: &UpstreamEntry, other: &UpstreamEntry) -> bool {
+    entry.started_ms.zip(other.started_ms).is_some_and(|(own, others)| own > others)
+}
+
 fn cold_time(entry: &UpstreamEntry, spec: Option<&ServiceSpec>) -> Duration {
     match spec {
         Some(ServiceSpec { cold_per_s: None, .. }) => Duration::ZERO,
--- a/sapphirespur_core/tests/edge/restored_registry.rs
+++ b/sapphirespur_core/tests/edge/restored_registry.rs
@@ -48,6 +48,7 @@
     router.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Ready));
     router.registry_mut().remove_upstream_at("u0", START);
     router.tick(START + ms(100));
+    router.registry_mut().on_restored(START + ms(100));
     assert!(
         !router.registry_mut().apply_upstream(START + ms(200), numbered(7, UpstreamState::Ready))
     );
@@ -69,6 +70,7 @@
     router.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Ready));
     let successor = UpstreamEntry { id: Name::new("u9"), ..numbered(1, UpstreamState::Ready) };
     router.registry_mut().apply_upstream(START, successor);
+    router.registry_mut().on_restored(START);
     router.registry_mut().apply_upstream(START, numbered(6, UpstreamState::Ready));
     let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
     assert_eq!(placed.instance.as_str(), "u9");
@@ -112,3 +114,51 @@
     let kept = older.registry().upstreams().get("u1").expect("the upstream exists");
     assert_eq!(kept.gone_at, Some(GRACE_END), "its entry may be written again");
 }
+
+#[test]
+fn entry_that_lapsed_in_an_outage_brings_its_upstream_back() {
+    let mut router = router("r", 0);
+    router.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Ready));
+    router.registry_mut().remove_upstream_at("u0", START);
+    router.tick(START + ms(100));
+    assert!(
+        router.registry_mut().apply_upstream(START + ms(200), numbered(7, UpstreamState::Ready))
+    );
+    assert!(is_placed(&mut router, START + ms(200)));
+}
+
+#[test]
+fn restarted_router_learns_from_a_peer_what_the_copy_lacks() {
+    let mut peer = router("r1", 0);
+    peer.registry_mut().apply_table(table(9, 1));
+    peer.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Draining));
+    let left = UpstreamEntry { sequence: Some(5), ..entry("u1", 8_001) };
+    peer.registry_mut().apply_upstream(START, left.clone());
+    peer.registry_mut().remove_upstream_at("u1", START);
+    peer.tick(START);
+
+    let mut restarted = router("r2", 0);
+    let at = version(2, 10);
+    peer.registry_mut().set_version(at);
+    restarted.registry_mut().set_version(at);
+    restarted.registry_mut().apply_upstream(START, numbered(6, UpstreamState::Ready));
+    restarted.registry_mut().apply_upstream(START, left);
+    restarted.apply_report(START, peer.report(START));
+    assert!(restarted.peers().find_newer_config(START, 1).is_some());
+
+    let snapshot = peer.registry().snapshot(START).expect("there is a configuration");
+    assert!(restarted.registry_mut().merge_snapshot(START, snapshot));
+    assert!(!is_placed(&mut restarted, START), "one drains and one has left");
+    assert!(restarted.peers().find_newer_config(START, 9).is_none());
+}
+
+#[test]
+fn copy_of_an_earlier_start_does_not_replace_the_running_instance() {
+    let mut router = router("r", 0);
+    let running = UpstreamEntry { started_ms: Some(2), ..numbered(1, UpstreamState::Ready) };
+    router.registry_mut().apply_upstream(START, running);
+    router.registry_mut().on_restored(START);
+    assert!(!router.registry_mut().apply_upstream(START, numbered(9, UpstreamState::Ready)));
+    let kept = router.registry().upstreams().get("u0").expect("the upstream exists");
+    assert_eq!(kept.entry.started_ms, Some(2));
+}
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -10,6 +10,7 @@
 use hyper::header::HOST;
 use hyper::http::HeaderValue;
 use sapphirespur_core::edge::Snapshot;
+use sapphirespur_core::time::Time;
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -20,7 +21,15 @@
 pub(super) const PATH: &str = "/snapshot";
 
 /// Interval between checks for whether a snapshot is needed.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time for which another router must have had a newer configuration: most arrive from the registry
+/// soon after.
+const CONFIG_LAG: Duration = Duration::from_millis(1_000);
+
+/// Time after the start of the process in which a newer configuration of another router is fetched
+/// at once.
+const START_TIME: Duration = Duration::from_secs(3);
 
 /// Time without a response from the registry after which a snapshot is fetched from a peer; longer
 /// than a watch that returns no changes.
@@ -62,15 +71,38 @@
     }
 }
 
-/// Fetches snapshots from other routers while the registry is unreachable.
+/// Router to fetch a snapshot from, and why.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// The registry is unreachable, and this router has a newer version of it.
+    NewerRegistry(SocketAddr),
+    /// This router has a newer configuration than the registry has given out here.
+    NewerConfig(SocketAddr),
+}
+
+impl Source {
+    /// Returns the address of the router.
+    fn address(self) -> SocketAddr {
+        match self {
+            Self::NewerRegistry(address) | Self::NewerConfig(address) => address,
+        }
+    }
+}
+
+/// Fetches snapshots from other routers while the registry is unreachable or behind them.
 pub(super) async fn run(cx: Rc<Shared>) {
+    let started = cx.now();
+    let mut behind_since: Option<Time> = None;
     let mut interval = tokio::time::interval(CHECK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
-        if let Some(peer) = find_source(&cx) {
+        let source =
+            find_newer_registry(&cx).or_else(|| find_newer_config(&cx, started, &mut behind_since));
+        if let Some(source) = source {
+            let peer = source.address();
             match timeout(RESPONSE_TIMEOUT, fetch(peer)).await.unwrap_or(Err(FetchError::Timeout)) {
-                Ok(snapshot) => apply(&cx, peer, snapshot),
+                Ok(snapshot) => apply(&cx, source, snapshot),
                 Err(e) => {
                     log::warn!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "no snapshot from peer");
                 }
@@ -79,9 +111,8 @@
     }
 }
 
-/// Returns the address of a router to fetch from: one that reports a newer registry version, while
-/// the registry is unreachable.
-fn find_source(cx: &Shared) -> Option<SocketAddr> {
+/// Returns a router that reports a newer registry version, while the registry is unreachable.
+fn find_newer_registry(cx: &Shared) -> Option<Source> {
     let now = cx.now();
     if cx.last_registry_response.get().is_some_and(|at| now.since(at) < FETCH_AFTER) {
         return None;
@@ -89,7 +120,31 @@
 
     let router = cx.router.borrow();
     let peer = router.peers().find_newer(now, router.registry().version())?;
-    router.peers().members().contact(peer).map(|contact| contact.address)
+    let contact = router.peers().members().contact(peer)?;
+    Some(Source::NewerRegistry(contact.address))
+}
+
+/// Returns a router that has had a newer configuration for some time, as after the registry was
+/// restored from an older copy.
+fn find_newer_config(
+    cx: &Shared,
+    started: Time,
+    behind_since: &mut Option<Time>,
+) -> Option<Source> {
+    let now = cx.now();
+    let router = cx.router.borrow();
+    let version = router.registry().table().map_or(0, |table| table.version);
+    let Some(peer) = router.peers().find_newer_config(now, version) else {
+        *behind_since = None;
+        return None;
+    };
+
+    let since = *behind_since.get_or_insert(now);
+    if now.since(since) < CONFIG_LAG && now.since(started) > START_TIME {
+        return None;
+    }
+    let contact = router.peers().members().contact(peer)?;
+    Some(Source::NewerConfig(contact.address))
 }
 
 /// Fetches a snapshot from a router.
@@ -104,11 +159,19 @@
     Ok(postcard::from_bytes(&body)?)
 }
 
-/// Applies a snapshot if it is newer than this router's state.
-fn apply(cx: &Shared, peer: SocketAddr, snapshot: Snapshot) {
+/// Applies a snapshot, or the parts of it that the registry lacks, if it is newer than this router's
+/// state.
+fn apply(cx: &Shared, source: Source, snapshot: Snapshot) {
     let (revision, version) = (snapshot.version.revision, snapshot.table.version);
-    let now = cx.now();
-    if cx.router.borrow_mut().registry_mut().apply_snapshot(now, snapshot) {
+    let (now, peer) = (cx.now(), source.address());
+    let mut router = cx.router.borrow_mut();
+    if matches!(source, Source::NewerConfig(_)) {
+        if router.registry_mut().merge_snapshot(now, snapshot) {
+            log::info!(peer = peer.to_string().as_str(), version = version; "configuration taken from peer");
+        }
+        return;
+    }
+    if router.registry_mut().apply_snapshot(now, snapshot) {
         // The old watch version no longer matches the state, so the registry is listed again.
         cx.watch_version.set(None);
         log::info!(peer = peer.to_string().as_str(), revision = revision, version = version; "snapshot taken from peer");
