Refuse early while a router is short of processor time

Cause: a flood that the balancer's hash sends to one router of 0.09 of a core fills its queue of tasks; each request waits there for seconds, most clients have left when they are served, and new ones get no connection.

Change: while ticks are more than 60 ms late, a growing part of the requests is refused right after its head is read, with a time of 50 to 350 ms to return, as other routers have room; workspaces with the most requests at this router first (max-min over the last half second). After a second it also reports itself as not ready for 3 s. Refused requests are not logged one by one, and connections get no socket options meanwhile.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod in_flight_request;
 mod load;
 mod output_lengths;
+mod overload;
 mod pause_detector;
 mod peers;
 mod prefix_cache;
@@ -49,6 +50,7 @@
 pub use in_flight_request::{InFlightRequest, SendOutcome};
 pub use load::Load;
 pub use output_lengths::OutputLengths;
+pub use overload::OverloadGuard;
 pub use pause_detector::PauseDetector;
 pub use peers::Peers;
 pub use prefix_cache::PrefixCache;
--- /dev/null
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -0,0 +1,122 @@
+//! Admission of requests by a router that is short of processor time.
+
+use std::time::Duration;
+
+use crate::collections::HashMap;
+use crate::edge::water_fill;
+use crate::time::Time;
+
+/// Refuses requests while the router's own work is late, so that the ones that it takes are served
+/// in time. Workspaces with the most requests at this router are refused first.
+#[derive(Clone, Debug)]
+pub struct OverloadGuard {
+    /// Fraction of the requests to refuse.
+    refused_fraction: f64,
+    /// Requests in the current interval, by the hash of the workspace's name.
+    requests: HashMap<u32, u64>,
+    /// Requests in the interval before.
+    previous: HashMap<u32, u64>,
+    interval_end: Time,
+    /// Requests that each workspace may send in an interval.
+    limit: u64,
+    /// Number of refused requests, which spreads their retry-after times.
+    refused: u64,
+    /// Since when ticks are late without a break; none when the last one was in time.
+    late_since: Option<Time>,
+    /// Until when the router asks for no new connections.
+    relief_until: Time,
+}
+
+impl OverloadGuard {
+    /// Lateness of a tick beyond which requests are refused: a request passes through the queue of
+    /// tasks several times.
+    const MAX_LATENESS: Duration = Duration::from_millis(60);
+
+    /// Length of the intervals in which requests are counted.
+    const INTERVAL: Duration = Duration::from_millis(500);
+
+    /// Increase of the refused fraction for a tick that is late by twice the maximum or more.
+    const INCREASE: f64 = 0.15;
+
+    /// Decrease of the refused fraction for each tick in time; it is gone within two seconds.
+    const DECREASE: f64 = 0.06;
+
+    /// Upper bound of the refused fraction.
+    const MAX_REFUSED_FRACTION: f64 = 0.97;
+
+    /// Time with late ticks after which the router asks for no new connections.
+    const RELIEF_AFTER: Duration = Duration::from_millis(1_000);
+
+    /// Time for which it asks for none.
+    const RELIEF_DURATION: Duration = Duration::from_millis(3_000);
+
+    /// Range of the retry-after time: another router takes the request.
+    const RETRY_AFTER_RANGE_S: (f64, f64) = (0.05, 0.35);
+
+    /// Golden ratio, whose multiples have evenly spread fractional parts.
+    const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+
+    /// Records that a tick came `lateness` after it was due.
+    pub fn on_tick(&mut self, now: Time, lateness: Duration) {
+        if lateness > Self::MAX_LATENESS {
+            let excess = lateness.as_secs_f64() / Self::MAX_LATENESS.as_secs_f64() - 1.0;
+            self.refused_fraction += Self::INCREASE * excess.min(1.0);
+            let since = *self.late_since.get_or_insert(now);
+            if now.since(since) >= Self::RELIEF_AFTER {
+                self.relief_until = now + Self::RELIEF_DURATION;
+            }
+        } else {
+            self.refused_fraction -= Self::DECREASE;
+            self.late_since = None;
+        }
+        self.refused_fraction = self.refused_fraction.clamp(0.0, Self::MAX_REFUSED_FRACTION);
+
+        if now >= self.interval_end {
+            self.interval_end = now + Self::INTERVAL;
+            self.previous = std::mem::take(&mut self.requests);
+        }
+        let counts: Vec<u64> = self.previous.values().copied().collect();
+        let accepted = counts.iter().sum::<u64>() as f64 * (1.0 - self.refused_fraction);
+        self.limit = water_fill(&counts, accepted as u64).max(1);
+    }
+
+    /// Counts a request of a workspace. Returns `None` if it may be served, or the time after which
+    /// the client should retry.
+    pub fn check(&mut self, workspace: u32) -> Option<Duration> {
+        let count = self.requests.entry(workspace).or_default();
+        *count += 1;
+        if self.refused_fraction <= 0.0 || *count <= self.limit {
+            return None;
+        }
+
+        self.refused += 1;
+        let (min, max) = Self::RETRY_AFTER_RANGE_S;
+        let position = (self.refused as f64 * Self::GOLDEN_RATIO).fract();
+        Some(Duration::from_secs_f64(min + (max - min) * position))
+    }
+
+    /// Returns whether the router is refusing requests.
+    pub fn is_refusing(&self) -> bool {
+        self.refused_fraction > 0.0
+    }
+
+    /// Returns whether the router asks for no new connections.
+    pub fn wants_relief(&self, now: Time) -> bool {
+        now < self.relief_until
+    }
+}
+
+impl Default for OverloadGuard {
+    fn default() -> Self {
+        Self {
+            refused_fraction: 0.0,
+            requests: HashMap::default(),
+            previous: HashMap::default(),
+            interval_end: Time::default(),
+            limit: u64::MAX,
+            refused: 0,
+            late_since: None,
+            relief_until: Time::default(),
+        }
+    }
+}
--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{Condition, PauseDetector, Router};
+use sapphirespur_core::edge::{Condition, OverloadGuard, PauseDetector, Router};
 use sapphirespur_core::time::Time;
 
 use crate::support::{START, call, ms, router};
@@ -74,3 +74,94 @@
     router.on_registry_current();
     assert_eq!(condition(&router, START), Condition::Cold);
 }
+
+/// Interval between ticks.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Lets the workspaces send so many requests each before every tick, which comes `lateness` late.
+/// Returns how many requests of each were accepted.
+fn flood(
+    guard: &mut OverloadGuard,
+    now: &mut Time,
+    lateness: Duration,
+    ticks: u32,
+    requests: &[u32],
+) -> Vec<u32> {
+    let mut accepted = vec![0; requests.len()];
+    for _ in 0..ticks {
+        for (workspace, count) in requests.iter().enumerate() {
+            let checks = (0..*count).filter(|_| guard.check(workspace as u32).is_none());
+            accepted[workspace] += checks.count() as u32;
+        }
+        *now = *now + TICK + lateness;
+        guard.on_tick(*now, lateness);
+    }
+    accepted
+}
+
+#[test]
+fn router_in_time_refuses_nothing() {
+    let mut guard = OverloadGuard::default();
+    let accepted = flood(&mut guard, &mut START.clone(), ms(10), 50, &[100, 3]);
+    assert_eq!(accepted, [5_000, 150]);
+}
+
+/// Floods a router that completes `capacity` requests in the time of a tick, so that its ticks are
+/// late by the queue of accepted requests. Returns how many of each workspace it accepted.
+fn flood_with_queue(capacity: f64, ticks: u32, requests: &[u32]) -> Vec<u32> {
+    let mut guard = OverloadGuard::default();
+    let (mut now, mut queue, mut total) = (START, 0.0, vec![0; requests.len()]);
+    let mut lateness = Duration::ZERO;
+    for _ in 0..ticks {
+        let accepted = flood(&mut guard, &mut now, lateness, 1, requests);
+        queue += f64::from(accepted.iter().sum::<u32>());
+        let done = capacity * (TICK + lateness).as_secs_f64() / TICK.as_secs_f64();
+        queue = (queue - done).max(0.0);
+        lateness = TICK.mul_f64(queue / capacity);
+        for (total, accepted) in total.iter_mut().zip(accepted) {
+            *total += accepted;
+        }
+    }
+    total
+}
+
+#[test]
+fn flood_of_one_workspace_leaves_the_others_their_requests() {
+    let accepted = flood_with_queue(30.0, 300, &[100, 3, 5]);
+    assert!(accepted[1] > 300 * 3 * 9 / 10 && accepted[2] > 300 * 5 * 9 / 10, "{accepted:?}");
+    assert!(accepted[0] > 300 * 22 / 2, "the flood gets what is left: {accepted:?}");
+}
+
+#[test]
+fn refused_client_is_told_to_return_soon_and_not_all_at_once() {
+    let mut guard = OverloadGuard::default();
+    flood(&mut guard, &mut START.clone(), ms(400), 20, &[100]);
+    let mut times: Vec<_> = (0..60).filter_map(|_| guard.check(0)).collect();
+    assert!(times.iter().all(|time| (ms(50)..=ms(350)).contains(time)), "{times:?}");
+    let count = times.len();
+    times.dedup();
+    assert_eq!(times.len(), count);
+}
+
+#[test]
+fn router_is_back_within_two_seconds_of_the_end_of_a_flood() {
+    let mut guard = OverloadGuard::default();
+    let mut now = START;
+    flood(&mut guard, &mut now, ms(1_200), 20, &[300]);
+    let end = now;
+    flood(&mut guard, &mut now, ms(0), 17, &[1]);
+    assert!(now.since(end) < Duration::from_secs(2));
+    assert!(!guard.is_refusing());
+}
+
+#[test]
+fn router_that_stays_late_asks_for_no_new_connections_for_a_while() {
+    let mut guard = OverloadGuard::default();
+    let mut now = START;
+    flood(&mut guard, &mut now, ms(100), 4, &[100]);
+    assert!(!guard.wants_relief(now), "a short flood is refused only");
+    flood(&mut guard, &mut now, ms(100), 4, &[100]);
+    assert!(guard.wants_relief(now));
+    flood(&mut guard, &mut now, ms(0), 31, &[1]);
+    assert!(!guard.wants_relief(now));
+}
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use sapphirespur_core::edge::{CallInfo, RouteError};
+use sapphirespur_core::edge::{CallInfo, RouteError, Shares};
 use tokio::time::timeout;
 
 use super::dialect::RequestHead;
@@ -50,7 +50,9 @@
         Ok(call) if call.route.kind.is_stream() => stream::respond(cx, call, request_guard).await,
         Ok(call) => buffered::respond(&cx, call).await,
         Err(error) => {
-            if cx.may_log_failure() {
+            // A flood is counted, and logged once by the ticker.
+            let is_flood = matches!(error, ErrorResponse::Busy(_));
+            if !is_flood && cx.may_log_failure() {
                 log::info!(request = id.as_str(), status = error.status().as_u16(); "request refused: not routed");
             }
             error.into_response(&*cx.dialect, &id)
@@ -83,6 +85,11 @@
     let host = host.or(parts.uri.host()).unwrap_or_default();
     let matched = table.find(host, parts.uri.path(), head.key.as_deref());
     let (route, workspace) = matched.map_err(|error| route_error_response(cx, error))?;
+    let workspace_hash = workspace.map_or(0, Shares::name_hash);
+    if let Some(retry_after) = cx.overload.borrow_mut().check(workspace_hash) {
+        cx.metrics.record_decline("short_of_time");
+        return Err(ErrorResponse::Busy(retry_after));
+    }
     let service = route
         .service_for(&head.attempt_id)
         .ok_or(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER))?;
--- a/sapphirespur_node/src/edge/response.rs
+++ b/sapphirespur_node/src/edge/response.rs
@@ -45,6 +45,9 @@
     BodyTimedOut,
     /// The request was not run; the client may retry after the given time.
     NotRun(Duration),
+    /// The process is short of processor time and has not looked at the request further; the client
+    /// may retry after the given time.
+    Busy(Duration),
     /// The request may have run, but its response is lost.
     OutcomeUnknown,
     /// The deadline of the request passed; it may have run.
@@ -71,7 +74,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
-            Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Busy(_) | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -87,6 +90,7 @@
             Self::BodyTimedOut => {
                 ("urn:sapphirespur:problem:body-timed-out", "body came too slowly")
             }
+            Self::Busy(_) => ("urn:sapphirespur:problem:not-run", "this router is busy"),
             Self::NotRun(_) => ("urn:sapphirespur:problem:not-run", "no room for the request now"),
             Self::OutcomeUnknown => {
                 ("urn:sapphirespur:problem:outcome-unknown", "answer of the upstream is lost")
@@ -120,7 +124,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-        if let Self::NotRun(after) = self
+        if let Self::Busy(after) | Self::NotRun(after) = self
             && let Ok(value) = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64()))
         {
             headers.insert(RETRY_AFTER, value);
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -79,6 +79,12 @@
 
 /// Serves a connection in a task of its own.
 fn spawn_client(stream: TcpStream, cx: &Rc<Shared>) {
+    // In a flood, most connections close after a refusal and need no options.
+    if !cx.overload.borrow().is_refusing()
+        && let Err(e) = set_socket_options(&stream)
+    {
+        log::debug!(error = e.to_string().as_str(); "failed to set socket options");
+    }
     // Counted before the task starts: many connections may be accepted before the first task runs.
     let guard = ConnectionGuard::new(cx);
     actix_rt::spawn(serve_client(stream, guard));
@@ -101,12 +107,7 @@
 async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if let Err(e) = set_socket_options(&stream) {
-                    log::debug!(error = e.to_string().as_str(); "failed to set socket options");
-                }
-                return stream;
-            }
+            Ok((stream, _)) => return stream,
             Err(e) => {
                 log::warn!(error = e.to_string().as_str(); "accept failed");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sapphirespur_core::edge::{PauseDetector, RegistryVersion, Router, RouterSettings};
+use sapphirespur_core::edge::{
+    OverloadGuard, PauseDetector, RegistryVersion, Router, RouterSettings,
+};
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
 
@@ -48,6 +50,8 @@
     pub router: RefCell<Router>,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
+    /// Refusal of requests while the process is short of processor time.
+    pub overload: RefCell<OverloadGuard>,
     /// Current phase of the process.
     pub phase: Cell<Phase>,
     /// Number of requests being served.
@@ -96,6 +100,7 @@
             started_ms,
             router: RefCell::new(router),
             pool: RefCell::default(),
+            overload: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -146,7 +151,10 @@
 
     /// Returns whether the load balancer may send connections.
     pub fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.router.borrow().registry().table().is_some()
+        let is_flooded = self.overload.borrow().wants_relief(self.now());
+        self.phase.get() == Phase::Serving
+            && self.router.borrow().registry().table().is_some()
+            && !is_flooded
     }
 
     /// Returns whether the connections of refused clients are closed to save memory and
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use sapphirespur_core::time::Time;
+
 use super::shared::Shared;
 use crate::settings::EdgeSettings;
 
@@ -22,12 +24,16 @@
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut ticks = 0_u32;
     let mut settings_file = WatchedFile::new(&cx.settings().path);
+    let mut last_tick = cx.now();
     loop {
         interval.tick().await;
+        let lateness = cx.now().since(last_tick).saturating_sub(TICK_INTERVAL);
+        last_tick = cx.now();
         ticks = ticks.wrapping_add(1);
 
         let pause = cx.check_pause();
         let now = cx.now();
+        record_lateness(&cx, now, lateness);
         cx.router.borrow_mut().tick(now);
         if let Some(pause) = pause {
             log::warn!(paused_ms = pause.as_millis() as u64; "process was paused");
@@ -45,6 +51,23 @@
     }
 }
 
+/// Records how late a tick came, and logs when the router begins or ends to refuse requests for it.
+fn record_lateness(cx: &Shared, now: Time, lateness: Duration) {
+    let mut overload = cx.overload.borrow_mut();
+    let (was_refusing, wanted_relief) = (overload.is_refusing(), overload.wants_relief(now));
+    overload.on_tick(now, lateness);
+    let (is_refusing, wants_relief) = (overload.is_refusing(), overload.wants_relief(now));
+    if (is_refusing, wants_relief) != (was_refusing, wanted_relief) {
+        log::warn!(
+            late_ms = lateness.as_millis() as u64,
+            refuses = is_refusing,
+            ready = !wants_relief,
+            connections = cx.connections.get();
+            "short of processor time"
+        );
+    }
+}
+
 /// Reloads the settings; invalid settings leave the old ones in force.
 pub(super) fn reload(cx: &Shared) {
     match EdgeSettings::read(&cx.settings().path) {
