Let relays watch the store for their data centre

Change: reports name the registry version of the last change; a router whose relay answers, and whose relay the store answers, asks the store only when that version is newer than its own, and every 8 s to keep its place in the history. A relay that falls silent or loses the store is noticed with its next report, and the router watches for itself. Routers without a relay watch as before.

Ruled out: passing the changes themselves on. A router that takes only the hint from others needs no trust in them, and every fault of the store stays between it and the store.

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -78,6 +78,17 @@
         self.role.unwrap_or(ExchangeRole::Mesh)
     }
 
+    /// Returns whether a relay tells this router of changes of the registry, so that it need not
+    /// watch the registry itself.
+    pub fn is_told_of_changes(&self, now: Time) -> bool {
+        self.role() == ExchangeRole::Member && self.peers.is_relay_fresh(now) == Some(true)
+    }
+
+    /// Returns whether the registry does not answer the relay that told this router of changes.
+    pub fn has_relay_lost_registry(&self, now: Time) -> bool {
+        self.role() == ExchangeRole::Member && self.peers.is_relay_fresh(now) == Some(false)
+    }
+
     /// Returns the relay whose sums this router uses, and their age; none in other roles.
     pub fn sums_source(&self, now: Time) -> Option<(Contact, Duration)> {
         let (router, at) = self.sums_from?;
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -155,6 +155,7 @@
             routers,
             version: newest.0,
             version_router: newest.1,
+            is_registry_fresh: own.is_registry_fresh,
             config_version: newest_config.0,
             config_router: newest_config.1,
             upstreams: self.upstreams.keys().map(|key| self.load(*key)).filter(is_busy).collect(),
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -92,11 +92,21 @@
         self.members.count(now).max(self.current().covered(now))
     }
 
+    /// Returns whether the registry answers the relay whose sums this router uses; none without one.
+    pub(super) fn is_relay_fresh(&self, now: Time) -> Option<bool> {
+        self.received.is_relay_fresh(now)
+    }
+
     /// Returns the router with the newest registry version, if it is newer than `version`.
     pub fn find_newer(&self, now: Time, version: RegistryVersion) -> Option<u64> {
         self.current().find_newer(now, version)
     }
 
+    /// Returns the newest registry version of another router.
+    pub fn newest_version(&self, now: Time) -> Option<RegistryVersion> {
+        self.current().newest_version(now)
+    }
+
     /// Returns the router with the newest configuration, if it is newer than `version`.
     pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
         self.current().find_newer_config(now, version)
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -72,6 +72,8 @@
     pub version: RegistryVersion,
     /// Hash of the name of that router.
     pub version_router: u64,
+    /// Whether the registry answered the sender recently.
+    pub is_registry_fresh: bool,
     /// Newest version of the configuration that a router has in force; zero before the first one.
     pub config_version: u64,
     /// Hash of the name of that router.
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -113,6 +113,15 @@
         self.fresh_reports(now).map(|report| report.routers as usize).sum()
     }
 
+    /// Returns whether the registry answers the relay that sends the sums over the fleet; none
+    /// without recent sums.
+    pub fn is_relay_fresh(&self, now: Time) -> Option<bool> {
+        let sums = self.by_source.get(&ReportSource::Fleet)?;
+        let age = (now + Self::SUMS_TTL).since(sums.expires_at);
+
+        (age < Self::REPORT_TTL).then_some(sums.report.is_registry_fresh)
+    }
+
     /// Returns the router with the newest registry version, if it is newer than `version`.
     pub fn find_newer(&self, now: Time, version: RegistryVersion) -> Option<u64> {
         let versions =
@@ -120,6 +129,11 @@
         versions.max().filter(|(other, _)| *other > version).map(|(_, router)| router)
     }
 
+    /// Returns the newest registry version of another router.
+    pub fn newest_version(&self, now: Time) -> Option<RegistryVersion> {
+        self.fresh_reports(now).map(|report| report.version).max()
+    }
+
     /// Returns the router with the newest configuration, if it is newer than `version`.
     pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
         let configs =
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -31,6 +31,7 @@
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
     sequence: u64,
+    is_registry_fresh: bool,
     backoff: Backoff,
     last_tick: Time,
     /// When the settle time after the start is over.
@@ -60,6 +61,7 @@
             output_lengths: OutputLengths::default(),
             prefilled: HashMap::default(),
             sequence: 0,
+            is_registry_fresh: false,
             backoff: Backoff::default(),
             last_tick: Time::default(),
             settled_at: Time::default(),
@@ -92,6 +94,11 @@
         &mut self.registry
     }
 
+    /// Sets whether the registry answered recently, which reports tell the other routers.
+    pub fn set_registry_fresh(&mut self, is_fresh: bool) {
+        self.is_registry_fresh = is_fresh;
+    }
+
     /// Returns the reports of the other routers.
     pub fn peers(&self) -> &Peers {
         self.exchange.peers()
@@ -163,6 +170,7 @@
             routers: 1,
             version: self.registry.version(),
             version_router: self.name_hash(),
+            is_registry_fresh: self.is_registry_fresh,
             config_version: self.registry.table().map_or(0, |table| table.version),
             config_router: self.name_hash(),
             upstreams,
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -70,7 +70,11 @@
     }
 
     fn send_reports(&self, cx: &Shared) {
-        let messages = cx.router.borrow_mut().exchange_messages(cx.now());
+        let is_registry_fresh = cx.has_registry_answered() && !cx.is_registry_failing.get();
+        let mut router = cx.router.borrow_mut();
+        router.set_registry_fresh(is_registry_fresh);
+        let messages = router.exchange_messages(cx.now());
+        drop(router);
         // Many receivers get the same message, one after the other.
         let mut encoded: Option<(&PeerMessage, Vec<u8>)> = None;
         for OutgoingMessage { to, message } in &messages {
@@ -102,7 +106,9 @@
             }
         };
 
-        let answer = cx.router.borrow_mut().on_peer_message(cx.now(), from, message);
+        let now = cx.now();
+        let answer = cx.router.borrow_mut().on_peer_message(now, from, message);
+        cx.check_registry_if_told(now);
         if let Some(OutgoingMessage { to, message }) = answer
             && let Some(bytes) = encode(&message)
         {
--- a/sapphirespur_node/src/edge/registry.rs
+++ b/sapphirespur_node/src/edge/registry.rs
@@ -40,6 +40,8 @@
 pub struct RegistryListing {
     /// Version after which to watch for changes.
     pub version: RegistryVersion,
+    /// Highest version of an entry.
+    pub changed: RegistryVersion,
     /// Entries in no particular order.
     pub entries: Vec<RegistryEntry>,
 }
@@ -49,6 +51,8 @@
 pub struct RegistryChanges {
     /// Version after which to continue watching.
     pub version: RegistryVersion,
+    /// Version of the last change, or of the previous position without changes.
+    pub changed: RegistryVersion,
     /// Changes in the order in which they were made.
     pub changes: Vec<RegistryChange>,
 }
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -16,10 +16,17 @@
 /// Longest wait of one watch; an unresponsive connection is detected soon after.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Longest time between two calls of a router that a relay tells of changes; the registry keeps its
+/// history for longer.
+const TOLD_INTERVAL: Duration = Duration::from_secs(8);
+
 /// First and longest delay of the exponential backoff after failed calls.
 const RETRY_DELAY_RANGE: (Duration, Duration) =
     (Duration::from_millis(50), Duration::from_millis(500));
 
+/// Interval between checks whether the relay still answers.
+const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time after the end of a registry outage within which upstreams rewrite entries that expired
 /// during the outage; an upstream whose entry is still missing after that is removed.
 const OUTAGE_GRACE: Duration = Duration::from_millis(1_900);
@@ -31,12 +38,23 @@
     failures: u32,
     /// End of the last registry outage; absent when there was none.
     recovered_at: Option<Time>,
+    /// Newest version of another router for which the registry was asked.
+    checked: RegistryVersion,
+    /// Whether the relay that told this router of changes has lost the registry since.
+    has_outage: bool,
 }
 
 /// Keeps the router's state up to date until the process exits.
 pub(super) async fn run(cx: Rc<Shared>, mut registry: impl Registry) {
-    let mut sync = RegistrySync { cx, failures: 0, recovered_at: None };
+    let mut sync = RegistrySync {
+        cx,
+        failures: 0,
+        recovered_at: None,
+        checked: RegistryVersion::default(),
+        has_outage: false,
+    };
     loop {
+        sync.wait_until_told().await;
         let result = sync.poll(&mut registry).await;
         let delay = sync.on_result(result);
         if !delay.is_zero() {
@@ -46,11 +64,45 @@
 }
 
 impl RegistrySync {
+    /// Waits for as long as a relay tells this router of changes and there are none, but not so long
+    /// that the registry forgets the revision.
+    async fn wait_until_told(&mut self) {
+        let started = self.cx.now();
+        loop {
+            let now = self.cx.now();
+            let is_listing = self.cx.watch_version.get().is_none();
+            let is_unverified = self.cx.unverified_since.get().is_some();
+            if is_listing || is_unverified || now.since(started) >= TOLD_INTERVAL {
+                return;
+            }
+            if self.cx.router.borrow().exchange().has_relay_lost_registry(now) {
+                self.has_outage = true;
+                return;
+            }
+            let is_told = self.cx.router.borrow().exchange().is_told_of_changes(now);
+            if !is_told || self.newest_unchecked(now).is_some() {
+                return;
+            }
+            let check = self.cx.registry_check.notified();
+            // A relay that falls silent is noticed after this time.
+            let _ = tokio::time::timeout(RELAY_CHECK_INTERVAL, check).await;
+        }
+    }
+
+    /// Returns the version of a change that another router has seen and for which the registry was
+    /// not asked here.
+    fn newest_unchecked(&self, now: Time) -> Option<RegistryVersion> {
+        let router = self.cx.router.borrow();
+        let known = router.registry().version().max(self.checked);
+        router.peers().newest_version(now).filter(|newest| *newest > known)
+    }
+
     /// Lists the registry or watches for its next changes, and applies them. Returns the delay
     /// before the next call.
     async fn poll(&mut self, registry: &mut impl Registry) -> Result<Duration, RegistryError> {
         let started = self.cx.now();
         let unverified_since = self.cx.unverified_since.get();
+        let newest = self.newest_unchecked(started);
         let mut has_changes = true;
         match self.cx.watch_version.get() {
             None => {
@@ -59,17 +111,21 @@
                 self.apply_listing(listing);
             }
             Some(version) => {
-                let max_wait =
-                    if unverified_since.is_some() { Duration::ZERO } else { WATCH_TIMEOUT };
+                let is_told = self.cx.router.borrow().exchange().is_told_of_changes(started);
+                let is_short = is_told || unverified_since.is_some();
+                let max_wait = if is_short { Duration::ZERO } else { WATCH_TIMEOUT };
                 let changes = tokio::select! {
                     changes = registry.watch(version, max_wait) => changes?,
-                    () = self.cx.registry_check.notified() => return Ok(Duration::ZERO),
+                    () = self.cx.registry_check.notified(), if !is_short => {
+                        return Ok(Duration::ZERO);
+                    }
                 };
                 self.on_contact();
                 has_changes = !changes.changes.is_empty();
                 self.apply_changes(changes);
             }
         }
+        self.checked = self.checked.max(newest.unwrap_or_default());
         if unverified_since.is_some() && self.cx.unverified_since.get() == unverified_since {
             self.cx.unverified_since.set(None);
             self.cx.router.borrow_mut().on_registry_current();
@@ -101,6 +157,7 @@
                     log::warn!(error = e.to_string().as_str(); "record lost");
                 }
                 self.failures += 1;
+                self.cx.is_registry_failing.set(true);
             }
         }
 
@@ -113,9 +170,13 @@
         let now = self.cx.now();
         if self.failures > 0 {
             log::info!(failures = self.failures; "record is back");
+        }
+        if self.failures > 0 || self.has_outage {
             self.failures = 0;
+            self.has_outage = false;
             self.recovered_at = Some(now);
         }
+        self.cx.is_registry_failing.set(false);
         self.cx.last_registry_response.set(Some(now));
     }
 
@@ -184,7 +245,7 @@
             version = router.registry().table().map_or(0, |table| table.version);
             "record listed"
         );
-        router.registry_mut().set_version(listing.version);
+        router.registry_mut().set_version(listing.changed);
         drop(router);
         self.cx.watch_version.set(Some(listing.version));
     }
@@ -207,7 +268,8 @@
                 }
             }
         }
-        router.registry_mut().set_version(changes.version);
+        let known = router.registry().version();
+        router.registry_mut().set_version(known.max(changes.changed));
         drop(router);
         self.cx.watch_version.set(Some(changes.version));
     }
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -62,6 +62,8 @@
     pub buffered_bytes: Cell<usize>,
     /// Version after which the registry is watched; when absent, the registry is listed again.
     pub watch_version: Cell<Option<RegistryVersion>>,
+    /// Whether the last call to the registry failed.
+    pub is_registry_failing: Cell<bool>,
     /// Time of the last response from the registry; absent before the first one.
     pub last_registry_response: Cell<Option<Time>>,
     /// Notifies client connections to close once idle.
@@ -106,6 +108,7 @@
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
             watch_version: Cell::new(None),
+            is_registry_failing: Cell::new(false),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
             stop_accepting: Notify::new(),
@@ -141,14 +144,31 @@
         pause
     }
 
-    /// Returns whether the registry responded recently.
+    /// Returns whether the registry responded recently, here or at the relay that tells this router
+    /// of changes.
     pub fn is_registry_fresh(&self) -> bool {
+        self.has_registry_answered()
+            || self.router.borrow().exchange().is_told_of_changes(self.now())
+    }
+
+    /// Returns whether the registry responded to this router recently.
+    pub fn has_registry_answered(&self) -> bool {
         let now = self.now();
         self.last_registry_response
             .get()
             .is_some_and(|at| now.since(at) < Self::REGISTRY_STALE_AFTER)
     }
 
+    /// Wakes the synchronisation with the registry when a relay tells of a change.
+    pub fn check_registry_if_told(&self, now: Time) {
+        let router = self.router.borrow();
+        let newest = router.peers().newest_version(now);
+        let is_behind = newest.is_some_and(|newest| newest > router.registry().version());
+        if is_behind && router.exchange().is_told_of_changes(now) {
+            self.registry_check.notify_one();
+        }
+    }
+
     /// Returns whether the load balancer may send connections.
     pub fn is_ready(&self) -> bool {
         let is_flooded = self.overload.borrow().wants_relief(self.now());
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -114,7 +114,8 @@
 /// Returns a router that reports a newer registry version, while the registry is unreachable.
 fn find_newer_registry(cx: &Shared) -> Option<Source> {
     let now = cx.now();
-    if cx.last_registry_response.get().is_some_and(|at| now.since(at) < FETCH_AFTER) {
+    let is_answered = cx.last_registry_response.get().is_some_and(|at| now.since(at) < FETCH_AFTER);
+    if is_answered || cx.is_registry_fresh() {
         return None;
     }
 
--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -67,6 +67,8 @@
     era: Cell<u64>,
     /// Number of reads of a first page.
     list_count: Cell<u32>,
+    /// Number of watch calls.
+    watch_count: Cell<u32>,
     /// Wakes watches after a change, a compaction or a new fault.
     changed: Notify,
 }
@@ -101,6 +103,7 @@
             fault: Cell::new(StoreFault::None),
             era: Cell::new(1),
             list_count: Cell::new(0),
+            watch_count: Cell::new(0),
             changed: Notify::new(),
         });
         let store = Self { address: listener.local_addr()?, state: Rc::clone(&state) };
@@ -128,6 +131,11 @@
         self.state.list_count.get()
     }
 
+    /// Returns how many watch calls arrived.
+    pub fn watch_count(&self) -> u32 {
+        self.state.watch_count.get()
+    }
+
     /// Sets the fault; `StoreFault::None` ends it.
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.fault.set(fault);
@@ -246,6 +254,7 @@
 
 /// Returns the changes after a revision, or waits for one for at most `wait_ms`.
 async fn watch(state: &State, query: &str) -> (StatusCode, Value) {
+    state.watch_count.set(state.watch_count.get() + 1);
     let prefix = query_parameter(query, "path_prefix").unwrap_or_default();
     let after: u64 =
         query_parameter(query, "after").and_then(|text| text.parse().ok()).unwrap_or(0);
