--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -46,6 +46,8 @@
     Misdirected,
     /// No response arrived in time.
     NoResponse,
+    /// The upstream stopped accepting requests before the request was sent.
+    Withdrawn,
     /// The client disconnected or its deadline passed.
     Abandoned,
 }
@@ -61,6 +63,7 @@
             Self::Paused => "paused",
             Self::Misdirected => "misdirected",
             Self::NoResponse => "silent",
+            Self::Withdrawn => "withdrawn",
             Self::Abandoned => "abandoned",
         }
     }
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -5,8 +5,8 @@
 
 use crate::collections::HashSet;
 use crate::edge::{
-    CallInfo, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes, ServiceSpec, Snapshot,
-    TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
+    CallInfo, InFlightRequest, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes,
+    ServiceSpec, Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -138,6 +138,15 @@
         self.upstreams.mark_data_centre_back(now, data_centre, cold);
     }
 
+    /// Returns whether a request that was placed before may still be sent: its upstream is the same
+    /// instance and accepts requests.
+    pub fn may_send(&self, now: Time, request: &InFlightRequest) -> bool {
+        self.upstreams.get(request.upstream.as_str()).is_some_and(|upstream| {
+            upstream.entry.started_ms == request.started_ms
+                && self.upstreams.accepts_requests(now, upstream)
+        })
+    }
+
     /// Returns the registry version that has been applied.
     pub fn version(&self) -> RegistryVersion {
         self.version
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -128,7 +128,7 @@
                 self.mark_unhealthy(now);
             }
             SendOutcome::Misdirected => self.gone_at = Some(now),
-            SendOutcome::Abandoned | SendOutcome::Paused => {}
+            SendOutcome::Abandoned | SendOutcome::Paused | SendOutcome::Withdrawn => {}
         }
     }
 
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -175,12 +175,16 @@
         service: &'a Name,
     ) -> impl Iterator<Item = &'a Upstream> + 'a {
         self.by_id.values().filter(move |upstream| {
-            upstream.entry.service == *service
-                && !self.data_centres_out.contains(&upstream.entry.data_centre)
-                && matches!(upstream.condition(now), Condition::Cold | Condition::Warm)
+            upstream.entry.service == *service && self.accepts_requests(now, upstream)
         })
     }
 
+    /// Returns whether an upstream may receive requests.
+    pub fn accepts_requests(&self, now: Time, upstream: &Upstream) -> bool {
+        !self.data_centres_out.contains(&upstream.entry.data_centre)
+            && matches!(upstream.condition(now), Condition::Cold | Condition::Warm)
+    }
+
     /// Returns the time until the first paused upstream of a service accepts requests again; none
     /// when no upstream is paused.
     pub fn shortest_pause(&self, now: Time, service: &Name) -> Option<Duration> {
--- a/sapphirespur_core/tests/edge/leaving_and_pause.rs
+++ b/sapphirespur_core/tests/edge/leaving_and_pause.rs
@@ -6,6 +6,8 @@
     Condition, DeclineReason, SendOutcome, UpstreamEntry, UpstreamState,
 };
 
+use sapphirespur_core::name::Name;
+
 use crate::support::{START, call, entry, ms, router};
 
 #[test]
@@ -83,3 +85,25 @@
     assert!(decline.retry_after >= ms(1_500), "{decline:?}");
     assert!(decline.retry_after <= Duration::from_secs(4), "{decline:?}");
 }
+
+#[test]
+fn placed_request_is_not_sent_once_its_upstream_leaves() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    assert!(router.registry().may_send(START, &placed.request));
+    let draining = UpstreamEntry { state: UpstreamState::Draining, ..entry("u0", 8_000) };
+    router.registry_mut().apply_upstream(START, draining);
+    assert!(!router.registry().may_send(START, &placed.request));
+
+    let restarted = UpstreamEntry { started_ms: Some(2), ..entry("u0", 8_000) };
+    router.registry_mut().apply_upstream(START, restarted);
+    assert!(!router.registry().may_send(START, &placed.request), "it is for another instance");
+}
+
+#[test]
+fn placed_request_is_not_sent_once_its_data_centre_is_out() {
+    let mut router = router("r", 1);
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    router.registry_mut().mark_data_centre_out(Name::new("milano"));
+    assert!(!router.registry().may_send(START, &placed.request));
+}
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -143,6 +143,11 @@
         return SendResult::NotRun(SendOutcome::Broken);
     }
 
+    // Opening a connection takes time in which the upstream may have begun to leave.
+    if !cx.router.borrow().registry().may_send(cx.now(), &placement.request) {
+        return SendResult::NotRun(SendOutcome::Withdrawn);
+    }
+
     let req = call.request(cx, placement, last_event_id);
     let response = match timeout(head_timeout, connection.send(req)).await {
         Ok(Ok(response)) => response,
