Name a prompt's owner as a source, and lose no news between relay and routers

Two ways out: news of a relay's interval were sent once, with whichever answer came next, so that some routers missed them; now a router says which sums it saw last and gets the news of all intervals since. And where no upstream is known to hold the segments, the upstream that owns them by rendezvous is named as a source if other routers work there; the estimate does not count on it.

Tests: edge::prefix_fetch.

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -1,5 +1,6 @@
 //! State of one router in the exchange of reports.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -30,8 +31,11 @@
     asked_at: Option<Time>,
     /// Prefilled tokens from this data centre, for the others: of this interval and the last one.
     own_news: [News; 2],
-    /// Prefilled tokens from everywhere, for the routers of this data centre.
-    all_news: [News; 2],
+    /// Prefilled tokens from everywhere, for the routers of this data centre: of this interval first,
+    /// and of the ones before with the sequence numbers of the reports that began them.
+    all_news: VecDeque<(u64, News)>,
+    /// Sequence number of the last sums that this router used.
+    seen: u64,
     ticks: u32,
 }
 
@@ -50,6 +54,9 @@
     /// that it is one.
     const REFUSAL_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+    /// Intervals of which news are kept for routers that missed some.
+    const NEWS_INTERVALS: usize = 6;
+
     /// Routers that have fallen silent to which a relay sends its report in one interval.
     const PROBES: usize = 2;
 
@@ -153,7 +160,7 @@
 
         let answer = if message.wants_sums && self.role().adds_up() {
             self.asked_at = Some(now);
-            Some(self.sums_for(now, &own, &sender))
+            Some(self.sums_for(now, &own, &sender, message.seen))
         } else if is_misdirected {
             Some(self.message(now, &own, sender.data_centre, None))
         } else {
@@ -199,6 +206,7 @@
                 self.peers.relay(now, ReportSource::DataCentre(sender.data_centre), report)
             }
             ReportScope::Fleet if self.accept_sums(now, sender.router, report.routers) => {
+                self.seen = report.sequence;
                 return self.peers.receive(now, ReportSource::Fleet, report).cloned();
             }
             _ => None,
@@ -208,7 +216,9 @@
         if is_near {
             self.own_news[0].add(&report);
         }
-        self.all_news[0].add(&report);
+        if let Some((_, news)) = self.all_news.front_mut() {
+            news.add(&report);
+        }
         Some(report)
     }
 
@@ -267,10 +277,13 @@
 
     /// Starts the next interval of collected news with this router's own.
     fn rotate_news(&mut self, report: &PeerReport) {
-        for news in [&mut self.own_news, &mut self.all_news] {
-            news[1] = std::mem::take(&mut news[0]);
-            news[0].add(report);
-        }
+        self.own_news[1] = std::mem::take(&mut self.own_news[0]);
+        self.own_news[0].add(report);
+
+        let mut news = News::default();
+        news.add(report);
+        self.all_news.push_front((report.sequence, news));
+        self.all_news.truncate(Self::NEWS_INTERVALS);
     }
 
     /// Sends this router's report to all others.
@@ -340,9 +353,16 @@
     }
 
     /// Returns the sums over all routers but `receiver`.
-    fn sums_for(&self, now: Time, own: &Contact, receiver: &Contact) -> PeerMessage {
+    ///
+    /// `seen` is the sequence number of the last sums that it received: it gets the news of all
+    /// intervals that ended since.
+    fn sums_for(&self, now: Time, own: &Contact, receiver: &Contact, seen: u64) -> PeerMessage {
+        let mut news = News::default();
+        for (_, ended) in self.all_news.iter().skip(1).filter(|(began, _)| *began >= seen) {
+            news.merge(ended);
+        }
         let mut sums = self.peers.relayed().sum_without(&self.own_report, receiver.router);
-        self.all_news[1].write_to(&mut sums);
+        news.write_to(&mut sums);
         self.message(now, own, receiver.data_centre, Some((ReportScope::Fleet, sums)))
     }
 
@@ -388,6 +408,7 @@
             sender: *own,
             contacts: self.peers.members().contacts_in_turn(now, data_centre, self.ticks),
             wants_sums: false,
+            seen: self.seen,
             report,
         }
     }
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -27,6 +27,8 @@
     pub contacts: Vec<HeardContact>,
     /// Whether it asks for the sums over the fleet.
     pub wants_sums: bool,
+    /// Sequence number of the last report of the relay whose sums the sender uses; zero without one.
+    pub seen: u64,
     /// Report and its scope; none when only contacts are sent.
     pub report: Option<(ReportScope, PeerReport)>,
 }
--- a/sapphirespur_core/src/edge/exchange/news.rs
+++ b/sapphirespur_core/src/edge/exchange/news.rs
@@ -27,6 +27,22 @@
         }
     }
 
+    /// Adds other collected news.
+    pub fn merge(&mut self, other: &Self) {
+        for (upstream, segments) in &other.segments {
+            let merged = self.segments.entry(*upstream).or_default();
+            for segment in segments {
+                if !merged.contains(segment) {
+                    merged.push(*segment);
+                }
+            }
+        }
+        for (upstream, tokens) in &other.unshared_tokens {
+            let sum = self.unshared_tokens.entry(*upstream).or_default();
+            *sum = sum.saturating_add(*tokens);
+        }
+    }
+
     /// Replaces the prefilled tokens of a report by the collected ones.
     pub fn write_to(&self, report: &mut PeerReport) {
         let read = |(upstream, parts): (&u32, &Vec<PromptSegment>)| PrefilledSegments {
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -380,8 +380,15 @@
         let engine = spec.and_then(|spec| spec.engine);
         let upstreams = self.registry.upstreams();
         let routes = self.registry.routes(&call.service);
-        let sources =
-            PrefixSources::new(now, call.prompt.as_ref(), &call.service, upstreams, engine);
+        let prefix_owner = self.registry.prefix_owner(call);
+        let sources = PrefixSources::new(
+            now,
+            call.prompt.as_ref(),
+            &call.service,
+            upstreams,
+            prefix_owner.filter(|key| self.peers().load(now, *key).in_flight > 0),
+            engine,
+        );
         let cx = ScoringContext {
             now,
             call,
@@ -389,7 +396,7 @@
             data_centre: &self.settings.data_centre,
             sources: &sources,
             spec: spec.as_ref(),
-            prefix_owner: self.registry.prefix_owner(call),
+            prefix_owner,
             expected_events: self.output_lengths.expected_events(call, spec.as_ref()),
             max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec.as_ref()),
             mean_prefill_speed: self.registry.mean_prefill_speed(&call.service),
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -153,6 +153,11 @@
         self.by_id.get_mut(id)
     }
 
+    /// Returns the upstream with a hash from reports.
+    pub fn get_by_key(&self, key: u32) -> Option<&Upstream> {
+        self.by_id.get(self.ids_by_key.get(&key)?)
+    }
+
     /// Returns the upstream with a hash from reports, for modification.
     pub fn get_by_key_mut(&mut self, key: u32) -> Option<&mut Upstream> {
         self.by_id.get_mut(self.ids_by_key.get(&key)?)
--- a/sapphirespur_core/tests/edge/prefix_fetch.rs
+++ b/sapphirespur_core/tests/edge/prefix_fetch.rs
@@ -1,6 +1,8 @@
 //! Cached prompt segments are fetched from another upstream instead of being prefilled again.
 
-use sapphirespur_core::edge::{EngineSpec, Placement, Router, SendOutcome, UpstreamState};
+use sapphirespur_core::edge::{
+    EngineSpec, Placement, Router, SendOutcome, UpstreamEntry, UpstreamState,
+};
 use sapphirespur_core::name::Name;
 
 use crate::support::{START, answer, call, entry, ms, router, table};
@@ -123,3 +125,45 @@
     let sources = [Some(first.address), Some(early.address)];
     assert!(sources.contains(&late.fetch_from), "{late:?}");
 }
+
+#[test]
+fn segment_that_another_router_may_have_placed_is_fetched_from_its_owner() {
+    let call = call("w", 7, 5_000, 100);
+    let mut other = router_with_link(FAST_LINK);
+    let first = other.admit(START, &call).expect("placed");
+    let mut report = other.report(START);
+    report.router += 1;
+    report.reads.clear();
+
+    // Both routers know the owner; this one knows of no placement, but that work goes there.
+    let mut unaware = router_with_link(FAST_LINK);
+    let tried = std::slice::from_ref(&first.instance);
+    let alone = unaware.admit_retry(START, &call, tried, false).expect("placed");
+    assert_eq!(alone.fetch_from, None, "no other router works there");
+
+    let mut unaware = router_with_link(FAST_LINK);
+    assert!(unaware.apply_report(START, report));
+    let placed = unaware.admit_retry(START, &call, tried, false).expect("placed");
+    assert_eq!(placed.fetch_from, Some(first.address));
+    assert_eq!(placed.request.prefill_tokens, 5_100, "it does not count on it");
+}
+
+#[test]
+fn nothing_is_fetched_from_an_owner_that_drains() {
+    let call = call("w", 7, 5_000, 100);
+    let mut other = router_with_link(FAST_LINK);
+    let owner = other.admit(START, &call).expect("placed");
+    let mut report = other.report(START);
+    report.router += 1;
+    report.reads.clear();
+
+    let mut unaware = router_with_link(FAST_LINK);
+    assert!(unaware.apply_report(START, report));
+    let number: u16 = owner.instance.as_str()[1..].parse().expect("a number");
+    let draining = UpstreamEntry {
+        state: UpstreamState::Draining,
+        ..entry(owner.instance.as_str(), 8_000 + number)
+    };
+    unaware.registry_mut().apply_upstream(START, draining);
+    assert_eq!(unaware.admit(START, &call).expect("placed").fetch_from, None);
+}
