Hold the refused fraction between calm and late, and show a router's relay in its status

Cause: with a fast rise and a slow fall, a flooded router refuses more than it must about half of the time.

--- a/sapphirespur_core/src/edge/overload.rs
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -30,15 +30,19 @@
 impl OverloadGuard {
     /// Lateness of a tick beyond which requests are refused: a request passes through the queue of
     /// tasks several times.
-    const MAX_LATENESS: Duration = Duration::from_millis(60);
+    const MAX_LATENESS: Duration = Duration::from_millis(100);
+
+    /// Lateness of a tick below which fewer requests are refused. In between, the refused fraction
+    /// stays, so that the router is neither late nor idle.
+    const CALM_LATENESS: Duration = Duration::from_millis(30);
 
     /// Length of the intervals in which requests are counted.
     const INTERVAL: Duration = Duration::from_millis(500);
 
     /// Increase of the refused fraction for a tick that is late by twice the maximum or more.
-    const INCREASE: f64 = 0.15;
+    const INCREASE: f64 = 0.08;
 
-    /// Decrease of the refused fraction for each tick in time; it is gone within two seconds.
+    /// Decrease of the refused fraction for each calm tick; it is gone within two seconds.
     const DECREASE: f64 = 0.06;
 
     /// Upper bound of the refused fraction.
@@ -66,9 +70,11 @@
                 self.relief_until = now + Self::RELIEF_DURATION;
             }
         } else {
-            self.refused_fraction -= Self::DECREASE;
             self.late_since = None;
         }
+        if lateness < Self::CALM_LATENESS {
+            self.refused_fraction -= Self::DECREASE;
+        }
         self.refused_fraction = self.refused_fraction.clamp(0.0, Self::MAX_REFUSED_FRACTION);
 
         if now >= self.interval_end {
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -21,8 +21,18 @@
     /// Time since the last response from the registry, in milliseconds; absent before the first
     /// one.
     pub record_age_ms: Option<u64>,
-    /// Number of other routers with a recent report.
+    /// Era and revision of the last change of the registry that was applied.
+    pub record_version: String,
+    /// Number of other routers that were heard recently, directly or through others.
     pub peers: usize,
+    /// Part in the exchange of reports: `mesh`, `member`, `standby` or `relay`.
+    pub role: String,
+    /// Address of the relay whose sums this router uses; absent in a mesh and at the relay.
+    pub relay: Option<String>,
+    /// Time since these sums arrived, in milliseconds.
+    pub relay_age_ms: Option<u64>,
+    /// Whether the router refuses requests because it is short of processor time.
+    pub is_short_of_time: bool,
     /// Number of requests being served.
     pub in_flight: usize,
     /// Number of open client connections.
@@ -76,11 +86,17 @@
         registry.upstreams().data_centres_out().iter().map(ToString::to_string).collect();
     out.sort();
 
+    let relay = router.exchange().sums_source(now);
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
         version: registry.table().map(|table| table.version),
         record_age_ms: cx.last_registry_response.get().map(|at| millis(now.since(at))),
+        record_version: registry.version().to_string(),
         peers: router.peers().count(now),
+        role: router.exchange().role().as_str().to_owned(),
+        relay: relay.map(|(contact, _)| contact.address.to_string()),
+        relay_age_ms: relay.map(|(_, age)| millis(age)),
+        is_short_of_time: cx.overload.borrow().is_refusing(),
         in_flight: cx.in_flight.get(),
         connections: cx.connections.get(),
         out,
