--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -10,8 +10,8 @@
 use crate::edge::{
     Admission, Backoff, CallInfo, Contact, Decline, DeclineReason, Exchange, InFlightRequest,
     OutgoingMessage, OutputLengths, PeerMessage, PeerReport, Peers, Placement, PrefilledSegments,
-    Pressures, PromptSegment, RegistryState, RetryBudget, RouterSettings, SendOutcome, Shares,
-    Upstream, UsageKey,
+    Pressures, Prompt, PromptSegment, RegistryState, RetryBudget, RouterSettings, SendOutcome,
+    Shares, Upstream, UsageKey,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -199,7 +199,7 @@
         self.retry_budgets.entry(call.service.clone()).or_default().record_request(now, limits);
 
         self.exchange.peers_mut().expire(now);
-        let charge = self.charge_for(call);
+        let charge = self.charge_for(&call.route, call.workspace.as_ref(), call.prompt.as_ref());
         let share_usage = charge.map_or(0.0, |(key, tokens, capacity)| {
             self.shares.share_usage(now, key, tokens, capacity, self.exchange.peers().usage())
         });
@@ -334,17 +334,33 @@
             .filter(|upstream| upstream.entry.started_ms == request.started_ms)
     }
 
+    /// Records a request that was refused before it was placed: its workspace has asked for its
+    /// tokens, which lowers what the others may use beyond their shares.
+    pub fn record_refused(
+        &mut self,
+        now: Time,
+        route: &Name,
+        workspace: Option<&Name>,
+        prompt: Option<&Prompt>,
+    ) {
+        if let Some((key, tokens, _)) = self.charge_for(route, workspace, prompt) {
+            self.shares.charge(now, key, tokens, false);
+        }
+    }
+
     /// Returns the usage key, tokens and fleet capacity in tokens per second of a call that counts
     /// towards a share; none when no capacity is configured or the call has no workspace or prompt.
-    fn charge_for(&self, call: &CallInfo) -> Option<(UsageKey, u64, u64)> {
+    fn charge_for(
+        &self,
+        route: &Name,
+        workspace: Option<&Name>,
+        prompt: Option<&Prompt>,
+    ) -> Option<(UsageKey, u64, u64)> {
         let capacity = self.registry.table()?.tokens_per_s?;
-        let key = UsageKey {
-            workspace: Shares::name_hash(call.workspace.as_ref()?),
-            route: Shares::name_hash(&call.route),
-        };
+        let key =
+            UsageKey { workspace: Shares::name_hash(workspace?), route: Shares::name_hash(route) };
 
-        let prompt = call.prompt.as_ref()?;
-        Some((key, self.output_lengths.charged_tokens(&call.route, prompt), capacity))
+        Some((key, self.output_lengths.charged_tokens(route, prompt?), capacity))
     }
 
     /// Returns the hash of the router's name, which identifies it in reports.
--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -165,3 +165,16 @@
     flood(&mut guard, &mut now, ms(0), 31, &[1]);
     assert!(!guard.wants_relief(now));
 }
+
+#[test]
+fn requests_refused_in_a_flood_count_as_asked_for() {
+    let mut router = router("r", 1);
+    let flooded = call("flooded", 1, 1_000, 3_000);
+    let workspace = flooded.workspace.as_ref();
+    for _ in 0..10 {
+        router.record_refused(START, &flooded.route, workspace, flooded.prompt.as_ref());
+    }
+    let usage = router.report(START).workspaces;
+    assert_eq!(usage.len(), 1);
+    assert!(usage[0].asked >= 40_000 && usage[0].admitted == 0, "{usage:?}");
+}
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -87,6 +87,8 @@
     let (route, workspace) = matched.map_err(|error| route_error_response(cx, error))?;
     let workspace_hash = workspace.map_or(0, Shares::name_hash);
     if let Some(retry_after) = cx.overload.borrow_mut().check(workspace_hash) {
+        let mut router = cx.router.borrow_mut();
+        router.record_refused(arrived_at, &route.name, workspace, head.prompt.as_ref());
         cx.metrics.record_decline("short_of_time");
         return Err(ErrorResponse::Busy(retry_after));
     }
