Hold workspaces beyond their share back for one that does not get its own

Change: beyond its share, a workspace may lead the least served one that asks for more than its share by half at most. Nobody is held back within its share. Tests: hot_tenant::workspace_beyond_its_share_*.

--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -79,8 +79,15 @@
         self.by_workspace.iter().map(to_report).collect()
     }
 
+    /// Lead over the least served workspace beyond which another one gets nothing beyond its share.
+    const MAX_LEAD: f64 = 1.5;
+
+    /// Part of what a workspace asked for below which it counts as unserved.
+    const UNSERVED_FRACTION: f64 = 0.7;
+
     /// Returns the usage of a workspace with `tokens` more, as a ratio to its share of
-    /// `tokens_per_s`; it is above one when the share is exceeded.
+    /// `tokens_per_s`; it is above one when the share is exceeded. It is infinite for a workspace
+    /// beyond its share that is far ahead of one that asks for its share and does not get it.
     ///
     /// `others` is the usage reported by other routers. The ratio is scaled by `route_advantage`.
     pub fn share_usage(
@@ -103,7 +110,12 @@
 
         let capacity = (tokens_per_s as f64 * self.window.as_secs_f64()) as u64;
         let demands: Vec<u64> = totals.values().map(|(asked, _)| *asked).collect();
-        let share_usage = admitted as f64 / water_fill(&demands, capacity).max(1) as f64;
+        let level = water_fill(&demands, capacity).max(1);
+        let share_usage = admitted as f64 / level as f64;
+        totals.remove(&key.workspace);
+        if share_usage > 1.0 && admitted as f64 > max_usage(level, totals.values()) {
+            return f64::INFINITY;
+        }
         share_usage * self.route_advantage(key, tokens)
     }
 
@@ -152,6 +164,19 @@
     }
 }
 
+/// Returns the tokens that a workspace may use beyond its share at the `level` of all workspaces,
+/// where `others` are the tokens that the other ones asked for and were admitted.
+///
+/// A workspace whose clients all use one flooded router gets less than its share for lack of that
+/// router's time, and not of upstreams; the others must not run away from it.
+fn max_usage<'a>(level: u64, others: impl Iterator<Item = &'a (u64, u64)>) -> f64 {
+    let is_unserved = |(asked, admitted): &&(u64, u64)| {
+        *asked > level && (*admitted as f64) < *asked as f64 * Shares::UNSERVED_FRACTION
+    };
+    let least_served = others.filter(is_unserved).map(|(_, admitted)| *admitted).min();
+    least_served.map_or(f64::INFINITY, |least| least.max(level) as f64 * Shares::MAX_LEAD)
+}
+
 /// Returns the max-min fair level: the largest amount that any demand gets when all demands share
 /// `capacity`. It is `u64::MAX` when the capacity covers all demands.
 pub fn water_fill(demands: &[u64], capacity: u64) -> u64 {
--- a/sapphirespur_core/tests/edge/hot_tenant.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant.rs
@@ -1,5 +1,7 @@
 //! Workspaces share the capacity of the upstreams fairly over all routers.
 
+use std::time::Duration;
+
 use sapphirespur_core::collections::HashMap;
 use sapphirespur_core::edge::{
     DeclineReason, Placement, Router, Shares, UsageKey, WorkspaceUsage, water_fill,
@@ -141,3 +143,32 @@
         .collect();
     assert!(reasons.contains(&DeclineReason::OverShare), "{reasons:?}");
 }
+
+/// Returns the share usage of a workspace that was admitted 6,000 tokens, beside one that asked for
+/// 9,000 tokens and was admitted `admitted`. The capacity is 8,000 tokens.
+fn usage_beside(admitted: u64) -> f64 {
+    let mut shares = Shares::new(Duration::from_secs(4));
+    let ahead = UsageKey { workspace: 1, route: 1 };
+    for _ in 0..6 {
+        shares.charge(START, ahead, 1_000, true);
+    }
+    let other = WorkspaceUsage { workspace: 2, asked: 9_000, admitted };
+    shares.share_usage(START, ahead, 1_000, 2_000, [other].into_iter())
+}
+
+#[test]
+fn workspace_beyond_its_share_does_not_run_away_from_one_that_does_not_get_its_own() {
+    assert!(usage_beside(1_000).is_infinite());
+    assert!(usage_beside(5_000).is_finite(), "the lead is small");
+    assert!(usage_beside(8_000).is_finite(), "the other one is served");
+}
+
+#[test]
+fn workspace_within_its_share_is_not_held_back_by_an_unserved_one() {
+    let mut shares = Shares::new(Duration::from_secs(4));
+    let within = UsageKey { workspace: 1, route: 1 };
+    shares.charge(START, within, 2_000, true);
+    let other = WorkspaceUsage { workspace: 2, asked: 9_000, admitted: 0 };
+    let usage = shares.share_usage(START, within, 1_000, 2_000, [other].into_iter());
+    assert!(usage <= 1.0, "{usage}");
+}
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -16,6 +16,9 @@
 /// Largest number of sends of one request, including those that did not run.
 const MAX_SENDS: usize = 4;
 
+/// Largest share usage that is logged; it is infinite for a workspace that is held back for another.
+const MAX_LOGGED_USAGE: f64 = 1_000.0;
+
 /// Multiple of the target latency without a response head after which a retryable call is sent to
 /// another upstream.
 const RESEND_TIMEOUT_FACTOR: f64 = 3.0;
@@ -181,7 +184,7 @@
             service = call.info.service.as_str(),
             workspace = call.info.workspace.as_ref().map_or("", Name::as_str),
             reason = decline.reason.as_str(),
-            share_percent = (decline.share_usage * 100.0) as u64,
+            share_percent = (decline.share_usage.min(MAX_LOGGED_USAGE) * 100.0) as u64,
             pressure_percent = (decline.pressure * 100.0) as u64,
             leeway_percent = (decline.over_share_factor * 100.0) as u64,
             version = cx.router.borrow().registry().table().map_or(0, |table| table.version),
