Tell routers of removals that only a listing shows

Cause (found on the last reading): after the store forgets its history, a relay lists it and sees a removal that has no revision there; its version stayed, so that its routers asked 8 s later, beyond the bound of a leaving upstream. Now all of a listing counts as a change. The test in platform/tests/relays.rs failed first (a member still sent to the removed runner after 2 s).

--- a/sapphirespur_node/src/edge/registry.rs
+++ b/sapphirespur_node/src/edge/registry.rs
@@ -40,8 +40,6 @@
 pub struct RegistryListing {
     /// Version after which to watch for changes.
     pub version: RegistryVersion,
-    /// Highest version of an entry.
-    pub changed: RegistryVersion,
     /// Entries in no particular order.
     pub entries: Vec<RegistryEntry>,
 }
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -245,7 +245,8 @@
             version = router.registry().table().map_or(0, |table| table.version);
             "record listed"
         );
-        router.registry_mut().set_version(listing.changed);
+        // A listing shows removals without their revisions, so all of it counts as a change.
+        router.registry_mut().set_version(listing.version);
         drop(router);
         self.cx.watch_version.set(Some(listing.version));
     }
