--- a/sapphirespur_core/src/edge/overload.rs
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -39,9 +39,13 @@
     /// Length of the intervals in which requests are counted.
     const INTERVAL: Duration = Duration::from_millis(500);
 
-    /// Increase of the refused fraction for a tick that is late by twice the maximum or more.
+    /// Increase of the refused fraction in [`Self::INCREASE_TIME`] if ticks are late by twice the
+    /// maximum or more. Late ticks are rare, so that each counts for all the time that it covers.
     const INCREASE: f64 = 0.08;
 
+    /// Time in which the refused fraction rises by [`Self::INCREASE`].
+    const INCREASE_TIME: Duration = Duration::from_millis(100);
+
     /// Decrease of the refused fraction for each calm tick; it is gone within two seconds.
     const DECREASE: f64 = 0.06;
 
@@ -64,7 +68,8 @@
     pub fn on_tick(&mut self, now: Time, lateness: Duration) {
         if lateness > Self::MAX_LATENESS {
             let excess = lateness.as_secs_f64() / Self::MAX_LATENESS.as_secs_f64() - 1.0;
-            self.refused_fraction += Self::INCREASE * excess.min(1.0);
+            let covered = 1.0 + lateness.as_secs_f64() / Self::INCREASE_TIME.as_secs_f64();
+            self.refused_fraction += Self::INCREASE * excess.min(1.0) * covered;
             let since = *self.late_since.get_or_insert(now);
             if now.since(since) >= Self::RELIEF_AFTER {
                 self.relief_until = now + Self::RELIEF_DURATION;
--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -178,3 +178,13 @@
     assert_eq!(usage.len(), 1);
     assert!(usage[0].asked >= 40_000 && usage[0].admitted == 0, "{usage:?}");
 }
+
+#[test]
+fn one_very_late_tick_refuses_most_of_a_flood() {
+    let mut guard = OverloadGuard::default();
+    let mut now = START;
+    flood(&mut guard, &mut now, ms(0), 10, &[100]);
+    flood(&mut guard, &mut now, ms(1_200), 1, &[100]);
+    let accepted = flood(&mut guard, &mut now, ms(60), 5, &[100]);
+    assert!(accepted[0] < 150, "{accepted:?}");
+}
