--- a/sapphirespur_core/src/edge/prompt.rs
+++ b/sapphirespur_core/src/edge/prompt.rs
@@ -1,5 +1,7 @@
 //! Prompt of a call as a chain of segments.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::hash::stable_hash;
@@ -18,6 +20,8 @@
 pub struct Prompt {
     /// Segments in order; the last one belongs to the request or its session and is not shared.
     pub segments: Vec<PromptSegment>,
+    /// Identities of the segments that other requests may share, whatever precedes them.
+    pub shared_ids: Arc<[u64]>,
     /// Tokens of the whole prompt.
     pub input_tokens: u32,
     /// Maximum number of tokens to generate.
@@ -31,6 +35,8 @@
 
     /// Creates a prompt from segments, given as pairs of identity and tokens.
     pub fn new(segments: &[(u64, u32)], input_tokens: u32, max_output_tokens: u32) -> Self {
+        let shared = segments.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_ids = shared.iter().map(|(id, _)| *id).collect();
         let mut chain = 0_u64;
         let segments = segments
             .iter()
@@ -41,7 +47,7 @@
             })
             .collect();
 
-        Self { segments, input_tokens, max_output_tokens }
+        Self { segments, shared_ids, input_tokens, max_output_tokens }
     }
 
     /// Returns the tokens that no other request shares.
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -19,6 +19,9 @@
 /// Largest share usage that is logged; it is infinite for a workspace that is held back for another.
 const MAX_LOGGED_USAGE: f64 = 1_000.0;
 
+/// Largest number of prompt segments in a log line.
+const MAX_LOGGED_SEGMENTS: usize = 8;
+
 /// Multiple of the target latency without a response head after which a retryable call is sent to
 /// another upstream.
 const RESEND_TIMEOUT_FACTOR: f64 = 3.0;
@@ -59,17 +62,17 @@
         cx.router.borrow_mut().admit_retry(cx.now(), &call.info, &tried, true).ok()
     }
 
-    /// Records a failed send to `upstream`.
+    /// Records the failed send of a reservation.
     pub fn record_failure(
         &mut self,
         cx: &Shared,
         call: &Call,
-        upstream: &str,
+        reservation: &UpstreamReservation,
         outcome: SendOutcome,
         may_have_run: bool,
     ) {
         cx.metrics.record_failed_send(outcome.as_str());
-        self.tried.push(Name::new(upstream));
+        self.tried.push(Name::new(reservation.upstream()));
         let is_rejected = matches!(
             outcome,
             SendOutcome::Misdirected | SendOutcome::Paused | SendOutcome::Rejected
@@ -81,7 +84,11 @@
         if cx.may_log_failure() {
             log::warn!(
                 request = call.head.attempt_id.as_str(),
-                upstream = upstream,
+                route = call.route.name.as_str(),
+                workspace = call.info.workspace.as_ref().map_or("", Name::as_str),
+                segments = segment_ids(call).as_str(),
+                upstream = reservation.upstream(),
+                events = reservation.events(),
                 outcome = outcome.as_str(),
                 may_have_run = may_have_run,
                 sends = self.tried.len(),
@@ -165,7 +172,7 @@
             SendResult::NotRun(outcome) => (outcome, false),
             SendResult::Unknown(outcome) => (outcome, true),
         };
-        sends.record_failure(cx, &call, reservation.upstream(), outcome, may_have_run);
+        sends.record_failure(cx, &call, &reservation, outcome, may_have_run);
         reservation.finish(outcome);
 
         if !sends.may_retry(&call) || call.time_left(cx.now()).is_zero() {
@@ -196,6 +203,13 @@
     }
 }
 
+/// Returns the identities of the first shared segments of a prompt, as the log shows them.
+fn segment_ids(call: &Call) -> String {
+    let ids = call.info.prompt.iter().flat_map(|prompt| prompt.shared_ids.iter());
+    let ids: Vec<_> = ids.take(MAX_LOGGED_SEGMENTS).map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// Returns how long to wait for the response head before the call is sent elsewhere or fails.
 fn head_timeout(cx: &Shared, call: &Call, sends: &SendHistory) -> Duration {
     let left = call.time_left(cx.now());
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -38,6 +38,11 @@
         self.request.upstream.as_str()
     }
 
+    /// Returns the number of complete events that the upstream has sent.
+    pub fn events(&self) -> u32 {
+        self.request.events
+    }
+
     /// Records the head of a response, which arrives with its first event, and what it says of the
     /// upstream.
     pub fn on_head(&mut self, head: &ResponseHead) {
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -132,7 +132,7 @@
                     self.sends.record_failure(
                         &cx,
                         &self.call,
-                        reservation.upstream(),
+                        &reservation,
                         SendOutcome::Failed,
                         true,
                     );
@@ -147,13 +147,7 @@
                 SendResult::NotRun(outcome) => (outcome, false),
                 SendResult::Unknown(outcome) => (outcome, true),
             };
-            self.sends.record_failure(
-                &cx,
-                &self.call,
-                reservation.upstream(),
-                outcome,
-                may_have_run,
-            );
+            self.sends.record_failure(&cx, &self.call, &reservation, outcome, may_have_run);
             reservation.finish(outcome);
             if !self.sends.may_retry(&self.call) || self.call.time_left(cx.now()).is_zero() {
                 let error = self.sends.final_error(&self.call, &cx, self.call.info.target);
@@ -300,15 +294,15 @@
     ///
     /// Returns an error when no upstream resumes the stream.
     async fn resume(&mut self, outcome: SendOutcome) -> Result<(), AbortReason> {
-        let upstream =
-            self.reservation.as_ref().map_or("", UpstreamReservation::upstream).to_owned();
+        let Some(reservation) = &self.reservation else { return Err(AbortReason::UpstreamLost) };
+        let upstream = reservation.upstream().to_owned();
         let placement = self.sends.admit_elsewhere(&self.cx, &self.call, &upstream);
         if placement.is_none() && outcome == SendOutcome::NoResponse {
             self.last_progress = self.cx.now();
             return Ok(());
         }
 
-        self.sends.record_failure(&self.cx, &self.call, &upstream, outcome, true);
+        self.sends.record_failure(&self.cx, &self.call, reservation, outcome, true);
         self.finish(outcome, false);
         self.events = EventBuffer::default();
         if placement.is_none() || self.start(placement).await.is_err() {
