--- a/sapphirespur_core/tests/edge/exchange.rs
+++ b/sapphirespur_core/tests/edge/exchange.rs
@@ -1,113 +1,18 @@
 //! Reports reach every router in bounded messages, whichever routers are killed or cut off.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use sapphirespur_core::collections::{HashMap, HashSet};
-use sapphirespur_core::edge::{ExchangeRole, OutgoingMessage, Router, RouterSettings};
-use sapphirespur_core::name::Name;
-use sapphirespur_core::time::Time;
+use sapphirespur_core::edge::ExchangeRole;
 
-use crate::support::{START, call, entry, ms, settings, table};
-
-/// Step of the simulated time, and the delay of a message.
-const STEP: Duration = Duration::from_millis(10);
-
-/// Time in which a fleet that has just started knows all its routers and their work.
-const SETTLED: Duration = Duration::from_secs(6);
+use crate::fleet::{Fleet, Node, SETTLED, STEP};
+use crate::support::{call, ms};
 
 /// Time after a loss in which the lost routers are passed over (3 s) and their work no longer counts
 /// (2.5 s), with two intervals between reports.
 const LOSS_NOTICED: Duration = Duration::from_secs(6);
 
-struct Node {
-    router: Router,
-    address: SocketAddr,
-    data_centre: usize,
-    due: Time,
-    is_alive: bool,
-}
-
-/// Fleet of routers that exchange messages with a delay of one step.
-struct Fleet {
-    nodes: Vec<Node>,
-    now: Time,
-    in_transit: Vec<(SocketAddr, OutgoingMessage)>,
-    /// Pairs of data centres that do not reach each other.
-    cut: HashSet<(usize, usize)>,
-    messages: u64,
-}
-
-fn node_address(index: usize) -> SocketAddr {
-    ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_400).into()
-}
-
 impl Fleet {
-    /// Starts `count` routers in `data_centres`, each with the same three seeds.
-    fn start(count: usize, data_centres: usize) -> Self {
-        let nodes = (0..count).map(|index| Self::node(index, data_centres, 1, START)).collect();
-        Self { nodes, now: START, in_transit: Vec::new(), cut: HashSet::default(), messages: 0 }
-    }
-
-    fn node(index: usize, data_centres: usize, started_ms: u64, now: Time) -> Node {
-        let data_centre = index % data_centres;
-        let mut router = Router::new(RouterSettings {
-            data_centre: Name::new(&format!("dc{data_centre}")),
-            started_ms,
-            ..settings(&format!("r{index}"))
-        });
-        assert!(router.registry_mut().apply_table(table(1, 100_000)));
-        for upstream in 0..4_u16 {
-            router
-                .registry_mut()
-                .apply_upstream(now, entry(&format!("u{upstream}"), 8_000 + upstream));
-        }
-        let seeds = (0..3).map(node_address).collect();
-        let address = node_address(index);
-        router.start_exchange(address, seeds);
-        let due = now + ms(index as u64 * 7 % 150);
-        Node { router, address, data_centre, due, is_alive: true }
-    }
-
-    fn run(&mut self, span: Duration) {
-        let end = self.now + span;
-        while self.now < end {
-            self.step();
-        }
-    }
-
-    fn step(&mut self) {
-        self.now = self.now + STEP;
-        for (from, outgoing) in std::mem::take(&mut self.in_transit) {
-            self.deliver(from, outgoing);
-        }
-        for index in 0..self.nodes.len() {
-            let node = &mut self.nodes[index];
-            if !node.is_alive || node.due > self.now {
-                continue;
-            }
-            let messages = node.router.exchange_messages(self.now);
-            node.due = self.now + node.router.exchange().interval();
-            let from = node.address;
-            self.in_transit.extend(messages.into_iter().map(|message| (from, message)));
-        }
-    }
-
-    fn deliver(&mut self, from: SocketAddr, outgoing: OutgoingMessage) {
-        let find = |address| self.nodes.iter().position(|node| node.address == address);
-        let (Some(sender), Some(receiver)) = (find(from), find(outgoing.to)) else { return };
-        let pair = (self.nodes[sender].data_centre, self.nodes[receiver].data_centre);
-        if !self.nodes[receiver].is_alive || self.cut.contains(&pair) {
-            return;
-        }
-
-        self.messages += 1;
-        let node = &mut self.nodes[receiver];
-        let answer = node.router.on_peer_message(self.now, from, outgoing.message);
-        let address = node.address;
-        self.in_transit.extend(answer.map(|answer| (address, answer)));
-    }
-
     /// Places one request on the upstreams by each router.
     fn place_one_each(&mut self) {
         for node in &mut self.nodes {
@@ -254,7 +159,7 @@
     let mut fleet = Fleet::start(60, 3);
     fleet.run(SETTLED);
     for index in 0..60 {
-        fleet.nodes[index] = Fleet::node(index, 3, 2, fleet.now);
+        fleet.nodes[index] = fleet.node(index, 3, 2);
     }
     fleet.run(SETTLED);
     fleet.place_one_each();
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -5,7 +5,9 @@
 
 mod admission;
 mod cold_return;
+mod crashing_prompt;
 mod exchange;
+mod fleet;
 mod fleet_sums;
 mod flooded_router;
 mod hot_key;
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -11,10 +11,14 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 /// Maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Time from the head of a response to a crash under it.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+
 /// Way in which a runner responds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behaviour {
@@ -62,6 +66,9 @@
     MissingEvent,
     /// Waits this many milliseconds before each event.
     SlowEvents(u64),
+    /// Crashes when it begins to respond to a request with this prompt segment before the last one,
+    /// like a process that ends: all its connections close, and its port refuses new ones.
+    CrashOn(u64),
     /// Sends an endless stream of events, padded by this many bytes each, without a pause.
     LargeEvents(usize),
 }
@@ -82,6 +89,14 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(header, _)| header == name).map(|(_, value)| value.as_str())
     }
+
+    /// Returns the identities of the prompt's segments but the last one.
+    pub fn shared_segments(&self) -> Vec<u64> {
+        let segments = self.header("x-sapphirespur-prompt-prefix-hash").unwrap_or_default();
+        let (shared, _) = segments.rsplit_once(',').unwrap_or_default();
+        let ids = shared.split(',').filter_map(|segment| segment.split_once(':'));
+        ids.filter_map(|(id, _)| u64::from_str_radix(id, 16).ok()).collect()
+    }
 }
 
 /// State that the connections share.
@@ -91,6 +106,26 @@
     behaviour: Cell<Behaviour>,
     requests: RefCell<Vec<ReceivedRequest>>,
     client_disconnects: Cell<u32>,
+    /// Tasks that accept and serve connections; ended by a crash.
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    has_crashed: Cell<bool>,
+}
+
+impl State {
+    /// Closes the listener and all connections.
+    fn crash(&self) {
+        self.has_crashed.set(true);
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
+
+    /// Returns whether the runner crashes under a request.
+    fn crashes_under(&self, request: &ReceivedRequest) -> bool {
+        let Behaviour::CrashOn(harmful) = self.behaviour.get() else { return false };
+        let ids = request.shared_segments();
+        ids.contains(&harmful)
+    }
 }
 
 /// Handle of a running runner; clones share its state.
@@ -117,6 +152,8 @@
             behaviour: Cell::new(Behaviour::Normal),
             requests: RefCell::default(),
             client_disconnects: Cell::new(0),
+            tasks: RefCell::default(),
+            has_crashed: Cell::new(false),
         });
         let runner = Self {
             address: listener.local_addr()?,
@@ -124,15 +161,20 @@
             service: service.to_owned(),
         };
 
-        actix_rt::spawn(async move {
+        let accepting = Rc::clone(&state);
+        let task = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let state = Rc::clone(&state);
-                actix_rt::spawn(async move {
+                let state = Rc::clone(&accepting);
+                let task = actix_rt::spawn(async move {
                     // Fails when the peer closes the connection, which it may do at any time.
                     let _ = serve(&state, stream).await;
                 });
+                let mut tasks = accepting.tasks.borrow_mut();
+                tasks.retain(|task| !task.is_finished());
+                tasks.push(task);
             }
         });
+        state.tasks.borrow_mut().push(task);
         Ok(runner)
     }
 
@@ -151,6 +193,11 @@
         self.state.requests.borrow().clone()
     }
 
+    /// Returns whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.state.has_crashed.get()
+    }
+
     /// Returns how often a client disconnected before its response was complete.
     pub fn client_disconnects(&self) -> u32 {
         self.state.client_disconnects.get()
@@ -362,6 +409,12 @@
         "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
+    if state.crashes_under(request) {
+        // The head leaves before the process ends.
+        tokio::time::sleep(CRASH_DELAY).await;
+        state.crash();
+        return Ok(false);
+    }
     let last_received: u64 =
         request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     let last_event = match state.behaviour.get() {
