Quarantine prompt segments under which upstreams end

What callers saw: requests of one kind crashed upstream after upstream.

Cause: the router books each lost upstream to the upstream alone. Nothing ties losses to what the requests have in common, so the next harmful request goes to the next healthy upstream, and the router's own repeats and resumed streams add to it. Class: a request that takes down what is shared (query of death).

Change: routers keep, for each prompt segment that other requests may share, the suspicion from upstreams lost as they began to respond to it, and tell each other with every report, through relays too. A loss counts if its request was sent after the loss before it (losses at one time may have a common cause) and if the upstream accepts no connection. A whole response clears the segment. At the limit, requests with it are refused at once with 503 and the time of the next trial; one router, and the others one by one after it, tries the segment on the upstream with the fewest requests, at growing intervals, and never a request with two such segments. A segment that was fine before needs twice the suspicion, since another one of the same requests is then the likelier cause and is found first. An unframed response that ends before its first event counts as cut.

Ruled out: load on cold upstreams (the first five were warm). By the response alone, an upstream that resets one connection and one that ends look alike; a connection attempt tells them apart.

Datagrams carry the segments after the message, where older builds do not read.

--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -52,6 +52,7 @@
         ("requests", status.in_flight.to_string()),
         ("connections", status.connections.to_string()),
         ("data centres out", status.out.join(" ")),
+        ("quarantined segments", status.quarantined.join(" ")),
     ];
     let rows: Vec<Vec<String>> =
         rows.into_iter().map(|(name, value)| vec![name.to_owned(), value]).collect();
--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -35,6 +35,8 @@
     Overloaded,
     /// The workspace has used its share and the upstreams are busy.
     OverShare,
+    /// Upstreams have ended under a segment of the prompt.
+    Quarantined,
     /// The retry budget of the service is exhausted.
     RetryBudget,
 }
@@ -48,6 +50,7 @@
             Self::Cold => "cold",
             Self::Overloaded => "overloaded",
             Self::OverShare => "over_share",
+            Self::Quarantined => "quarantined",
             Self::RetryBudget => "repeat_budget",
         }
     }
--- a/sapphirespur_core/src/edge/backoff.rs
+++ b/sapphirespur_core/src/edge/backoff.rs
@@ -15,6 +15,9 @@
     const RETRY_AFTER_RANGE: (Duration, Duration) =
         (Duration::from_millis(200), Duration::from_secs(4));
 
+    /// Shortest retry-after time of a request that is refused for its prompt.
+    const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(5);
+
     /// Golden ratio. The fractional parts of its multiples are evenly spread, so that declined
     /// clients do not all retry at the same time.
     const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
@@ -28,6 +31,14 @@
         Decline { retry_after, ..decline }
     }
 
+    /// Declines a call because of its prompt; the client should not retry before `retry_after`.
+    pub fn decline_quarantined(&mut self, call: &CallInfo, retry_after: Duration) -> Decline {
+        let decline = self.decline(call, DeclineReason::Quarantined, None);
+        let retry_after = retry_after.max(Self::MIN_QUARANTINE_RETRY_AFTER);
+
+        Decline { retry_after, ..decline }
+    }
+
     /// Declines a call. `expected_delay` is the time it would have waited, from which the
     /// retry-after time is derived; the target latency is used when it is absent.
     pub fn decline(
--- a/sapphirespur_core/src/edge/candidate.rs
+++ b/sapphirespur_core/src/edge/candidate.rs
@@ -111,6 +111,8 @@
     pub upstream: &'a Upstream,
     /// Expected consequences of placing the request here.
     pub estimate: PlacementEstimate,
+    /// Requests of all routers that the upstream is serving.
+    pub in_flight: u32,
     /// Expected time to the first event, less the request's own prefill and the batch overhead:
     /// mostly the wait for other requests.
     pub wait: Duration,
@@ -189,6 +191,7 @@
                 prefill_tokens,
                 queued_tokens,
             },
+            in_flight,
             wait: from_millis(expected_delay_ms - prefill_ms - batch_ms),
             event_interval_ratio: if cx.max_event_interval_ms > 0.0 {
                 event_interval_ms / cx.max_event_interval_ms
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::PeerReport;
 use crate::edge::exchange::{Contact, HeardContact};
+use crate::edge::{PeerReport, SegmentReport};
 
 /// Routers over which a report sums.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,6 +31,10 @@
     pub seen: u64,
     /// Report and its scope; none when only contacts are sent.
     pub report: Option<(ReportScope, PeerReport)>,
+    /// Prompt segments under which upstreams were lost. They are encoded after the message, where
+    /// builds that don't know them pass over them.
+    #[serde(skip)]
+    pub segments: Vec<SegmentReport>,
 }
 
 /// Message with the address to send it to.
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -1,5 +1,8 @@
 //! Request that has been sent to an upstream.
 
+use std::sync::Arc;
+
+use crate::edge::LossEvidence;
 use crate::name::Name;
 use crate::time::Time;
 
@@ -15,12 +18,16 @@
     pub route: Name,
     /// Service that runs the request.
     pub service: Name,
+    /// Identities of the prompt's segments that other requests may share.
+    pub segments: Arc<[u64]>,
     /// Prompt tokens that the upstream has to prefill.
     pub prefill_tokens: u64,
     /// Prompt tokens in the upstream's prefill queue at placement, including this request.
     pub queued_tokens: u64,
     /// When the request was placed.
     pub placed_at: Time,
+    /// Whether the response says where it ends; otherwise it ends with its connection.
+    pub is_framed: bool,
     /// When the first event arrived; none before.
     pub first_event_at: Option<Time>,
     /// Number of events received.
@@ -29,6 +36,32 @@
     pub last_event_at: Time,
 }
 
+impl InFlightRequest {
+    /// Events up to which a response counts as just begun.
+    const FIRST_EVENTS: u32 = 1;
+
+    /// Returns whether the upstream has not begun to respond, or only just: if it is lost now, this
+    /// request may be the cause.
+    pub fn has_just_begun(&self) -> bool {
+        self.events <= Self::FIRST_EVENTS
+    }
+
+    /// Returns how strongly the loss of the upstream speaks against this request.
+    pub(super) fn loss_evidence(&self) -> LossEvidence {
+        if self.first_event_at.is_some() && self.events == 0 {
+            LossEvidence::MidStart
+        } else {
+            LossEvidence::Nearby
+        }
+    }
+
+    /// Returns whether a response that ended well shows that the upstream survives the request: one
+    /// that does not say where it ends may have been cut by a crash as it began.
+    pub(super) fn proves_survival(&self) -> bool {
+        self.is_framed || !self.has_just_begun()
+    }
+}
+
 /// How a request to one upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendOutcome {
@@ -36,8 +69,10 @@
     Answered,
     /// The upstream responded with an error.
     Failed,
-    /// The connection could not be opened, was reset or closed early.
+    /// The connection could not be opened, or what arrived on it is no response to the request.
     Broken,
+    /// The connection ended before the response did.
+    Disconnected,
     /// The upstream reported that it did not run the request.
     Rejected,
     /// The upstream did not run the request and asked for a pause.
@@ -59,6 +94,7 @@
             Self::Answered => "answered",
             Self::Failed => "failed",
             Self::Broken => "broken",
+            Self::Disconnected => "disconnected",
             Self::Rejected => "rejected",
             Self::Paused => "paused",
             Self::Misdirected => "misdirected",
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -8,8 +8,8 @@
 
 use crate::collections::HashMap;
 use crate::edge::{
-    Backoff, Exchange, OutputLengths, Pressures, PromptSegment, RegistryState, RetryBudget,
-    RouterSettings, Shares,
+    Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
+    RetryBudget, RouterSettings, Shares,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -24,6 +24,7 @@
     shares: Shares,
     retry_budgets: HashMap<Name, RetryBudget>,
     pressures: Pressures,
+    quarantine: Quarantine,
     output_lengths: OutputLengths,
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
@@ -55,6 +56,7 @@
             shares,
             retry_budgets: HashMap::default(),
             pressures: Pressures::default(),
+            quarantine: Quarantine::default(),
             output_lengths: OutputLengths::default(),
             prefilled: HashMap::default(),
             sequence: 0,
@@ -98,12 +100,23 @@
         self.last_tick = now;
 
         self.registry.tick(now);
+        self.quarantine.expire(now);
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
         }
         self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY_STEP), self.exchange.peers());
     }
 
+    /// Returns the prompt segments under which upstreams were lost.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Returns these prompt segments for modification.
+    pub fn quarantine_mut(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
     /// Returns the retries that this router has left, by service.
     pub fn retries_left(&mut self, now: Time) -> Vec<(Name, usize)> {
         let limits = self.settings.retries;
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -3,6 +3,7 @@
 use crate::edge::candidate::{Candidate, PlacementEstimate, ScoringContext, ShareStatus};
 use crate::edge::cold_limit::ColdLimit;
 use crate::edge::prefix_sources::PrefixSources;
+use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
     Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, Router,
     Shares, Upstream, UsageKey,
@@ -17,11 +18,12 @@
         self.retry_budgets.entry(call.service.clone()).or_default().record_request(now, limits);
 
         self.exchange.peers_mut().expire(now);
+        let trial = self.check_quarantine(now, call)?;
         let charge = self.charge_for(&call.route, call.workspace.as_ref(), call.prompt.as_ref());
         let share_usage = charge.map_or(0.0, |(key, tokens, capacity)| {
             self.shares.share_usage(now, key, tokens, capacity, self.exchange.peers().usage())
         });
-        let decision = self.choose_upstream(now, call, &[], share_usage);
+        let decision = self.choose_upstream(now, call, &[], share_usage, trial);
         if let Some((key, tokens, _)) = charge {
             self.shares.charge(now, key, tokens, decision.is_ok());
         }
@@ -40,6 +42,7 @@
         reached_upstream: bool,
     ) -> Admission {
         self.exchange.peers_mut().expire(now);
+        let trial = self.check_quarantine(now, call)?;
         let limits = self.settings.retries;
         let routers = self.assumed_routers(now);
         let budget = self.retry_budgets.entry(call.service.clone()).or_default();
@@ -47,7 +50,7 @@
             return Err(self.backoff.decline(call, DeclineReason::RetryBudget, None));
         }
 
-        let admission = self.choose_upstream(now, call, tried, 0.0);
+        let admission = self.choose_upstream(now, call, tried, 0.0, trial);
         if reached_upstream
             && admission.is_err()
             && let Some(budget) = self.retry_budgets.get_mut(&call.service)
@@ -57,6 +60,21 @@
         admission
     }
 
+    /// Returns the prompt segment that the call would try, if one of its segments is quarantined;
+    /// declines the call when it must not be sent.
+    fn check_quarantine(&mut self, now: Time, call: &CallInfo) -> Result<Option<u64>, Decline> {
+        let Some(prompt) = &call.prompt else { return Ok(None) };
+        let (members, own) = (self.exchange.peers().members(), self.name_hash());
+        let rank = |segment: u64| members.rank(now, own, segment as u32);
+        match self.quarantine.check(now, &prompt.shared_ids, rank) {
+            QuarantineVerdict::Admitted => Ok(None),
+            QuarantineVerdict::Trial(segment) => Ok(Some(segment)),
+            QuarantineVerdict::Refused(retry_after) => {
+                Err(self.backoff.decline_quarantined(call, retry_after))
+            }
+        }
+    }
+
     /// Records a request that was refused before it was placed: its workspace has asked for its
     /// tokens, which lowers what the others may use beyond their shares.
     pub fn record_refused(
@@ -93,13 +111,15 @@
     }
 
     /// Places the request on the upstream with the lowest score among those without a reason to
-    /// decline it.
+    /// decline it. A request that tries the quarantined segment `trial` goes to the one with the
+    /// fewest requests, which it may cut.
     fn choose_upstream(
         &mut self,
         now: Time,
         call: &CallInfo,
         tried: &[Name],
         share_usage: f64,
+        trial: Option<u64>,
     ) -> Admission {
         let spec = self.registry.service_spec(&call.service).copied();
         let cold_limit = ColdLimit {
@@ -138,8 +158,11 @@
         let is_allowed = |upstream: &&Upstream| {
             !saturated.contains(&upstream.key) && !tried.contains(&upstream.entry.id)
         };
-        let candidates =
+        let mut candidates =
             cx.ranked_candidates(upstreams.available(now, &call.service).filter(is_allowed));
+        if trial.is_some() {
+            candidates.sort_by_key(|candidate| candidate.in_flight);
+        }
         let Some(best) = candidates.first() else {
             let is_any_available =
                 self.registry.upstreams().available(now, &call.service).next().is_some();
@@ -182,6 +205,9 @@
             return Err(Decline { share_usage, pressure, over_share_factor, ..decline });
         };
         let (id, estimate) = (chosen.upstream.entry.id.clone(), chosen.estimate);
+        if let Some(segment) = trial {
+            self.quarantine.on_tried(now, segment);
+        }
         self.commit(now, call, id, estimate)
     }
 
@@ -217,9 +243,15 @@
                 started_ms: upstream.entry.started_ms,
                 route: call.route.clone(),
                 service: call.service.clone(),
+                segments: call
+                    .prompt
+                    .as_ref()
+                    .map(|prompt| prompt.shared_ids.clone())
+                    .unwrap_or_default(),
                 prefill_tokens,
                 queued_tokens,
                 placed_at: now,
+                is_framed: false,
                 first_event_at: None,
                 events: 0,
                 last_event_at: now,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -35,7 +35,8 @@
     /// Returns the messages to the other routers that are due.
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
-        self.exchange.tick(now, report)
+        let segments = self.quarantine.reports(now);
+        self.exchange.tick(now, report, segments)
     }
 
     /// Applies a message of another router and returns the answer, if there is one.
@@ -45,6 +46,7 @@
         from: SocketAddr,
         message: PeerMessage,
     ) -> Option<OutgoingMessage> {
+        self.quarantine.merge(now, &message.segments);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
             self.record_prefills(now, &report);
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -63,10 +63,19 @@
             let tokens = f64::from(request.events * engine.tokens_per_event);
             self.output_lengths.record(&request.route, tokens);
         }
+        if outcome == SendOutcome::Answered && request.proves_survival() {
+            self.quarantine.on_answered(now, &request.segments);
+        }
         let Some(upstream) = self.find_upstream(request) else { return };
         upstream.on_end(now, request, outcome);
     }
 
+    /// Records that the upstream of a request that had just begun was lost at `lost_at`, together
+    /// with the request.
+    pub fn on_upstream_lost(&mut self, lost_at: Time, request: &InFlightRequest) {
+        self.quarantine.on_lost(lost_at, request);
+    }
+
     /// Returns the upstream of a request, unless it has been replaced by a new process instance.
     pub(super) fn find_upstream(&mut self, request: &InFlightRequest) -> Option<&mut Upstream> {
         self.registry
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -123,7 +123,7 @@
             SendOutcome::Failed | SendOutcome::Rejected | SendOutcome::NoResponse => {
                 self.load.record_outcome(true);
             }
-            SendOutcome::Broken => {
+            SendOutcome::Broken | SendOutcome::Disconnected => {
                 self.load.record_outcome(true);
                 self.mark_unhealthy(now);
             }
--- a/sapphirespur_core/tests/edge/crashing_prompt.rs
+++ b/sapphirespur_core/tests/edge/crashing_prompt.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{CallInfo, InFlightRequest, Prompt, SendOutcome};
+use sapphirespur_core::edge::{CallInfo, DeclineReason, InFlightRequest, Prompt, SendOutcome};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
 use crate::fleet::{Fleet, SETTLED, STEP};
-use crate::support::{call, entry, ms};
+use crate::support::{START, call, entry, ms, router};
 
 /// Upstreams of the service.
 const UPSTREAMS: u16 = 18;
@@ -48,6 +48,8 @@
 
 /// Fleet with the upstreams that it uses and their crashes.
 struct Scene {
+    /// Whether harmful requests crash upstreams; otherwise they are answered.
+    is_harmful: bool,
     fleet: Fleet,
     sent: Vec<Sent>,
     next_upstream: u16,
@@ -67,6 +69,7 @@
         let mut fleet = Fleet::start_with_upstreams(routers, data_centres, UPSTREAMS);
         fleet.run(SETTLED);
         Self {
+            is_harmful: true,
             fleet,
             sent: Vec::new(),
             next_upstream: UPSTREAMS,
@@ -118,8 +121,10 @@
     /// Lets the upstreams respond, or crash.
     fn respond(&mut self) {
         let now = self.fleet.now;
-        let is_crash =
-            |sent: &&Sent| sent.is_harmful && now.since(sent.request.placed_at) >= CRASH_AFTER;
+        let is_harmful = self.is_harmful;
+        let is_crash = |sent: &&Sent| {
+            is_harmful && sent.is_harmful && now.since(sent.request.placed_at) >= CRASH_AFTER
+        };
         while let Some(upstream) =
             self.sent.iter().find(is_crash).map(|sent| sent.request.upstream.clone())
         {
@@ -131,6 +136,7 @@
             let router = &mut self.fleet.nodes[sent.node].router;
             let age = now.since(sent.request.placed_at);
             if age >= HEAD_AFTER {
+                sent.request.is_framed = true;
                 router.on_first_event(now, &mut sent.request);
             }
             let is_due = now.since(sent.request.last_event_at) >= EVENT_INTERVAL;
@@ -150,10 +156,29 @@
         self.crashed.push((now, upstream.clone()));
         for sent in self.sent.extract_if(.., |sent| sent.request.upstream == *upstream) {
             let router = &mut self.fleet.nodes[sent.node].router;
-            router.finish(now, &sent.request, SendOutcome::Broken);
+            router.finish(now, &sent.request, SendOutcome::Disconnected);
+            if sent.request.has_just_begun() {
+                router.on_upstream_lost(now, &sent.request);
+            }
+        }
+    }
+
+    /// Ends `count` upstreams that have requests, at the same time.
+    fn crash_herd(&mut self, count: usize) {
+        let mut upstreams: Vec<Name> =
+            self.sent.iter().map(|sent| sent.request.upstream.clone()).collect();
+        upstreams.sort();
+        upstreams.dedup();
+        for upstream in upstreams.iter().take(count) {
+            self.crash(upstream);
         }
     }
 
+    /// Returns the quarantined segments at a router.
+    fn quarantined(&self, node: usize) -> Vec<u64> {
+        self.fleet.nodes[node].router.quarantine().quarantined()
+    }
+
     /// Removes the entries of crashed upstreams, and adds those of their replacements.
     fn replace(&mut self) {
         let now = self.fleet.now;
@@ -230,3 +255,104 @@
     crashing_segment_between_others_is_stopped: 4, 3, &[FIRST, HARMFUL, 0x21], 700;
     thirty_routers_with_relays_stop_sending_a_crashing_segment: 30, 3, &[FIRST, HARMFUL], 300;
 }
+
+// Guards against refusing sound requests for what they share with those that crash upstreams.
+#[test]
+fn only_the_crashing_segment_is_quarantined_and_all_routers_know_it() {
+    let mut scene = Scene::start(30, 3);
+    scene.run(Duration::from_secs(5), &[], ms(0));
+    scene.run(Duration::from_secs(10), &[FIRST, HARMFUL, 0x21], ms(300));
+    for node in 0..30 {
+        assert_eq!(scene.quarantined(node), [HARMFUL], "r{node}");
+    }
+}
+
+// Guards against refusing a segment that comes in all requests, as upstreams end for other reasons.
+#[test]
+fn herd_kills_quarantine_no_segment() {
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(2), &[], ms(0));
+    for _ in 0..4 {
+        scene.crash_herd(6);
+        scene.run(ms(700), &[], ms(0));
+        scene.crash_herd(6);
+        scene.run(Duration::from_secs(6), &[], ms(0));
+        for node in 0..4 {
+            assert_eq!(scene.quarantined(node), Vec::<u64>::new(), "r{node}");
+        }
+    }
+}
+
+// Guards against a quarantine without an end after the cause has been mended.
+#[test]
+fn segment_that_no_longer_crashes_upstreams_is_released() {
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(2), &[], ms(0));
+    scene.run(Duration::from_secs(4), &[FIRST, HARMFUL], ms(500));
+    assert_eq!(scene.quarantined(0), [HARMFUL]);
+    scene.is_harmful = false;
+    scene.run(Duration::from_secs(12), &[FIRST, HARMFUL], ms(500));
+    for node in 0..4 {
+        assert_eq!(scene.quarantined(node), Vec::<u64>::new(), "r{node}");
+    }
+}
+
+// Guards against a router that sends what the others have quarantined, because it has just started.
+#[test]
+fn restarted_router_learns_what_is_quarantined() {
+    for (routers, data_centres) in [(4, 3), (30, 3)] {
+        let mut scene = Scene::start(routers, data_centres);
+        scene.run(Duration::from_secs(10), &[FIRST, HARMFUL], ms(300));
+        scene.fleet.nodes[1] = scene.fleet.node(1, data_centres, 2);
+        scene.run(Duration::from_secs(3), &[], ms(0));
+        assert_eq!(scene.quarantined(1), [HARMFUL]);
+    }
+}
+
+// Guards against answers to a harmful request that differ, or that bid the client to return soon.
+#[test]
+fn quarantined_request_is_refused_at_once_and_alike() {
+    let mut scene = Scene::start(2, 1);
+    scene.run(Duration::from_secs(4), &[FIRST, HARMFUL], ms(300));
+    let now = scene.fleet.now;
+    let router = &mut scene.fleet.nodes[0].router;
+    for _ in 0..3 {
+        let decline = router.admit(now, &prompt(&[FIRST, HARMFUL])).expect_err("refused");
+        assert_eq!(decline.reason, DeclineReason::Quarantined);
+        assert!(decline.retry_after >= Duration::from_secs(5));
+    }
+    assert!(router.admit(now, &prompt(&[FIRST, 0x21])).is_ok());
+}
+
+// Guards against a response without a length that a crash cut before its first event, taken as whole.
+#[test]
+fn response_that_may_have_been_cut_as_it_began_proves_nothing() {
+    let mut router = router("r", 4);
+    let mut now = START;
+    for _ in 0..2 {
+        now = now + ms(100);
+        let mut lost = router.admit(now, &prompt(&[HARMFUL])).expect("placed").request;
+        router.on_first_event(now, &mut lost);
+        router.on_upstream_lost(now, &lost);
+        router.finish(now, &lost, SendOutcome::Answered);
+    }
+    assert_eq!(router.quarantine().quarantined(), [HARMFUL]);
+
+    let later = now + Duration::from_secs(6);
+    let mut tried = router.admit(later, &prompt(&[HARMFUL])).expect("it is tried").request;
+    assert!(router.admit(later, &prompt(&[HARMFUL])).is_err(), "one at a time");
+    tried.is_framed = true;
+    router.finish(later, &tried, SendOutcome::Answered);
+    assert_eq!(router.quarantine().quarantined(), Vec::<u64>::new());
+}
+
+// Guards against sound segments that stay refused since they were new when upstreams crashed.
+#[test]
+fn sound_segments_suspected_right_after_the_start_are_released() {
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(25), &[FIRST, HARMFUL], ms(500));
+    for node in 0..4 {
+        assert_eq!(scene.quarantined(node), [HARMFUL], "r{node}");
+    }
+    assert!(scene.sends_after_crashes() <= MAX_SENDS);
+}
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -138,17 +138,17 @@
             }
         };
 
-        let mut reservation = UpstreamReservation::new(cx, placement.request.clone());
+        let mut reservation = UpstreamReservation::new(cx, &placement);
         let head_timeout = head_timeout(cx, &call, &sends);
         let sent = send(cx, &call, &placement, &mut reservation, None, head_timeout).await;
         let (outcome, may_have_run) = match sent {
             SendResult::Response(upstream_response) => {
                 match read_response(cx, &call, *upstream_response).await {
-                    Some(response) if response.status().is_server_error() => {
+                    Ok(response) if response.status().is_server_error() => {
                         fallback = Some(response);
                         (SendOutcome::Failed, true)
                     }
-                    Some(response) => {
+                    Ok(response) => {
                         reservation.finish(SendOutcome::Answered);
                         let workspace = call.info.workspace.as_ref().map(Name::as_str);
                         let total = cx.now().since(call.arrived_at);
@@ -166,7 +166,7 @@
                         }
                         return response;
                     }
-                    None => (SendOutcome::Broken, true),
+                    Err(outcome) => (outcome, true),
                 }
             }
             SendResult::NotRun(outcome) => (outcome, false),
@@ -221,21 +221,25 @@
     left.min(call.info.target.mul_f64(RESEND_TIMEOUT_FACTOR))
 }
 
-/// Reads the body of a response and builds the response for the client; returns `None` when the
-/// body ends early, is late or is too large.
+/// Reads the body of a response and builds the response for the client.
+///
+/// # Errors
+///
+/// Returns the outcome of the send when the body ends early, is late or is too large.
 pub(super) async fn read_response(
     cx: &Shared,
     call: &Call,
     mut upstream_response: UpstreamResponse,
-) -> Option<ClientResponse> {
+) -> Result<ClientResponse, SendOutcome> {
     let left = call.time_left(cx.now());
-    let body =
-        tokio::time::timeout(left, read_to_end(&mut upstream_response.body)).await.ok()??;
+    let body = tokio::time::timeout(left, read_to_end(&mut upstream_response.body))
+        .await
+        .map_err(|_| SendOutcome::Broken)??;
     upstream_response.connection.return_to_pool(cx);
 
     let mut response = Response::new(full_body(body));
     *response.status_mut() = upstream_response.parts.status;
     *response.headers_mut() = upstream_response.parts.headers;
     hop_headers::remove_hop_by_hop(response.headers_mut());
-    Some(response)
+    Ok(response)
 }
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -1,10 +1,13 @@
 //! Guards for the resources that a request holds, released when dropped.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use sapphirespur_core::edge::{InFlightRequest, SendOutcome};
+use sapphirespur_core::edge::{InFlightRequest, Placement, SendOutcome};
+use sapphirespur_core::time::Time;
 
+use super::connect::connect;
 use super::dialect::ResponseHead;
 use super::shared::Shared;
 
@@ -20,17 +23,26 @@
 /// Multiple of the upstream's usual interval between events that counts as a gap.
 const EVENT_GAP_FACTOR: f64 = 6.0;
 
+/// Time within which an upstream that is not lost accepts a connection.
+const LOSS_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Reservation at an upstream for one send; ends as abandoned when dropped before it is finished.
 pub(super) struct UpstreamReservation {
     cx: Rc<Shared>,
     request: InFlightRequest,
+    address: SocketAddr,
     is_finished: bool,
 }
 
 impl UpstreamReservation {
     /// Wraps the reservation that admission made.
-    pub fn new(cx: &Rc<Shared>, request: InFlightRequest) -> Self {
-        Self { cx: Rc::clone(cx), request, is_finished: false }
+    pub fn new(cx: &Rc<Shared>, placement: &Placement) -> Self {
+        Self {
+            cx: Rc::clone(cx),
+            request: placement.request.clone(),
+            address: placement.address,
+            is_finished: false,
+        }
     }
 
     /// Returns the name of the upstream.
@@ -43,10 +55,11 @@
         self.request.events
     }
 
-    /// Records the head of a response, which arrives with its first event, and what it says of the
-    /// upstream.
-    pub fn on_head(&mut self, head: &ResponseHead) {
+    /// Records the head of a response, which arrives with its first event, whether it says where the
+    /// response ends, and what it says of the upstream.
+    pub fn on_head(&mut self, head: &ResponseHead, is_framed: bool) {
         let now = self.cx.now();
+        self.request.is_framed = is_framed;
         let mut router = self.cx.router.borrow_mut();
         router.on_first_event(now, &mut self.request);
         // A different instance has responded; nothing is known of the one that was meant.
@@ -64,6 +77,12 @@
         }
     }
 
+    /// Returns whether a response that ends now has been cut as it began, although its end looks
+    /// regular.
+    pub fn is_cut_unbegun(&self) -> bool {
+        !self.request.is_framed && self.request.events == 0
+    }
+
     /// Records `count` complete events of a stream.
     pub fn on_events(&mut self, count: u32) {
         let now = self.cx.now();
@@ -92,9 +111,16 @@
     }
 
     fn finish_once(&mut self, outcome: SendOutcome) {
-        if !self.is_finished {
-            self.is_finished = true;
-            self.cx.router.borrow_mut().finish(self.cx.now(), &self.request, outcome);
+        if std::mem::replace(&mut self.is_finished, true) {
+            return;
+        }
+
+        let now = self.cx.now();
+        self.cx.router.borrow_mut().finish(now, &self.request, outcome);
+        let is_suspect = self.request.has_just_begun() && !self.request.segments.is_empty();
+        if outcome == SendOutcome::Disconnected && is_suspect {
+            let (cx, request) = (Rc::clone(&self.cx), self.request.clone());
+            actix_rt::spawn(check_loss(cx, request, self.address, now));
         }
     }
 }
@@ -105,6 +131,17 @@
     }
 }
 
+/// Tells the router that the upstream of a request was lost at `lost_at`, if it accepts no connection:
+/// an upstream that is up may have closed the one of the request for another reason.
+async fn check_loss(cx: Rc<Shared>, request: InFlightRequest, address: SocketAddr, lost_at: Time) {
+    if let Err(e) = connect(address, LOSS_CHECK_TIMEOUT).await {
+        if cx.may_log_failure() {
+            log::warn!(upstream = request.upstream.as_str(), error = e.to_string().as_str(); "upstream lost as it began to respond");
+        }
+        cx.router.borrow_mut().on_upstream_lost(lost_at, &request);
+    }
+}
+
 /// Counts one request and its buffered body bytes while it is in the process.
 pub(super) struct RequestGuard {
     cx: Rc<Shared>,
--- a/sapphirespur_node/src/edge/hop_headers.rs
+++ b/sapphirespur_node/src/edge/hop_headers.rs
@@ -48,6 +48,11 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Returns whether the message says where its body ends; otherwise it ends with the connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns whether the other end closes the connection after this message.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     headers
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -75,6 +75,7 @@
     buffered_bytes: Gauge,
     retries_left: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
+    quarantined_segments: Gauge,
 }
 
 impl Metrics {
@@ -101,6 +102,7 @@
             buffered_bytes: Gauge::default(),
             retries_left: Family::default(),
             cached_segments: Gauge::default(),
+            quarantined_segments: Gauge::default(),
             registry: Registry::default(),
         };
 
@@ -123,6 +125,11 @@
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered_bytes.clone());
         r.register("repeats_left", "Repeats this router has left", metrics.retries_left.clone());
         r.register("kept_parts", "Prompt parts taken for kept", metrics.cached_segments.clone());
+        r.register(
+            "quarantined_parts",
+            "Prompt parts refused",
+            metrics.quarantined_segments.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -223,6 +230,7 @@
 
         let cached = router.registry().upstreams().iter().map(|upstream| upstream.cache.len());
         self.cached_segments.set(cached.sum::<usize>() as i64);
+        self.quarantined_segments.set(router.quarantine().quarantined().len() as i64);
         for (service, left) in router.retries_left(now) {
             let service = service.to_string();
             self.retries_left.get_or_create(&ServiceLabel { service }).set(left as i64);
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -127,9 +127,9 @@
     }
 }
 
-/// Encodes a message as a datagram.
+/// Encodes a message as a datagram; logs when it cannot.
 fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
-    match postcard::to_extend(message, FORMAT.to_vec()) {
+    match encode_datagram(message) {
         Ok(bytes) => Some(bytes),
         Err(e) => {
             log::error!(error = e.to_string().as_str(); "failed to encode report");
@@ -138,13 +138,28 @@
     }
 }
 
+/// Encodes a message as a datagram.
+///
+/// # Errors
+///
+/// Returns an error when the message cannot be encoded.
+pub fn encode_datagram(message: &PeerMessage) -> Result<Vec<u8>, DatagramError> {
+    let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
+    Ok(postcard::to_extend(&message.segments, bytes)?)
+}
+
 /// Decodes a datagram of another router.
 ///
 /// # Errors
 ///
 /// Returns an error when the datagram has another format or is malformed.
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
-    let message = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
+    let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
+    let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
+    // Builds that know nothing of segments end the datagram here.
+    if !rest.is_empty() {
+        message.segments = postcard::from_bytes(rest)?;
+    }
 
-    Ok(postcard::from_bytes(message)?)
+    Ok(message)
 }
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -152,9 +152,11 @@
     let response = match timeout(head_timeout, connection.send(req)).await {
         Ok(Ok(response)) => response,
         Ok(Err(e)) if e.is_canceled() => return SendResult::NotRun(SendOutcome::Broken),
-        Ok(Err(_)) => {
+        Ok(Err(e)) => {
             cx.pool.borrow_mut().close(placement.address);
-            return SendResult::Unknown(SendOutcome::Broken);
+            let outcome =
+                if e.is_parse() { SendOutcome::Broken } else { SendOutcome::Disconnected };
+            return SendResult::Unknown(outcome);
         }
         Err(_) => return SendResult::Unknown(SendOutcome::NoResponse),
     };
@@ -165,7 +167,7 @@
         &parts.headers,
         &call.head.attempt_id,
     );
-    reservation.on_head(&head);
+    reservation.on_head(&head, hop_headers::is_framed(&parts.headers));
     let connection = PooledConnection {
         connection,
         key,
@@ -204,18 +206,23 @@
     SendResult::Response(Box::new(upstream_response))
 }
 
-/// Reads a body to its end; returns `None` when it ends early or is too large.
-pub(super) async fn read_to_end(body: &mut Incoming) -> Option<Bytes> {
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Returns the outcome of the send when the body ends early or is too large.
+pub(super) async fn read_to_end(body: &mut Incoming) -> Result<Bytes, SendOutcome> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let frame = frame.map_err(|_| SendOutcome::Disconnected)?;
+        let Ok(data) = frame.into_data() else { continue };
         if buf.len() + data.len() > MAX_RESPONSE_BYTES {
-            return None;
+            return Err(SendOutcome::Broken);
         }
         buf.extend_from_slice(&data);
     }
 
-    Some(buf.freeze())
+    Ok(buf.freeze())
 }
 
 /// Returns the path and query of a URI, as the client sent them.
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -39,6 +39,9 @@
     pub connections: usize,
     /// Names of the data centres that are out of service, sorted.
     pub out: Vec<String>,
+    /// Prompt segments that are refused because upstreams ended under them, in hexadecimal.
+    #[serde(default)]
+    pub quarantined: Vec<String>,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -86,6 +89,8 @@
         registry.upstreams().data_centres_out().iter().map(ToString::to_string).collect();
     out.sort();
 
+    let quarantined = router.quarantine().quarantined();
+    let quarantined = quarantined.iter().map(|segment| format!("{segment:x}")).collect();
     let relay = router.exchange().sums_source(now);
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
@@ -100,6 +105,7 @@
         in_flight: cx.in_flight.get(),
         connections: cx.connections.get(),
         out,
+        quarantined,
         upstreams,
     }
 }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -105,7 +105,7 @@
                     return Err(error.into_response(&*cx.dialect, &id));
                 }
             };
-            let mut reservation = UpstreamReservation::new(&cx, placement.request.clone());
+            let mut reservation = UpstreamReservation::new(&cx, &placement);
             let head_timeout = self.head_timeout(placement.expected_delay);
             let sent =
                 send(&cx, &self.call, &placement, &mut reservation, self.last_id, head_timeout)
@@ -123,7 +123,7 @@
                 SendResult::Response(upstream_response) => {
                     let is_failure = upstream_response.parts.status.is_server_error();
                     let response = match read_response(&cx, &self.call, *upstream_response).await {
-                        Some(response) if !is_failure => {
+                        Ok(response) if !is_failure => {
                             reservation.finish(SendOutcome::Answered);
                             return Err(response);
                         }
@@ -142,7 +142,7 @@
                     }
                     let outcome_unknown =
                         || ErrorResponse::OutcomeUnknown.into_response(&*cx.dialect, &id);
-                    return Err(response.unwrap_or_else(outcome_unknown));
+                    return Err(response.unwrap_or_else(|_| outcome_unknown()));
                 }
                 SendResult::NotRun(outcome) => (outcome, false),
                 SendResult::Unknown(outcome) => (outcome, true),
@@ -261,6 +261,9 @@
         let Some(upstream_response) = &mut self.upstream_response else {
             return ReadOutcome::Lost(SendOutcome::Broken);
         };
+        // A stream that the client resumes after its last event is empty.
+        let is_cut = self.last_id.is_none()
+            && self.reservation.as_ref().is_some_and(UpstreamReservation::is_cut_unbegun);
         let read_timeout = if may_resume { left.min(MIN_IDLE_TIMEOUT) } else { left };
         match timeout(read_timeout, upstream_response.body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -273,9 +276,8 @@
                 }
                 ReadOutcome::Continue
             }
-            Ok(Some(Err(_))) => ReadOutcome::Lost(SendOutcome::Broken),
-            Ok(None) if self.events.is_empty() => ReadOutcome::End,
-            Ok(None) => ReadOutcome::Lost(SendOutcome::Broken),
+            Ok(None) if self.events.is_empty() && !is_cut => ReadOutcome::End,
+            Ok(Some(Err(_)) | None) => ReadOutcome::Lost(SendOutcome::Disconnected),
             Err(_) if self.call.time_left(self.cx.now()).is_zero() => ReadOutcome::TimedOut,
             Err(_) => ReadOutcome::Continue,
         }
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use sapphirespur_core::edge::QuarantineChange;
 use sapphirespur_core::time::Time;
 
 use super::shared::Shared;
@@ -35,6 +36,7 @@
         let now = cx.now();
         record_lateness(&cx, now, lateness);
         cx.router.borrow_mut().tick(now);
+        log_quarantine(&cx);
         if let Some(pause) = pause {
             log::warn!(paused_ms = pause.as_millis() as u64; "process was paused");
             cx.router.borrow_mut().on_process_pause(now);
@@ -68,6 +70,19 @@
     }
 }
 
+/// Logs which prompt segments were quarantined or released.
+fn log_quarantine(cx: &Shared) {
+    let changes = cx.router.borrow_mut().quarantine_mut().take_changes();
+    for QuarantineChange { segment, is_quarantined } in changes {
+        let segment = format!("{segment:x}");
+        if is_quarantined {
+            log::warn!(segment = segment.as_str(); "prompt segment quarantined");
+        } else {
+            log::info!(segment = segment.as_str(); "prompt segment released");
+        }
+    }
+}
+
 /// Reloads the settings; invalid settings leave the old ones in force.
 pub(super) fn reload(cx: &Shared) {
     match EdgeSettings::read(&cx.settings().path) {
