--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -35,6 +35,8 @@
     PauseRequested(u64),
     /// Responds correctly and states that it is leaving.
     Leaving,
+    /// Responds correctly and names the limit of requests that it takes, in thousandths a second.
+    LimitNamed(u32),
     /// Refuses as at capacity and states that it is leaving.
     LeavingAndFull,
     /// Refuses with 421, as if the request was meant for another runner.
@@ -299,9 +301,14 @@
 ) -> io::Result<bool> {
     let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default().to_owned();
     let id_header = format!("X-Sapphirespur-Attempt-Id: {id}\r\n");
-    let leaving =
-        if state.behaviour.get() == Behaviour::Leaving { "Server-Leaving: 1\r\n" } else { "" };
-    let signed = format!("{id_header}{leaving}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
+    let stated = match state.behaviour.get() {
+        Behaviour::Leaving => "Server-Leaving: 1\r\n".to_owned(),
+        Behaviour::LimitNamed(per_mille) => {
+            format!("Server-Limit: {}\r\n", f64::from(per_mille) / 1_000.0)
+        }
+        _ => String::new(),
+    };
+    let signed = format!("{id_header}{stated}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
     let is_stream = request.line.contains("/stream/");
     match state.behaviour.get() {
         Behaviour::Full => {
