Encode the quarantine's news as an extension of the message

The news of the fleet and what is encoded after a message get types of their own, so that more of it does not change the message.

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -8,7 +8,7 @@
     Contact, ExchangeRole, News, OutgoingMessage, PeerMessage, ReportScope,
 };
 use crate::edge::report_store::ReportSource;
-use crate::edge::{PeerReport, Peers, SegmentReport};
+use crate::edge::{FleetNews, PeerReport, Peers};
 use crate::time::Time;
 
 /// Decides to whom a router sends its report, and which reports it adds up.
@@ -21,8 +21,8 @@
     seeds: Vec<SocketAddr>,
     role: Option<ExchangeRole>,
     own_report: PeerReport,
-    /// Prompt segments to report with the next messages.
-    segments: Vec<SegmentReport>,
+    /// News for the next messages.
+    news: FleetNews,
     /// Relay whose sums are in use, and when they arrived.
     sums_from: Option<(u64, Time)>,
     /// Number of routers that these sums cover.
@@ -112,14 +112,8 @@
         }
     }
 
-    /// Returns the messages to send now, with this router's report and what it knows of prompt
-    /// segments.
-    pub fn tick(
-        &mut self,
-        now: Time,
-        report: PeerReport,
-        segments: Vec<SegmentReport>,
-    ) -> Vec<OutgoingMessage> {
+    /// Returns the messages to send now, with this router's report and its news.
+    pub fn tick(&mut self, now: Time, report: PeerReport, news: FleetNews) -> Vec<OutgoingMessage> {
         let Some(own) = self.own else { return Vec::new() };
         self.ticks = self.ticks.wrapping_add(1);
         self.peers.expire(now);
@@ -129,7 +123,7 @@
         self.peers.choose_reports(now, self.role() == ExchangeRole::Relay);
         self.rotate_news(&report);
         self.own_report = report;
-        self.segments = segments;
+        self.news = news;
 
         let mut out = match self.role() {
             ExchangeRole::Mesh => self.mesh_messages(now, &own),
@@ -422,7 +416,7 @@
             wants_sums: false,
             seen: self.seen,
             report,
-            segments: self.segments.clone(),
+            news: self.news.clone(),
         }
     }
 }
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::edge::exchange::{Contact, HeardContact};
-use crate::edge::{PeerReport, SegmentReport};
+use crate::edge::{FleetNews, MessageExtension, PeerReport};
 
 /// Routers over which a report sums.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -31,10 +31,21 @@
     pub seen: u64,
     /// Report and its scope; none when only contacts are sent.
     pub report: Option<(ReportScope, PeerReport)>,
-    /// Prompt segments under which upstreams were lost. They are encoded after the message, where
-    /// builds that don't know them pass over them.
+    /// News for every router, whatever its part in the exchange.
     #[serde(skip)]
-    pub segments: Vec<SegmentReport>,
+    pub news: FleetNews,
+}
+
+impl PeerMessage {
+    /// Returns what is encoded after the message.
+    pub fn extension(&self) -> MessageExtension {
+        MessageExtension { news: self.news.clone() }
+    }
+
+    /// Adds what was encoded after the message.
+    pub fn apply_extension(&mut self, extension: MessageExtension) {
+        self.news = extension.news;
+    }
 }
 
 /// Message with the address to send it to.
--- /dev/null
+++ b/sapphirespur_core/src/edge/exchange/message_extension.rs
@@ -0,0 +1,12 @@
+//! Part of a message that older builds pass over.
+
+use serde::{Deserialize, Serialize};
+
+use crate::edge::FleetNews;
+
+/// What is encoded after a message. Builds that don't know it end their reading before it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MessageExtension {
+    /// News for every router.
+    pub news: FleetNews,
+}
--- a/sapphirespur_core/src/edge/exchange/mod.rs
+++ b/sapphirespur_core/src/edge/exchange/mod.rs
@@ -6,12 +6,16 @@
 
 mod contact;
 mod exchange;
+mod fleet_news;
 mod members;
 mod message;
+mod message_extension;
 mod news;
 
 pub use contact::{Contact, HeardContact};
 pub use exchange::Exchange;
+pub use fleet_news::FleetNews;
 pub use members::{ExchangeRole, Members};
 pub use message::{OutgoingMessage, PeerMessage, ReportScope};
+pub use message_extension::MessageExtension;
 pub use news::News;
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -50,8 +50,8 @@
 pub use backoff::Backoff;
 pub use call_info::CallInfo;
 pub use exchange::{
-    Contact, Exchange, ExchangeRole, HeardContact, Members, News, OutgoingMessage, PeerMessage,
-    ReportScope,
+    Contact, Exchange, ExchangeRole, FleetNews, HeardContact, Members, MessageExtension, News,
+    OutgoingMessage, PeerMessage, ReportScope,
 };
 pub use in_flight_request::{InFlightRequest, SendOutcome};
 pub use load::Load;
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use crate::edge::{
-    Contact, Exchange, OutgoingMessage, PeerMessage, PeerReport, Peers, PrefilledSegments, Router,
-    Shares, Upstream,
+    Contact, Exchange, FleetNews, OutgoingMessage, PeerMessage, PeerReport, Peers,
+    PrefilledSegments, Router, Shares, Upstream,
 };
 use crate::hash::stable_hash;
 use crate::time::Time;
@@ -35,8 +35,8 @@
     /// Returns the messages to the other routers that are due.
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
-        let segments = self.quarantine.reports(now);
-        self.exchange.tick(now, report, segments)
+        let news = FleetNews { segments: self.quarantine.reports(now) };
+        self.exchange.tick(now, report, news)
     }
 
     /// Applies a message of another router and returns the answer, if there is one.
@@ -46,7 +46,7 @@
         from: SocketAddr,
         message: PeerMessage,
     ) -> Option<OutgoingMessage> {
-        self.quarantine.merge(now, &message.segments);
+        self.quarantine.merge(now, &message.news.segments);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
             self.record_prefills(now, &report);
