Keep the limit that an upstream names, over all routers together

Cause: the header that names the limit was never read. Class: a bound that holds for the fleet and that each router must keep its part of, like the one of cold upstreams.

Evidence: no line of code or log knows the header; the rate at these upstreams does not change when the limit is named.

Change: a router reads the limit from each response and tells the others, through relays too, so that those that send nothing there learn of it and of its end. Each keeps a token bucket for its part. Where the routers are few, the part follows the requests that each gets, which reports now carry by service; where one token for each would exceed the slack, only the first ones in the rendezvous order of the upstream use it, as for cold upstreams (now one type for both). Buckets start empty and keep a quarter of a second. The upstreams without tokens are left out of placement; what fits nowhere is refused at arrival with the time until the next token. A limit of zero still gets one request in four seconds, to learn its end.

Weighed: a window of four seconds with whole requests for each router, as for cold upstreams, sums to no more than the limit but lets all of it come at once and rounds small parts to zero; equal parts waste what routers with little traffic get.

--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -68,6 +68,7 @@
         "tokens/ms",
         "event ms",
         "failing",
+        "limit/s",
     ];
 
     format!("{}\n{}", format_table(&["fact", "value"], &rows), format_table(&header, &upstreams))
@@ -86,5 +87,6 @@
         upstream.tokens_per_ms.map_or("-".to_owned(), |speed| format!("{speed:.1}")),
         format!("{:.0}", upstream.event_ms),
         format!("{:.2}", upstream.failure_rate),
+        upstream.limit_per_s.map_or("-".to_owned(), |limit| format!("{limit:.1}")),
     ]
 }
--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -31,6 +31,9 @@
     /// Each available upstream of the service is cold and at this router's limit, or was already
     /// tried for the request.
     Cold,
+    /// Each available upstream has named a limit of which this router's part is used up, or was
+    /// already tried for the request.
+    Limited,
     /// The response would be too late, or all connections of the upstreams are in use.
     Overloaded,
     /// The workspace has used its share and the upstreams are busy.
@@ -48,6 +51,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Paused => "paused",
             Self::Cold => "cold",
+            Self::Limited => "limited",
             Self::Overloaded => "overloaded",
             Self::OverShare => "over_share",
             Self::Quarantined => "quarantined",
--- a/sapphirespur_core/src/edge/cold_limit.rs
+++ b/sapphirespur_core/src/edge/cold_limit.rs
@@ -1,7 +1,8 @@
 //! Limit on requests to cold upstreams, divided among the routers.
 
 use crate::collections::HashSet;
-use crate::edge::{Condition, Peers, RouterSettings, ServiceSpec, Upstream, Upstreams};
+use crate::edge::fleet_share::FleetShare;
+use crate::edge::{Condition, RouterSettings, ServiceSpec, Upstream, Upstreams};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -10,12 +11,8 @@
 pub(super) struct ColdLimit<'a> {
     /// Settings with the fleet-wide limits.
     pub settings: &'a RouterSettings,
-    /// Reports of the other routers.
-    pub peers: &'a Peers,
-    /// Hash of this router's name.
-    pub own_hash: u64,
-    /// Number of routers among which the limit is divided.
-    pub routers: usize,
+    /// This router's share of the limits.
+    pub share: FleetShare<'a>,
     /// Whether the settle time after the start is over, in which the reports of other routers
     /// arrive.
     pub is_settled: bool,
@@ -49,18 +46,13 @@
             return 0;
         }
         let fleet_limit = cold_per_s * self.settings.cold_overshoot + self.settings.cold_allowance;
-        let own_limit = (fleet_limit / self.routers as f64) as usize;
+        let own_limit = (fleet_limit / self.share.routers as f64) as usize;
         if own_limit > 0 {
             return own_limit;
         }
 
-        // There are too many routers for one request each. The ones ranked first may send one. Half
-        // of the limit is reserved, because a router that does not know all others ranks itself too
-        // high; one that knows less than half of them does not send.
-        let known = self.peers.members().count(now) + 1;
-        if known * 2 < self.peers.count(now) {
-            return 0;
-        }
-        usize::from(self.peers.members().rank(now, self.own_hash, key) < fleet_limit as usize / 2)
+        // There are too many routers for one request each. Half of the limit is reserved, because a
+        // router that does not know all others ranks itself too high.
+        usize::from(self.share.is_among_first(now, key, fleet_limit as usize / 2))
     }
 }
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -39,12 +39,17 @@
 impl PeerMessage {
     /// Returns what is encoded after the message.
     pub fn extension(&self) -> MessageExtension {
-        MessageExtension { news: self.news.clone() }
+        let demands = self.report.as_ref().map(|(_, report)| report.demands.clone());
+
+        MessageExtension { news: self.news.clone(), demands: demands.unwrap_or_default() }
     }
 
     /// Adds what was encoded after the message.
     pub fn apply_extension(&mut self, extension: MessageExtension) {
         self.news = extension.news;
+        if let Some((_, report)) = &mut self.report {
+            report.demands = extension.demands;
+        }
     }
 }
 
--- a/sapphirespur_core/src/edge/exchange/message_extension.rs
+++ b/sapphirespur_core/src/edge/exchange/message_extension.rs
@@ -2,11 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::FleetNews;
+use crate::edge::{FleetNews, ServiceDemand};
 
 /// What is encoded after a message. Builds that don't know it end their reading before it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MessageExtension {
     /// News for every router.
     pub news: FleetNews,
+    /// Requests by service, over the routers of the report.
+    pub demands: Vec<ServiceDemand>,
 }
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -1,7 +1,7 @@
 //! Sums over the reports of other routers, updated incrementally with each report.
 
 use crate::collections::HashMap;
-use crate::edge::{PeerReport, ServicePressure, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{PeerReport, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage};
 
 /// Work of several routers at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -29,6 +29,7 @@
     upstreams: HashMap<u32, UpstreamSum>,
     workspaces: HashMap<u32, WorkspaceSum>,
     pressures: HashMap<u32, ServicePressure>,
+    demands: HashMap<u32, u32>,
 }
 
 impl FleetSums {
@@ -41,7 +42,7 @@
         sums
     }
 
-    /// Adds the upstream loads, the workspace usage and the pressures of a report to the sums.
+    /// Adds the work, usage, pressures and demands of a report to the sums.
     pub fn add(&mut self, report: &PeerReport) {
         for load in &report.upstreams {
             let sum = self.upstreams.entry(load.upstream).or_default();
@@ -66,6 +67,9 @@
             sum.declining_per_mille += pressure.declining_per_mille;
             sum.leeway_percent += pressure.leeway_percent;
         }
+        for demand in &report.demands {
+            *self.demands.entry(demand.service).or_default() += demand.requests;
+        }
     }
 
     /// Subtracts a report that was added before.
@@ -101,6 +105,13 @@
                 self.pressures.remove(&pressure.service);
             }
         }
+        for demand in &report.demands {
+            let Some(sum) = self.demands.get_mut(&demand.service) else { continue };
+            *sum -= demand.requests;
+            if *sum == 0 {
+                self.demands.remove(&demand.service);
+            }
+        }
     }
 
     /// Returns the total work at an upstream, with the mean event interval weighted by requests.
@@ -127,11 +138,22 @@
         })
     }
 
+    fn demands(&self) -> impl Iterator<Item = ServiceDemand> {
+        self.demands
+            .iter()
+            .map(|(service, requests)| ServiceDemand { service: *service, requests: *requests })
+    }
+
     /// Returns the summed pressures on the upstreams of a service.
     pub fn pressure(&self, service: u32) -> ServicePressure {
         self.pressures.get(&service).copied().unwrap_or_default()
     }
 
+    /// Returns the total requests for a service.
+    pub fn demand(&self, service: u32) -> u32 {
+        self.demands.get(&service).copied().unwrap_or_default()
+    }
+
     /// Returns the sums as a report of the router that sends `own`; `summed` are the reports that
     /// they contain.
     pub fn to_report<'a>(
@@ -162,6 +184,7 @@
             workspaces: self.usage().collect(),
             pressures: self.pressures.values().copied().collect(),
             reads: Vec::new(),
+            demands: self.demands().collect(),
         }
     }
 }
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -10,10 +10,13 @@
 mod cold_limit;
 mod departed;
 mod exchange;
+mod fleet_share;
 mod fleet_sums;
 mod in_flight_request;
+mod limit_report;
 mod load;
 mod loss_evidence;
+mod named_limit;
 mod output_lengths;
 mod overload;
 mod pause_detector;
@@ -54,8 +57,10 @@
     OutgoingMessage, PeerMessage, ReportScope,
 };
 pub use in_flight_request::{InFlightRequest, SendOutcome};
+pub use limit_report::LimitReport;
 pub use load::Load;
 pub use loss_evidence::LossEvidence;
+pub use named_limit::NamedLimit;
 pub use output_lengths::OutputLengths;
 pub use overload::OverloadGuard;
 pub use pause_detector::PauseDetector;
@@ -68,7 +73,9 @@
 pub use quarantine_change::QuarantineChange;
 pub use registry_state::RegistryState;
 pub use registry_version::RegistryVersion;
-pub use report::{PeerReport, PrefilledSegments, ServicePressure, UpstreamLoad, WorkspaceUsage};
+pub use report::{
+    PeerReport, PrefilledSegments, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Route, RouteKind, Split};
 pub use route_table::{ClientLimits, RouteError, RouteTable, WorkspaceKeys};
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -128,6 +128,11 @@
         self.current().pressure(now, service)
     }
 
+    /// Returns the requests for a service at the other routers.
+    pub fn demand(&self, now: Time, service: u32) -> u32 {
+        self.current().demand(now, service)
+    }
+
     /// Clears all reported work, because it is outdated after this process was paused. The routers
     /// themselves still count as peers.
     pub fn clear_reports(&mut self) {
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -48,6 +48,15 @@
     pub leeway_percent: u64,
 }
 
+/// Requests for one service at one or more routers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceDemand {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Requests of clients in the window of the retry limits.
+    pub requests: u32,
+}
+
 /// Shared prompt segments that one router has sent to an upstream.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PrefilledSegments {
@@ -86,6 +95,9 @@
     pub pressures: Vec<ServicePressure>,
     /// Shared prompt segments sent since the previous report; not repeated when a report is lost.
     pub reads: Vec<PrefilledSegments>,
+    /// Requests by service; part of the message's extension.
+    #[serde(skip)]
+    pub demands: Vec<ServiceDemand>,
 }
 
 impl PeerReport {
@@ -111,6 +123,7 @@
 
         self.routers <= Self::MAX_COUNT
             && self.upstreams.iter().all(is_load_plausible)
+            && self.demands.iter().all(|demand| demand.requests <= Self::MAX_COUNT)
             && self.workspaces.iter().all(is_usage_plausible)
             && self.pressures.iter().all(is_pressure_plausible)
     }
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -165,6 +165,15 @@
         FleetSums::from_reports(self.fresh_reports(now)).pressure(service)
     }
 
+    /// Returns the requests for a service at the other routers.
+    pub fn demand(&self, now: Time, service: u32) -> u32 {
+        if self.are_sums_current(now) {
+            return self.sums.demand(service);
+        }
+
+        FleetSums::from_reports(self.fresh_reports(now)).demand(service)
+    }
+
     /// Returns the sums over `own` and the reports of single routers.
     pub fn sum_of_routers(&self, own: &PeerReport) -> PeerReport {
         let is_single = |source: &ReportSource| matches!(source, ReportSource::Router(_));
@@ -200,6 +209,7 @@
             peer.report.upstreams.clear();
             peer.report.workspaces.clear();
             peer.report.pressures.clear();
+            peer.report.demands.clear();
         }
     }
 
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -30,6 +30,12 @@
         self.requests.push_back(now);
     }
 
+    /// Returns the requests in the window.
+    pub fn requests(&mut self, now: Time, limits: RetryLimits) -> usize {
+        expire(&mut self.requests, now, limits.window);
+        self.requests.len()
+    }
+
     /// Spends one retry. Returns whether the budget allowed it; `routers` is the number of routers
     /// among which the allowance is divided.
     pub fn try_spend(&mut self, now: Time, limits: RetryLimits, routers: usize) -> bool {
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -1,16 +1,23 @@
 //! Placement of requests on upstreams.
 
+use std::time::Duration;
+
+use crate::collections::HashMap;
 use crate::edge::candidate::{Candidate, PlacementEstimate, ScoringContext, ShareStatus};
 use crate::edge::cold_limit::ColdLimit;
+use crate::edge::fleet_share::FleetShare;
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
     Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, Router,
-    Shares, Upstream, UsageKey,
+    Shares, Upstream, Upstreams, UsageKey,
 };
 use crate::name::Name;
 use crate::time::Time;
 
+/// Wait for an upstream whose limit leaves no part to this router.
+const MAX_LIMIT_WAIT: Duration = Duration::from_secs(4);
+
 impl Router {
     /// Places a call that has just arrived, or declines it.
     pub fn admit(&mut self, now: Time, call: &CallInfo) -> Admission {
@@ -122,15 +129,22 @@
         trial: Option<u64>,
     ) -> Admission {
         let spec = self.registry.service_spec(&call.service).copied();
-        let cold_limit = ColdLimit {
-            settings: &self.settings,
+        let share = FleetShare {
             peers: self.exchange.peers(),
             own_hash: self.name_hash(),
             routers: self.assumed_routers(now),
-            is_settled: self.settled_at <= now,
         };
+        let cold_limit =
+            ColdLimit { settings: &self.settings, share, is_settled: self.settled_at <= now };
+        let limits = self.settings.retries;
+        let requests = self
+            .retry_budgets
+            .get_mut(&call.service)
+            .map_or(0, |budget| budget.requests(now, limits));
         let upstreams = self.registry.upstreams_mut();
-        let saturated = cold_limit.saturated(now, &call.service, spec.as_ref(), upstreams);
+        let mut saturated = cold_limit.saturated(now, &call.service, spec.as_ref(), upstreams);
+        let limited = limited_upstreams(now, &call.service, share, requests, upstreams);
+        saturated.extend(limited.keys());
         let engine = spec.and_then(|spec| spec.engine);
         let upstreams = self.registry.upstreams();
         let routes = self.registry.routes(&call.service);
@@ -166,6 +180,9 @@
         let Some(best) = candidates.first() else {
             let is_any_available =
                 self.registry.upstreams().available(now, &call.service).next().is_some();
+            if let Some(wait) = limited.values().min() {
+                return Err(self.backoff.decline(call, DeclineReason::Limited, Some(*wait)));
+            }
             if is_any_available {
                 return Err(self.backoff.decline(call, DeclineReason::Cold, None));
             }
@@ -228,6 +245,9 @@
         };
         upstream.load.on_sent(now, prefill_tokens);
         upstream.send_limiter.record(now);
+        if let Some(limit) = &mut upstream.limit {
+            limit.spend();
+        }
         if let Some(prompt) = &call.prompt {
             upstream.cache.insert(now + expected_delay, &prompt.segments, capacity);
             let unshared = &mut upstream.load.unshared_tokens;
@@ -263,3 +283,28 @@
         })
     }
 }
+
+/// Returns the upstreams of a service that have named a limit of which this router's part is used up,
+/// with the time until it may send the next request.
+fn limited_upstreams(
+    now: Time,
+    service: &Name,
+    share: FleetShare<'_>,
+    requests: usize,
+    upstreams: &mut Upstreams,
+) -> HashMap<u32, Duration> {
+    let service_hash = Shares::name_hash(service);
+    let available = upstreams.available(now, service);
+    let keys: Vec<u32> = available
+        .filter(|upstream| upstream.limit.is_some())
+        .map(|upstream| upstream.key)
+        .collect();
+    let wait = |key: u32| {
+        let limit = upstreams.get_by_key_mut(key)?.limit.as_mut()?;
+        let part = share.part(now, key, limit.max_routers(), service_hash, requests);
+        let rate = limit.own_rate(part);
+        let wait = limit.wait(now, rate).unwrap_or(MAX_LIMIT_WAIT);
+        (!wait.is_zero()).then_some((key, wait))
+    };
+    keys.into_iter().filter_map(wait).collect()
+}
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -4,9 +4,10 @@
 
 use crate::edge::{
     Contact, Exchange, FleetNews, OutgoingMessage, PeerMessage, PeerReport, Peers,
-    PrefilledSegments, Router, Shares, Upstream,
+    PrefilledSegments, RetryBudget, Router, ServiceDemand, Shares, Upstream,
 };
 use crate::hash::stable_hash;
+use crate::name::Name;
 use crate::time::Time;
 
 impl Router {
@@ -35,7 +36,10 @@
     /// Returns the messages to the other routers that are due.
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
-        let news = FleetNews { segments: self.quarantine.reports(now) };
+        let news = FleetNews {
+            segments: self.quarantine.reports(now),
+            limits: self.registry.upstreams_mut().limit_reports(now),
+        };
         self.exchange.tick(now, report, news)
     }
 
@@ -47,6 +51,7 @@
         message: PeerMessage,
     ) -> Option<OutgoingMessage> {
         self.quarantine.merge(now, &message.news.segments);
+        self.registry.upstreams_mut().merge_limits(now, &message.news.limits);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
             self.record_prefills(now, &report);
@@ -95,9 +100,20 @@
             workspaces: self.shares.usage(now),
             pressures: self.pressures.reports(now),
             reads,
+            demands: self.demands(now),
         }
     }
 
+    /// Returns the recent requests for each service at this router.
+    fn demands(&mut self, now: Time) -> Vec<ServiceDemand> {
+        let limits = self.settings.retries;
+        let demand = |(service, budget): (&Name, &mut RetryBudget)| ServiceDemand {
+            service: Shares::name_hash(service),
+            requests: budget.requests(now, limits) as u32,
+        };
+        self.retry_budgets.iter_mut().map(demand).filter(|demand| demand.requests > 0).collect()
+    }
+
     /// Returns the hash of the router's name, which identifies it in reports.
     pub(super) fn name_hash(&self) -> u64 {
         stable_hash(&[self.settings.name.as_str().as_bytes()])
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -46,6 +46,12 @@
             .is_some_and(|upstream| !std::mem::replace(&mut upstream.is_leaving, true))
     }
 
+    /// Records the limit in requests per second that the instance which responded to a request names,
+    /// or that it names none. Returns whether this is a change.
+    pub fn on_limit(&mut self, now: Time, request: &InFlightRequest, per_s: Option<f64>) -> bool {
+        self.find_upstream(request).is_some_and(|upstream| upstream.set_limit(now, now, per_s))
+    }
+
     /// Records that the instance which responded to a request wants no requests from this router
     /// for a while.
     pub fn on_pause_requested(&mut self, now: Time, request: &InFlightRequest, pause: Duration) {
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::edge::{
-    InFlightRequest, Load, PrefixCache, SendOutcome, UpstreamEntry, UpstreamLoad, UpstreamState,
-    WindowLimiter,
+    InFlightRequest, LimitReport, Load, NamedLimit, PrefixCache, SendOutcome, UpstreamEntry,
+    UpstreamLoad, UpstreamState, WindowLimiter,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -71,6 +71,12 @@
     pub paused_until: Time,
     /// Whether the instance has said in a response that it is leaving.
     pub is_leaving: bool,
+    /// Limit that the instance has named; none without one.
+    pub limit: Option<NamedLimit>,
+    /// When a response, to whichever router, last told whether there is a limit.
+    pub limit_told_at: Time,
+    /// When the limit last changed.
+    pub limit_changed_at: Time,
 }
 
 impl Upstream {
@@ -88,6 +94,9 @@
             gone_at: None,
             paused_until: Time::default(),
             is_leaving: false,
+            limit: None,
+            limit_told_at: Time::default(),
+            limit_changed_at: Time::default(),
         }
     }
 
@@ -112,6 +121,33 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
+    /// Sets the limit in requests per second that a response at `told_at` has named, or that there is
+    /// none. Returns whether this is a change.
+    pub fn set_limit(&mut self, now: Time, told_at: Time, per_s: Option<f64>) -> bool {
+        self.limit_told_at = told_at;
+        // As exact as reports, so that a report of the same limit is no change.
+        let per_s = per_s.map(|per_s| (per_s * 1_000.0).round() / 1_000.0);
+        if per_s == self.limit.as_ref().map(|limit| limit.per_s) {
+            return false;
+        }
+
+        self.limit_changed_at = now;
+        match (&mut self.limit, per_s) {
+            (Some(limit), Some(per_s)) => limit.per_s = per_s,
+            (limit, per_s) => *limit = per_s.map(|per_s| NamedLimit::new(now, per_s)),
+        }
+        true
+    }
+
+    /// Returns what to tell the other routers of the limit.
+    pub fn limit_report(&self, now: Time) -> LimitReport {
+        LimitReport {
+            upstream: self.key,
+            per_s_milli: self.limit.as_ref().map(|limit| (limit.per_s * 1_000.0).round() as u32),
+            age_ms: u32::try_from(now.since(self.limit_told_at).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Records the end of a request.
     pub fn on_end(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
         let pending = if request.first_event_at.is_some() { 0 } else { request.prefill_tokens };
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -14,6 +14,7 @@
 mod hot_tenant;
 mod leaving_and_pause;
 mod membership;
+mod named_limit;
 mod over_share;
 mod prefix_fetch;
 mod restored_registry;
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -53,7 +53,7 @@
 }
 
 /// Information from the head of an upstream's response.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Whether the response carries the identifier of the attempt that was sent.
     pub matches_attempt: bool,
@@ -71,6 +71,9 @@
     pub is_leaving: bool,
     /// Time for which the upstream wants no requests from this router; absent when it does not say.
     pub pause: Option<Duration>,
+    /// Requests per second that the upstream takes from all routers together; absent when it names no
+    /// limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// HTTP conventions of a platform; implemented by its adapter.
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -69,6 +69,11 @@
         if head.is_leaving && router.on_leaving(&self.request) {
             log::info!(upstream = self.request.upstream.as_str(); "upstream leaves, as it responded");
         }
+        // A response of another attempt may be late, and a refusal need not name the limit.
+        let tells_limit = head.matches_attempt && (head.is_signed || head.limit_per_s.is_some());
+        if tells_limit && router.on_limit(now, &self.request, head.limit_per_s) {
+            log::info!(upstream = self.request.upstream.as_str(), limit_per_s = head.limit_per_s.unwrap_or_default(), is_limited = head.limit_per_s.is_some(); "upstream changed its limit");
+        }
         if let Some(pause) = head.pause {
             router.on_pause_requested(now, &self.request, pause);
             if self.cx.may_log_failure() {
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -76,6 +76,7 @@
     retries_left: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
+    limited_upstreams: Gauge,
 }
 
 impl Metrics {
@@ -103,6 +104,7 @@
             retries_left: Family::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             registry: Registry::default(),
         };
 
@@ -130,6 +132,11 @@
             "Prompt parts refused",
             metrics.quarantined_segments.clone(),
         );
+        r.register(
+            "limited_upstreams",
+            "Upstreams that name a limit",
+            metrics.limited_upstreams.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -230,6 +237,8 @@
 
         let cached = router.registry().upstreams().iter().map(|upstream| upstream.cache.len());
         self.cached_segments.set(cached.sum::<usize>() as i64);
+        let limited = router.registry().upstreams().iter().filter(|u| u.limit.is_some()).count();
+        self.limited_upstreams.set(limited as i64);
         self.quarantined_segments.set(router.quarantine().quarantined().len() as i64);
         for (service, left) in router.retries_left(now) {
             let service = service.to_string();
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -69,6 +69,9 @@
     pub event_ms: f64,
     /// Fraction of recent requests that failed.
     pub failure_rate: f64,
+    /// Requests per second that it takes from all routers together; absent without a limit.
+    #[serde(default)]
+    pub limit_per_s: Option<f64>,
 }
 
 /// Returns the current state of the router.
@@ -122,6 +125,7 @@
         tokens_per_ms: upstream.load.prefill_tokens_per_ms,
         event_ms: upstream.load.event_interval_ms,
         failure_rate: upstream.load.failure_rate,
+        limit_per_s: upstream.limit.as_ref().map(|limit| limit.per_s),
     }
 }
 
