Parts of named limits follow the requests of each router in fleets of any size

What callers saw: in a fleet of more routers than a limit has slack for, only the first ones in the upstream's order used it, whatever requests they had. A workspace whose clients all come through one router got none of the limited upstreams but the few where that router was first.

Cause: idle tokens of many routers were bounded by giving tokens to few of them. Now every router's part follows its requests, and where the routers are many, unused tokens expire after a second; they come up evenly spread, by the place of each router in the upstream's order. All routers together keep no more tokens than come up in a second. Where they are few, tokens are kept as before.

Test: busy_router_among_many_uses_its_part_of_the_limit.

--- a/sapphirespur_core/src/edge/fleet_share.rs
+++ b/sapphirespur_core/src/edge/fleet_share.rs
@@ -24,24 +24,19 @@
         known * 2 >= self.peers.count(now) && members.rank(now, self.own_hash, key) < count
     }
 
-    /// Returns this router's part of a limit of which `max_routers` may use some, by its part of the
-    /// requests for the service with hash `service`; `own_requests` are its own.
-    pub fn part(
-        &self,
-        now: Time,
-        key: u32,
-        max_routers: usize,
-        service: u32,
-        own_requests: usize,
-    ) -> f64 {
-        if self.routers > max_routers {
-            let is_first = self.is_among_first(now, key, max_routers);
-            return if is_first { 1.0 / max_routers as f64 } else { 0.0 };
-        }
-
+    /// Returns this router's part of a limit, by its part of the requests for the service with hash
+    /// `service`; `own_requests` are its own. The parts of all routers sum to no more than one.
+    pub fn part(&self, now: Time, service: u32, own_requests: usize) -> f64 {
         // Each router counts as one request, so that one that has had none yet can begin.
         let own = own_requests as f64;
-        let others = self.peers.demand(now, service) as f64;
+        let others = f64::from(self.peers.demand(now, service));
         (own + 1.0) / (own + others + self.routers as f64)
     }
+
+    /// Returns this router's place among all routers in the rendezvous order of the upstream `key`,
+    /// from zero to one.
+    pub fn phase(&self, now: Time, key: u32) -> f64 {
+        let members = self.peers.members();
+        members.rank(now, self.own_hash, key) as f64 / (members.count(now) + 1) as f64
+    }
 }
--- a/sapphirespur_core/src/edge/named_limit.rs
+++ b/sapphirespur_core/src/edge/named_limit.rs
@@ -5,11 +5,15 @@
 use crate::time::Time;
 
 /// Token bucket for this router's part of the requests that an upstream takes from all routers.
+///
+/// Where the routers are so many that a token each would exceed the slack, tokens that are not used
+/// expire soon: all routers together then keep no more of them than come up in that time.
 #[derive(Clone, Debug)]
 pub struct NamedLimit {
     /// Requests per second from all routers together.
     pub per_s: f64,
-    tokens: f64,
+    /// Tokens and the fraction of the next one; none before the first use.
+    tokens: Option<f64>,
     refilled_at: Time,
 }
 
@@ -18,45 +22,49 @@
     /// learn that the limit has ended.
     const MIN_PER_S: f64 = 0.25;
 
-    /// Time of unused requests that are kept for later.
-    const BURST_TIME: Duration = Duration::from_millis(250);
+    /// Time of unused requests that are kept for later, and after which a token expires.
+    const TOKEN_TTL: Duration = Duration::from_secs(1);
 
-    /// Smallest capacity of the bucket; less would allow no request at all.
-    const MIN_CAPACITY: f64 = 1.0;
+    /// Tokens that routers may keep beyond those that come up in a second, by what the platform
+    /// tolerates in four seconds beyond the limit.
+    const MAX_KEPT_TOKENS: f64 = 2.5;
 
-    /// Creates a limit with an empty bucket.
+    /// Creates a limit without tokens.
     pub fn new(now: Time, per_s: f64) -> Self {
-        Self { per_s, tokens: 0.0, refilled_at: now }
+        Self { per_s, tokens: None, refilled_at: now }
     }
 
-    /// Returns the number of routers that may keep a token each: their tokens and the limit itself
-    /// stay well below one and a half times the limit in four seconds.
-    pub(super) fn max_routers(&self) -> usize {
-        (self.per_s + 2.5) as usize
-    }
-
-    /// Returns the requests per second of a router with this `part` of the whole.
-    pub(super) fn own_rate(&self, part: f64) -> f64 {
-        self.per_s.max(Self::MIN_PER_S) * part
-    }
-
-    /// Returns the time until the next request is allowed at `rate` requests per second; none when
-    /// the rate is zero.
-    pub(super) fn wait(&mut self, now: Time, rate: f64) -> Option<Duration> {
+    /// Returns the time until one of `routers` routers, with this `part` of the limit, may send the
+    /// next request.
+    ///
+    /// `phase` is the fraction of the first token that it starts with, which differs between routers
+    /// so that their tokens do not come up at the same time.
+    pub(super) fn wait(
+        &mut self,
+        now: Time,
+        part: f64,
+        routers: usize,
+        phase: impl Fn() -> f64,
+    ) -> Duration {
+        let rate = self.per_s.max(Self::MIN_PER_S) * part;
         let elapsed = now.since(self.refilled_at).as_secs_f64();
-        let capacity = (rate * Self::BURST_TIME.as_secs_f64()).max(Self::MIN_CAPACITY);
-        self.tokens = (self.tokens + elapsed * rate).min(capacity);
         self.refilled_at = now;
+        let tokens = self.tokens.unwrap_or_else(phase) + elapsed * rate;
+        let capacity = 1.0 + rate * Self::TOKEN_TTL.as_secs_f64();
+        let tokens = if routers as f64 <= self.per_s + Self::MAX_KEPT_TOKENS {
+            tokens.min(capacity)
+        } else {
+            // Whole tokens expire; the time at which the next one comes up stays.
+            tokens - (tokens - capacity).max(0.0).ceil()
+        };
+        self.tokens = Some(tokens);
 
-        let missing = (1.0 - self.tokens).max(0.0);
-        if missing == 0.0 {
-            return Some(Duration::ZERO);
-        }
-        Duration::try_from_secs_f64(missing / rate).ok()
+        let missing = (1.0 - tokens).max(0.0);
+        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
     }
 
     /// Records a request.
     pub(super) fn spend(&mut self) {
-        self.tokens -= 1.0;
+        self.tokens = self.tokens.map(|tokens| tokens - 1.0);
     }
 }
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -15,9 +15,6 @@
 use crate::name::Name;
 use crate::time::Time;
 
-/// Wait for an upstream whose limit leaves no part to this router.
-const MAX_LIMIT_WAIT: Duration = Duration::from_secs(4);
-
 impl Router {
     /// Places a call that has just arrived, or declines it.
     pub fn admit(&mut self, now: Time, call: &CallInfo) -> Admission {
@@ -293,17 +290,15 @@
     requests: usize,
     upstreams: &mut Upstreams,
 ) -> HashMap<u32, Duration> {
-    let service_hash = Shares::name_hash(service);
     let available = upstreams.available(now, service);
     let keys: Vec<u32> = available
         .filter(|upstream| upstream.limit.is_some())
         .map(|upstream| upstream.key)
         .collect();
+    let part = share.part(now, Shares::name_hash(service), requests);
     let wait = |key: u32| {
         let limit = upstreams.get_by_key_mut(key)?.limit.as_mut()?;
-        let part = share.part(now, key, limit.max_routers(), service_hash, requests);
-        let rate = limit.own_rate(part);
-        let wait = limit.wait(now, rate).unwrap_or(MAX_LIMIT_WAIT);
+        let wait = limit.wait(now, part, share.routers, || share.phase(now, key));
         (!wait.is_zero()).then_some((key, wait))
     };
     keys.into_iter().filter_map(wait).collect()
--- a/sapphirespur_core/tests/edge/named_limit.rs
+++ b/sapphirespur_core/tests/edge/named_limit.rs
@@ -44,8 +44,10 @@
     /// Requests that are due, as a fraction.
     due: f64,
     turn: usize,
-    asked: usize,
-    refused: usize,
+    /// Routers that get half of the requests.
+    busy: usize,
+    /// Requests at limited upstreams that these routers have sent.
+    by_busy: usize,
 }
 
 impl Scene {
@@ -59,12 +61,12 @@
             arrivals: HashMap::default(),
             due: 0.0,
             turn: 0,
-            asked: 0,
-            refused: 0,
+            busy: routers.div_ceil(4),
+            by_busy: 0,
         }
     }
 
-    /// Sends `rate` requests a second for `span`, half of them at the first quarter of the routers.
+    /// Sends `rate` requests a second for `span`, half of them at the busy routers.
     fn run(&mut self, span: Duration, rate: f64) {
         for _ in 0..(span.as_millis() / STEP.as_millis()) {
             self.fleet.step();
@@ -80,18 +82,14 @@
     fn send(&mut self) {
         let now = self.fleet.now;
         self.turn += 1;
-        self.asked += 1;
         let routers = self.fleet.nodes.len();
-        let busy = routers.div_ceil(4);
-        let node =
-            if self.turn.is_multiple_of(2) { self.turn / 2 % busy } else { self.turn % routers };
+        let is_busy = self.turn.is_multiple_of(2);
+        let node = if is_busy { self.turn / 2 % self.busy } else { self.turn % routers };
         let shared = self.turn as u64 % 23;
         let call = call("w", shared, 50, 50);
-        let Ok(placement) = self.fleet.nodes[node].router.admit(now, &call) else {
-            self.refused += 1;
-            return;
-        };
+        let Ok(placement) = self.fleet.nodes[node].router.admit(now, &call) else { return };
         let upstream = placement.request.upstream.clone();
+        self.by_busy += usize::from(is_busy && is_limited(&upstream));
         self.arrivals.entry(upstream).or_default().push(now);
         self.sent.push(Sent { node, request: placement.request, is_told: false });
     }
@@ -174,6 +172,22 @@
     a_hundred_routers_keep_the_named_limit: 103, 5, 4.8, 700.0;
 }
 
+// Guards against parts that do not follow the requests: one router of many gets most of them.
+#[test]
+fn busy_router_among_many_uses_its_part_of_the_limit() {
+    let mut scene = Scene::start(44, 4);
+    scene.per_s = Some(5.0);
+    scene.busy = 1;
+    scene.run(Duration::from_secs(6), 300.0);
+    let from = scene.fleet.now;
+    scene.by_busy = 0;
+    scene.run(Duration::from_secs(12), 300.0);
+    let usable = 12.0 * f64::from(LIMITED) * 5.0;
+    assert!(scene.by_busy as f64 > usable / 4.0, "{} requests of {usable}", scene.by_busy);
+    let most = scene.most_in_window(from) as f64;
+    assert!(most <= allowed(5.0), "{most} in 4 s, {} allowed", allowed(5.0));
+}
+
 // Guards against routers that miss the end of a limit, as they sent nothing to the upstream.
 #[test]
 fn all_routers_use_an_upstream_again_after_its_limit() {
