Bound what an upstream without end can take, and streams that end with their connection

What callers saw: with an upstream whose refusal (503 or 421) has no end, a request waited for its end without any limit and got no answer even after its deadline; bodies and events without end from some upstreams at once took 161 to 210 MB, more than a machine of 110 MB has.

Cause: the rest of a refusal was read without a bound in time or size, in the path of the request; responses were bounded one by one, and not together. Class: reading from the other end without a bound.

Change: a refusal is final with its head; its rest is read aside, up to 64 KiB and half a second. Bodies and incomplete events count toward the buffer limit of the process, of which they may use half. Looked at elsewhere: heads, header lines, chunk sizes and trailers are bounded by the HTTP library (tested, fast and slow), bodies and heads of clients by the limits of the configuration.

Streams without length or chunks: whole, cut within an event (resumed, or incomplete) and cut before the first event; these pass since an unframed response that ends unbegun counts as cut.

--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -10,7 +10,7 @@
 use super::guards::UpstreamReservation;
 use super::hop_headers;
 use super::response::{ClientResponse, ErrorResponse, full_body};
-use super::send::{Call, SendResult, UpstreamResponse, read_to_end, send};
+use super::send::{Call, MAX_RESPONSE_BYTES, SendResult, UpstreamResponse, read_to_end, send};
 use super::shared::Shared;
 
 /// Largest number of sends of one request, including those that did not run.
@@ -227,14 +227,17 @@
 ///
 /// Returns the outcome of the send when the body ends early, is late or is too large.
 pub(super) async fn read_response(
-    cx: &Shared,
+    cx: &Rc<Shared>,
     call: &Call,
     mut upstream_response: UpstreamResponse,
 ) -> Result<ClientResponse, SendOutcome> {
     let left = call.time_left(cx.now());
-    let body = tokio::time::timeout(left, read_to_end(&mut upstream_response.body))
-        .await
-        .map_err(|_| SendOutcome::Broken)??;
+    let body = tokio::time::timeout(
+        left,
+        read_to_end(cx, &mut upstream_response.body, MAX_RESPONSE_BYTES),
+    )
+    .await
+    .map_err(|_| SendOutcome::Broken)??;
     upstream_response.connection.return_to_pool(cx);
 
     let mut response = Response::new(full_body(body));
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -150,15 +150,16 @@
 /// Counts one request and its buffered body bytes while it is in the process.
 pub(super) struct RequestGuard {
     cx: Rc<Shared>,
-    buffered_bytes: usize,
+    buffer: BufferGuard,
 }
 
 impl RequestGuard {
     /// Counts a new request as in flight until the guard is dropped.
     pub fn new(cx: &Rc<Shared>) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
+        let max_bytes = cx.settings().limits.max_buffered_bytes;
 
-        Self { cx: Rc::clone(cx), buffered_bytes: 0 }
+        Self { cx: Rc::clone(cx), buffer: BufferGuard::new(cx, max_bytes) }
     }
 
     /// Returns the number of requests that the process is serving.
@@ -169,19 +170,59 @@
     /// Counts `bytes` of the request body if the buffer limit of the process allows it; returns
     /// `false` without counting them otherwise.
     pub fn try_buffer(&mut self, bytes: usize) -> bool {
+        self.buffer.try_grow(bytes)
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
+    }
+}
+
+/// Counts buffered bytes of a message until it is dropped.
+pub(super) struct BufferGuard {
+    cx: Rc<Shared>,
+    /// Bytes that all messages together may buffer for this one to grow.
+    max_bytes: usize,
+    bytes: usize,
+}
+
+impl BufferGuard {
+    /// Part of the buffer limit that bodies of responses may use: they must not keep out requests.
+    const RESPONSE_FRACTION: usize = 2;
+
+    fn new(cx: &Rc<Shared>, max_bytes: usize) -> Self {
+        Self { cx: Rc::clone(cx), max_bytes, bytes: 0 }
+    }
+
+    /// Counts the body of a response.
+    pub fn for_response(cx: &Rc<Shared>) -> Self {
+        Self::new(cx, cx.settings().limits.max_buffered_bytes / Self::RESPONSE_FRACTION)
+    }
+
+    /// Counts `bytes` more if the limit allows it; returns `false` without counting them otherwise.
+    pub fn try_grow(&mut self, bytes: usize) -> bool {
         let total = self.cx.buffered_bytes.get() + bytes;
-        if total > self.cx.settings().limits.max_buffered_bytes {
+        if total > self.max_bytes {
             return false;
         }
         self.cx.buffered_bytes.set(total);
-        self.buffered_bytes += bytes;
+        self.bytes += bytes;
         true
     }
+
+    /// Counts `bytes` instead of those so far if the limit allows it; returns `false` otherwise.
+    pub fn try_resize(&mut self, bytes: usize) -> bool {
+        let shrunk = self.bytes.saturating_sub(bytes);
+        self.bytes -= shrunk;
+        self.cx.buffered_bytes.set(self.cx.buffered_bytes.get() - shrunk);
+        self.try_grow(bytes - self.bytes)
+    }
 }
 
-impl Drop for RequestGuard {
+impl Drop for BufferGuard {
     fn drop(&mut self) {
-        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
-        self.cx.buffered_bytes.set(self.cx.buffered_bytes.get() - self.buffered_bytes);
+        self.cx.buffered_bytes.set(self.cx.buffered_bytes.get() - self.bytes);
     }
 }
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -15,7 +15,7 @@
 
 use super::connect::{HttpConnection, connect};
 use super::dialect::{RequestHead, ResponseHead, UpstreamRequestHead};
-use super::guards::UpstreamReservation;
+use super::guards::{BufferGuard, UpstreamReservation};
 use super::hop_headers;
 use super::pool::PoolKey;
 use super::shared::Shared;
@@ -24,7 +24,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest response body that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Largest body of a refusal, in bytes, and the time within which it must end for its connection to be
+/// used again.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Request of a client with its route and body, ready to be sent.
 pub(super) struct Call {
@@ -178,7 +183,7 @@
 }
 
 /// Classifies a response by its head.
-async fn classify_response(cx: &Shared, upstream_response: UpstreamResponse) -> SendResult {
+async fn classify_response(cx: &Rc<Shared>, upstream_response: UpstreamResponse) -> SendResult {
     // A late second copy of an earlier response says nothing about this request.
     if upstream_response.head.is_of_other_attempt {
         return SendResult::Unknown(SendOutcome::Broken);
@@ -191,10 +196,7 @@
         } else {
             SendOutcome::Rejected
         };
-        // The rest of the response is short; the connection can be reused when it ends properly.
-        if upstream_response.body.collect().await.is_ok() {
-            upstream_response.connection.return_to_pool(cx);
-        }
+        actix_rt::spawn(drain(Rc::clone(cx), upstream_response));
         return SendResult::NotRun(outcome);
     }
     if !upstream_response.head.matches_attempt
@@ -206,17 +208,32 @@
     SendResult::Response(Box::new(upstream_response))
 }
 
-/// Reads a body to its end.
+/// Reads the rest of a refusal, which is short, and returns its connection to the pool; closes the
+/// connection if the response does not end soon.
+async fn drain(cx: Rc<Shared>, mut refusal: UpstreamResponse) {
+    let body = read_to_end(&cx, &mut refusal.body, MAX_REFUSAL_BYTES);
+    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body).await {
+        refusal.connection.return_to_pool(&cx);
+    }
+}
+
+/// Reads a body of at most `max_bytes` to its end.
 ///
 /// # Errors
 ///
-/// Returns the outcome of the send when the body ends early or is too large.
-pub(super) async fn read_to_end(body: &mut Incoming) -> Result<Bytes, SendOutcome> {
+/// Returns the outcome of the send when the body ends early, or is too large by itself or together
+/// with what the process has buffered.
+pub(super) async fn read_to_end(
+    cx: &Rc<Shared>,
+    body: &mut Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, SendOutcome> {
+    let mut guard = BufferGuard::for_response(cx);
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| SendOutcome::Disconnected)?;
         let Ok(data) = frame.into_data() else { continue };
-        if buf.len() + data.len() > MAX_RESPONSE_BYTES {
+        if buf.len() + data.len() > max_bytes || !guard.try_grow(data.len()) {
             return Err(SendOutcome::Broken);
         }
         buf.extend_from_slice(&data);
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -15,7 +15,7 @@
 
 use super::buffered::{SendHistory, log_decline, read_response};
 use super::event_buffer::EventBuffer;
-use super::guards::{MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
+use super::guards::{BufferGuard, MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
 use super::hop_headers;
 use super::response::{AbortReason, ClientResponse, ErrorResponse, ResponseBody};
 use super::send::{Call, SendResult, UpstreamResponse, send};
@@ -34,6 +34,8 @@
     /// Response of the current upstream; absent between two upstreams.
     upstream_response: Option<Box<UpstreamResponse>>,
     events: EventBuffer,
+    /// Counts the bytes of incomplete events.
+    buffer: BufferGuard,
     /// Identifier of the last event passed on, or received by the client before it resumed.
     last_id: Option<u64>,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
@@ -68,6 +70,7 @@
         last_received: call.arrived_at,
         last_progress: call.arrived_at,
         last_id: call.head.last_event_id,
+        buffer: BufferGuard::for_response(&cx),
         cx,
         call,
         sends: SendHistory::default(),
@@ -271,7 +274,8 @@
                     self.events.push(&data);
                     self.on_bytes_received();
                 }
-                if self.events.len() > MAX_EVENT_BYTES {
+                let is_counted = self.buffer.try_resize(self.events.len());
+                if self.events.len() > MAX_EVENT_BYTES || !is_counted {
                     return ReadOutcome::Lost(SendOutcome::Broken);
                 }
                 ReadOutcome::Continue
--- a/sapphirespur_standin/src/users_platform/mod.rs
+++ b/sapphirespur_standin/src/users_platform/mod.rs
@@ -7,4 +7,4 @@
 mod runner;
 
 pub use metadata_store::{MetadataStore, StoreCopy, StoreFault};
-pub use runner::{Behaviour, ReceivedRequest, Runner};
+pub use runner::{Behaviour, EndlessPart, ReceivedRequest, Runner};
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -60,6 +60,12 @@
     EarlyResponse(u64),
     /// Sends no content length and ends the response by closing the connection; streams are normal.
     NoContentLength,
+    /// Sends streams, too, without chunks and ends them by closing the connection.
+    UnframedStream,
+    /// Sends the head of such a stream and closes the connection before the first event.
+    UnframedEmptyStream,
+    /// Sends such a stream and closes the connection within the event that follows this event number.
+    UnframedStreamCutAfter(u64),
     /// Responds without the server signature.
     Unsigned,
     /// Responds with the attempt identifier of another request.
@@ -71,10 +77,64 @@
     /// Crashes when it begins to respond to a request with this prompt segment before the last one,
     /// like a process that ends: all its connections close, and its port refuses new ones.
     CrashOn(u64),
+    /// Sends bytes without end in one part of the response.
+    Endless {
+        /// Part that does not end.
+        part: EndlessPart,
+        /// Pause between the pieces, in milliseconds; without one, they come as fast as they are read.
+        pause_ms: u64,
+    },
     /// Sends an endless stream of events, padded by this many bytes each, without a pause.
     LargeEvents(usize),
 }
 
+/// Part of a response that has no end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndlessPart {
+    /// Value of a header.
+    Header,
+    /// Lines of the head.
+    Head,
+    /// Size of a chunk.
+    ChunkSize,
+    /// Body.
+    Body,
+    /// Event of a stream.
+    Event,
+    /// Headers after the last chunk.
+    Trailers,
+    /// Body of a response that states that the request was not executed.
+    Refusal,
+    /// Body of a response that another runner than the expected one sends.
+    Misdirected,
+}
+
+impl EndlessPart {
+    /// Returns what is sent before the part, and the piece of the part that is repeated.
+    fn pieces(self, id_header: &str, signed: &str) -> (String, String) {
+        const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
+        const LINE: &str = "X-Filler: without end\r\n";
+
+        let chunk = format!("400\r\n{}\r\n", "endless ".repeat(128));
+
+        let ok = format!("HTTP/1.1 200 OK\r\n{signed}");
+        let refusal = |status: &str| format!("HTTP/1.1 {status}\r\n{id_header}");
+        match self {
+            Self::Header => (format!("{ok}X-Filler: "), "without end ".to_owned()),
+            Self::Head => (ok, LINE.to_owned()),
+            Self::ChunkSize => (format!("{ok}{CHUNKED}"), "0000".to_owned()),
+            Self::Body => (format!("{ok}{CHUNKED}"), chunk),
+            Self::Event => (format!("{ok}Content-Type: text/event-stream\r\n{CHUNKED}"), chunk),
+            Self::Trailers => (format!("{ok}{CHUNKED}0\r\n"), LINE.to_owned()),
+            Self::Refusal => {
+                let head = refusal("503 Service Unavailable");
+                (format!("{head}X-Sapphirespur-Request-Not-Executed: 1\r\n{CHUNKED}"), chunk)
+            }
+            Self::Misdirected => (refusal("421 Misdirected Request") + CHUNKED, chunk),
+        }
+    }
+}
+
 /// Request as a runner received it.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ReceivedRequest {
@@ -380,6 +440,10 @@
             write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
             Ok(true)
         }
+        Behaviour::Endless { part, pause_ms } => {
+            let pieces = part.pieces(&id_header, &signed);
+            write_without_end(stream, pieces, Duration::from_millis(pause_ms)).await
+        }
         Behaviour::NoContentLength if !is_stream => {
             let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer to {id}");
             stream.write_all(text.as_bytes()).await?;
@@ -393,6 +457,24 @@
     }
 }
 
+/// Writes the first piece, and then the second one again and again until the connection is closed.
+async fn write_without_end(
+    stream: &mut TcpStream,
+    (first, repeated): (String, String),
+    pause: Duration,
+) -> io::Result<bool> {
+    /// Repetitions that are written at once without a pause.
+    const REPETITIONS: usize = 128;
+
+    stream.write_all(first.as_bytes()).await?;
+    let piece = repeated.repeat(if pause.is_zero() { REPETITIONS } else { 1 });
+    loop {
+        stream.write_all(piece.as_bytes()).await?;
+        // Also lets other tasks run.
+        tokio::time::sleep(pause).await;
+    }
+}
+
 /// Writes a response with a content length.
 async fn write_response(
     stream: &mut TcpStream,
@@ -412,9 +494,15 @@
     request: &ReceivedRequest,
     signed: &str,
 ) -> io::Result<bool> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    let is_framed = !matches!(
+        state.behaviour.get(),
+        Behaviour::UnframedStream
+            | Behaviour::UnframedEmptyStream
+            | Behaviour::UnframedStreamCutAfter(_)
     );
+    let framing = if is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
+    let head =
+        format!("HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n{framing}\r\n");
     stream.write_all(head.as_bytes()).await?;
     if state.crashes_under(request) {
         // The head leaves before the process ends.
@@ -434,6 +522,11 @@
                 write_chunk(stream, &format!("id: {id}\nda")).await?;
                 return Ok(false);
             }
+            Behaviour::UnframedStreamCutAfter(count) if id > count => {
+                stream.write_all(format!("id: {id}\nda").as_bytes()).await?;
+                return Ok(false);
+            }
+            Behaviour::UnframedEmptyStream => return Ok(false),
             Behaviour::MissingEvent if id == 5 => continue,
             Behaviour::Trickle(millis) if id > 3 => {
                 tokio::time::sleep(Duration::from_millis(millis)).await;
@@ -449,9 +542,17 @@
             Behaviour::LargeEvents(bytes) => "x".repeat(bytes),
             _ => String::new(),
         };
-        write_chunk(stream, &format!("id: {id}\ndata: token {id}{padding}\n\n")).await?;
+        let event = format!("id: {id}\ndata: token {id}{padding}\n\n");
+        if is_framed {
+            write_chunk(stream, &event).await?;
+        } else {
+            stream.write_all(event.as_bytes()).await?;
+        }
     }
 
+    if !is_framed {
+        return Ok(false);
+    }
     stream.write_all(b"0\r\n\r\n").await?;
     Ok(true)
 }
