Keep retries within the budget of the whole fleet as requests move and routers restart

Cause: each router keeps its own part, earned by its own requests in its own window. A restarted process also began with the whole allowance, which the one before may have spent.

Change: reports carry the retries by service beside the requests. A retry has to fit the budget of the router as before, and that of the fleet, with those that others have probably spent since their reports and one in reserve for each router. For the first window, a router has only the retries that its requests earn.

--- a/sapphirespur_core/src/edge/fleet_share.rs
+++ b/sapphirespur_core/src/edge/fleet_share.rs
@@ -29,7 +29,7 @@
     pub fn part(&self, now: Time, service: u32, own_requests: usize) -> f64 {
         // Each router counts as one request, so that one that has had none yet can begin.
         let own = own_requests as f64;
-        let others = f64::from(self.peers.demand(now, service));
+        let others = f64::from(self.peers.demand(now, service).requests);
         (own + 1.0) / (own + others + self.routers as f64)
     }
 
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -29,7 +29,7 @@
     upstreams: HashMap<u32, UpstreamSum>,
     workspaces: HashMap<u32, WorkspaceSum>,
     pressures: HashMap<u32, ServicePressure>,
-    demands: HashMap<u32, u32>,
+    demands: HashMap<u32, ServiceDemand>,
 }
 
 impl FleetSums {
@@ -68,7 +68,10 @@
             sum.leeway_percent += pressure.leeway_percent;
         }
         for demand in &report.demands {
-            *self.demands.entry(demand.service).or_default() += demand.requests;
+            let sum = self.demands.entry(demand.service).or_default();
+            sum.service = demand.service;
+            sum.requests += demand.requests;
+            sum.retries += demand.retries;
         }
     }
 
@@ -107,8 +110,9 @@
         }
         for demand in &report.demands {
             let Some(sum) = self.demands.get_mut(&demand.service) else { continue };
-            *sum -= demand.requests;
-            if *sum == 0 {
+            sum.requests -= demand.requests;
+            sum.retries -= demand.retries;
+            if sum.requests == 0 && sum.retries == 0 {
                 self.demands.remove(&demand.service);
             }
         }
@@ -138,19 +142,13 @@
         })
     }
 
-    fn demands(&self) -> impl Iterator<Item = ServiceDemand> {
-        self.demands
-            .iter()
-            .map(|(service, requests)| ServiceDemand { service: *service, requests: *requests })
-    }
-
     /// Returns the summed pressures on the upstreams of a service.
     pub fn pressure(&self, service: u32) -> ServicePressure {
         self.pressures.get(&service).copied().unwrap_or_default()
     }
 
-    /// Returns the total requests for a service.
-    pub fn demand(&self, service: u32) -> u32 {
+    /// Returns the total requests and retries for a service.
+    pub fn demand(&self, service: u32) -> ServiceDemand {
         self.demands.get(&service).copied().unwrap_or_default()
     }
 
@@ -184,7 +182,7 @@
             workspaces: self.usage().collect(),
             pressures: self.pressures.values().copied().collect(),
             reads: Vec::new(),
-            demands: self.demands().collect(),
+            demands: self.demands.values().copied().collect(),
         }
     }
 }
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -2,7 +2,9 @@
 
 use crate::edge::exchange::Members;
 use crate::edge::report_store::{ReportSource, ReportStore};
-use crate::edge::{PeerReport, RegistryVersion, ServicePressure, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{
+    PeerReport, RegistryVersion, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+};
 use crate::time::Time;
 
 /// Other routers, and the reports on which decisions are based.
@@ -128,8 +130,8 @@
         self.current().pressure(now, service)
     }
 
-    /// Returns the requests for a service at the other routers.
-    pub fn demand(&self, now: Time, service: u32) -> u32 {
+    /// Returns the requests and retries for a service at the other routers.
+    pub fn demand(&self, now: Time, service: u32) -> ServiceDemand {
         self.current().demand(now, service)
     }
 
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -55,6 +55,8 @@
     pub service: u32,
     /// Requests of clients in the window of the retry limits.
     pub requests: u32,
+    /// Retries in that window.
+    pub retries: u32,
 }
 
 /// Shared prompt segments that one router has sent to an upstream.
@@ -121,9 +123,12 @@
                 && pressure.leeway_percent <= Self::MAX_SUM
         };
 
+        let is_demand_plausible =
+            |demand: &ServiceDemand| demand.requests.max(demand.retries) <= Self::MAX_COUNT;
+
         self.routers <= Self::MAX_COUNT
             && self.upstreams.iter().all(is_load_plausible)
-            && self.demands.iter().all(|demand| demand.requests <= Self::MAX_COUNT)
+            && self.demands.iter().all(is_demand_plausible)
             && self.workspaces.iter().all(is_usage_plausible)
             && self.pressures.iter().all(is_pressure_plausible)
     }
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -4,7 +4,9 @@
 
 use crate::collections::HashMap;
 use crate::edge::fleet_sums::FleetSums;
-use crate::edge::{PeerReport, RegistryVersion, ServicePressure, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{
+    PeerReport, RegistryVersion, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+};
 use crate::time::Time;
 
 /// Routers over which a stored report sums; no two stored reports cover the same router.
@@ -165,8 +167,8 @@
         FleetSums::from_reports(self.fresh_reports(now)).pressure(service)
     }
 
-    /// Returns the requests for a service at the other routers.
-    pub fn demand(&self, now: Time, service: u32) -> u32 {
+    /// Returns the requests and retries for a service at the other routers.
+    pub fn demand(&self, now: Time, service: u32) -> ServiceDemand {
         if self.are_sums_current(now) {
             return self.sums.demand(service);
         }
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::edge::ServiceDemand;
 use crate::time::Time;
 
 /// Fleet-wide limits of retries for one service.
@@ -36,6 +37,36 @@
         self.requests.len()
     }
 
+    /// Returns the retries in the window.
+    pub fn retries(&mut self, now: Time, limits: RetryLimits) -> usize {
+        expire(&mut self.retries, now, limits.window);
+        self.retries.len()
+    }
+
+    /// Returns whether one more retry at each of `routers` routers keeps the whole fleet within the
+    /// limits, where `others` is what the other ones report and `report_lag` the age up to which it may
+    /// lack their retries.
+    ///
+    /// Each router's own portion does not suffice: when requests move from one router to another, both
+    /// have earned their retries at different times.
+    pub fn fits_fleet(
+        &mut self,
+        now: Time,
+        limits: RetryLimits,
+        routers: usize,
+        others: ServiceDemand,
+        report_lag: Duration,
+    ) -> bool {
+        let own_requests = self.requests(now, limits) as f64;
+        let own_retries = self.retries(now, limits) as f64;
+        let recent = self.retries.iter().rev().take_while(|at| now.since(**at) < report_lag);
+        let others_requests = f64::from(others.requests);
+        let unreported = recent.count() as f64 * others_requests / own_requests.max(1.0);
+
+        let retries = own_retries + f64::from(others.retries) + unreported + routers as f64;
+        retries <= limits.ratio * (own_requests + others_requests) + limits.allowance
+    }
+
     /// Spends one retry. Returns whether the budget allowed it; `routers` is the number of routers
     /// among which the allowance is divided.
     pub fn try_spend(&mut self, now: Time, limits: RetryLimits, routers: usize) -> bool {
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -9,7 +9,7 @@
 use crate::collections::HashMap;
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RouterSettings, Shares,
+    RetryBudget, RetryLimits, RouterSettings, Shares,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -35,6 +35,8 @@
     last_tick: Time,
     /// When the settle time after the start is over.
     settled_at: Time,
+    /// When retries of an earlier process on this VM have left the window of the retry limits.
+    retries_settled_at: Time,
 }
 
 impl Router {
@@ -66,13 +68,24 @@
             backoff: Backoff::default(),
             last_tick: Time::default(),
             settled_at: Time::default(),
+            retries_settled_at: Time::default(),
         }
     }
 
     /// Sets the start of the process. Until the settle time is over, this router sends nothing to
-    /// cold upstreams, because it may not have received the reports of the other routers yet.
+    /// cold upstreams, because it may not have received the reports of the other routers yet. For the
+    /// window of the retry limits, its retries are only those that its requests earn, because an
+    /// earlier process on this VM may have spent the allowance.
     pub fn start(&mut self, now: Time) {
         self.settled_at = now + Self::SETTLE_TIME;
+        self.retries_settled_at = now + self.settings.retries.window;
+    }
+
+    /// Returns the retry limits that apply now.
+    fn retry_limits(&self, now: Time) -> RetryLimits {
+        let limits = self.settings.retries;
+        let allowance = if now < self.retries_settled_at { 0.0 } else { limits.allowance };
+        RetryLimits { allowance, ..limits }
     }
 
     /// Replaces the settings; name, data centre and start time stay.
@@ -121,7 +134,7 @@
 
     /// Returns the retries that this router has left, by service.
     pub fn retries_left(&mut self, now: Time) -> Vec<(Name, usize)> {
-        let limits = self.settings.retries;
+        let limits = self.retry_limits(now);
         let routers = self.assumed_routers(now);
         self.retry_budgets
             .iter_mut()
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -48,10 +48,7 @@
     ) -> Admission {
         self.exchange.peers_mut().expire(now);
         let trial = self.check_quarantine(now, call)?;
-        let limits = self.settings.retries;
-        let routers = self.assumed_routers(now);
-        let budget = self.retry_budgets.entry(call.service.clone()).or_default();
-        if reached_upstream && !budget.try_spend(now, limits, routers) {
+        if reached_upstream && !self.try_spend_retry(now, &call.service) {
             return Err(self.backoff.decline(call, DeclineReason::RetryBudget, None));
         }
 
@@ -65,6 +62,19 @@
         admission
     }
 
+    /// Spends a retry for a service. Returns whether this router's portion of the limits and the fleet
+    /// as a whole allow it.
+    fn try_spend_retry(&mut self, now: Time, service: &Name) -> bool {
+        let limits = self.retry_limits(now);
+        let routers = self.assumed_routers(now);
+        let others = self.exchange.peers().demand(now, Shares::name_hash(service));
+        let lag = self.exchange.report_lag();
+        let budget = self.retry_budgets.entry(service.clone()).or_default();
+
+        budget.fits_fleet(now, limits, routers, others, lag)
+            && budget.try_spend(now, limits, routers)
+    }
+
     /// Returns the prompt segment that the call would try, if one of its segments is quarantined;
     /// declines the call when it must not be sent.
     fn check_quarantine(&mut self, now: Time, call: &CallInfo) -> Result<Option<u64>, Decline> {
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -110,8 +110,10 @@
         let demand = |(service, budget): (&Name, &mut RetryBudget)| ServiceDemand {
             service: Shares::name_hash(service),
             requests: budget.requests(now, limits) as u32,
+            retries: budget.retries(now, limits) as u32,
         };
-        self.retry_budgets.iter_mut().map(demand).filter(|demand| demand.requests > 0).collect()
+        let is_used = |demand: &ServiceDemand| demand.requests > 0 || demand.retries > 0;
+        self.retry_budgets.iter_mut().map(demand).filter(is_used).collect()
     }
 
     /// Returns the hash of the router's name, which identifies it in reports.
