One copy of the selection in turn and of the times of news

Quarantine, limits and contacts took items in turn by three copies of the same loop, and two of them had the same two times. No change in behaviour.

--- a/sapphirespur_core/src/edge/exchange/fleet_news.rs
+++ b/sapphirespur_core/src/edge/exchange/fleet_news.rs
@@ -1,5 +1,7 @@
 //! News that routers pass on to all others.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::edge::{LimitReport, SegmentReport};
@@ -12,3 +14,12 @@
     /// Limits that upstreams have named.
     pub limits: Vec<LimitReport>,
 }
+
+impl FleetNews {
+    /// Time for which a change is part of every message; several messages may be lost.
+    pub(crate) const CHANGE_TIME: Duration = Duration::from_secs(2);
+
+    /// Difference up to which two times may be the same moment, told by different routers: it reaches a
+    /// router by several ways.
+    pub(crate) const SAME_MOMENT: Duration = Duration::from_millis(100);
+}
--- a/sapphirespur_core/src/edge/exchange/members.rs
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::edge::exchange::{Contact, HeardContact};
+use crate::edge::exchange::{Contact, HeardContact, take_in_turn};
 use crate::hash::stable_hash;
 use crate::time::Time;
 
@@ -233,10 +233,3 @@
 fn relay_weight(contact: &Contact) -> u64 {
     stable_hash(&[&contact.router.to_le_bytes(), &contact.data_centre.to_le_bytes()])
 }
-
-/// Returns at most `count` items; successive rounds take successive items, round the list.
-fn take_in_turn(items: &[HeardContact], round: u32, count: usize) -> Vec<HeardContact> {
-    let count = count.min(items.len());
-    let start = round as usize * count;
-    (0..count).map(|offset| items[(start + offset) % items.len()]).collect()
-}
--- a/sapphirespur_core/src/edge/exchange/mod.rs
+++ b/sapphirespur_core/src/edge/exchange/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod message_extension;
 mod news;
+mod turns;
 
 pub use contact::{Contact, HeardContact};
 pub use exchange::Exchange;
@@ -19,3 +20,4 @@
 pub use message::{OutgoingMessage, PeerMessage, ReportScope};
 pub use message_extension::MessageExtension;
 pub use news::News;
+pub(crate) use turns::take_in_turn;
--- a/sapphirespur_core/src/edge/quarantine.rs
+++ b/sapphirespur_core/src/edge/quarantine.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::edge::exchange::take_in_turn;
 use crate::edge::recent_segments::RecentSegments;
 use crate::edge::segment_record::SegmentRecord;
-use crate::edge::{InFlightRequest, QuarantineChange, SegmentReport};
+use crate::edge::{FleetNews, InFlightRequest, QuarantineChange, SegmentReport};
 use crate::time::Time;
 
 /// What the quarantine allows for a request.
@@ -32,7 +33,7 @@
     /// Changes that were not taken yet.
     changes: Vec<QuarantineChange>,
     /// Number of reports so far.
-    reports: usize,
+    reports: u32,
 }
 
 impl Quarantine {
@@ -45,9 +46,6 @@
     /// Time for which a segment that is cleared is remembered, so that all other routers hear of it.
     const CLEARED_TTL: Duration = Duration::from_secs(10);
 
-    /// Time for which a change is part of every report.
-    const NEWS_TIME: Duration = Duration::from_secs(2);
-
     /// Largest number of changed segments in a report.
     const NEWS_PER_REPORT: usize = 8;
 
@@ -128,7 +126,7 @@
     /// Returns what to tell the other routers: recent changes, and the other segments in turn.
     pub(super) fn reports(&mut self, now: Time) -> Vec<SegmentReport> {
         self.reports = self.reports.wrapping_add(1);
-        let is_new = |record: &SegmentRecord| now.since(record.changed_at) < Self::NEWS_TIME;
+        let is_new = |record: &SegmentRecord| now.since(record.changed_at) < FleetNews::CHANGE_TIME;
         let (mut news, mut others): (Vec<_>, Vec<_>) =
             self.records.iter().partition(|(_, record)| is_new(record));
         others.retain(|(_, record)| record.suspicion > 0);
@@ -138,9 +136,7 @@
             (!is_decided, record.is_proven, **segment)
         });
         others.sort_unstable_by_key(|(segment, _)| **segment);
-        let count = others.len().min(Self::OTHERS_PER_REPORT);
-        let in_turn =
-            (0..count).map(|offset| others[(self.reports * count + offset) % others.len()]);
+        let in_turn = take_in_turn(&others, self.reports, Self::OTHERS_PER_REPORT);
         let told = news.into_iter().take(Self::NEWS_PER_REPORT).chain(in_turn);
         told.map(|(segment, record)| record.report(now, *segment)).collect()
     }
--- a/sapphirespur_core/src/edge/segment_record.rs
+++ b/sapphirespur_core/src/edge/segment_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::{LossEvidence, SegmentReport};
+use crate::edge::{FleetNews, LossEvidence, SegmentReport};
 use crate::time::Time;
 
 /// Upstreams that were lost as they began to respond to requests with one prompt segment, since the
@@ -43,9 +43,6 @@
     /// Time after which a trial that no router has made is open to one more router.
     const TRIAL_HANDOVER: Duration = Duration::from_secs(1);
 
-    /// Difference up to which two times may be the same moment, told by different routers.
-    const SAME_MOMENT: Duration = Duration::from_millis(100);
-
     /// Records the loss of an upstream under a request that was sent at `sent_at`.
     ///
     /// Upstreams that are lost at the same time may have a common cause, so a loss counts only if
@@ -149,7 +146,7 @@
 /// Returns whether another router's time is of a later moment than the one known here.
 fn is_news(told: Option<Time>, known: Option<Time>) -> bool {
     match (told, known) {
-        (Some(told), Some(known)) => told > known + SegmentRecord::SAME_MOMENT,
+        (Some(told), Some(known)) => told > known + FleetNews::SAME_MOMENT,
         (told, None) => told.is_some(),
         (None, _) => false,
     }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -4,7 +4,8 @@
 
 use crate::collections::{HashMap, HashSet};
 use crate::edge::departed::Departed;
-use crate::edge::{Condition, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry};
+use crate::edge::exchange::take_in_turn;
+use crate::edge::{Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -17,22 +18,16 @@
     data_centres_out: HashSet<Name>,
     departed: Departed,
     /// Number of reports of limits so far.
-    limit_reports: usize,
+    limit_reports: u32,
 }
 
 impl Upstreams {
-    /// Time for which a changed limit is part of every report.
-    const LIMIT_NEWS_TIME: Duration = Duration::from_secs(2);
-
     /// Largest number of changed limits in a report.
     const NEW_LIMITS_PER_REPORT: usize = 32;
 
     /// Limits in a report beyond the changed ones, in turn, for routers that have just started.
     const OTHER_LIMITS_PER_REPORT: usize = 4;
 
-    /// Difference up to which two times may be the same moment, told by different routers.
-    const SAME_MOMENT: Duration = Duration::from_millis(100);
-
     /// Applies a registry entry. A new process instance starts without the load, cache and health
     /// of the previous one, and replaces any other upstream at the same address. An entry that is
     /// older than the known one, as from a restored registry, changes nothing.
@@ -204,7 +199,7 @@
         self.limit_reports = self.limit_reports.wrapping_add(1);
         let is_new = |upstream: &Upstream| {
             upstream.limit_told_at > Time::default()
-                && now.since(upstream.limit_changed_at) < Self::LIMIT_NEWS_TIME
+                && now.since(upstream.limit_changed_at) < FleetNews::CHANGE_TIME
         };
         let (mut news, mut others): (Vec<_>, Vec<_>) = self
             .by_id
@@ -214,9 +209,7 @@
         news.sort_unstable_by_key(|upstream| std::cmp::Reverse(upstream.limit_changed_at));
         others.sort_unstable_by_key(|upstream| upstream.key);
 
-        let count = others.len().min(Self::OTHER_LIMITS_PER_REPORT);
-        let start = self.limit_reports * count;
-        let in_turn = (0..count).map(|offset| others[(start + offset) % others.len()]);
+        let in_turn = take_in_turn(&others, self.limit_reports, Self::OTHER_LIMITS_PER_REPORT);
         let told = news.into_iter().take(Self::NEW_LIMITS_PER_REPORT).chain(in_turn);
         told.map(|upstream| upstream.limit_report(now)).collect()
     }
@@ -226,7 +219,7 @@
         for report in reports {
             let told_at = now - Duration::from_millis(u64::from(report.age_ms));
             let Some(upstream) = self.get_by_key_mut(report.upstream) else { continue };
-            if told_at > upstream.limit_told_at + Self::SAME_MOMENT {
+            if told_at > upstream.limit_told_at + FleetNews::SAME_MOMENT {
                 let per_s = report.per_s_milli.map(|milli| f64::from(milli) / 1_000.0);
                 upstream.set_limit(now, told_at, per_s);
             }
