--- a/sapphirespur_core/tests/edge/crashing_prompt.rs
+++ b/sapphirespur_core/tests/edge/crashing_prompt.rs
@@ -174,6 +174,30 @@
         }
     }
 
+    /// Restarts a router, whose requests end.
+    fn restart(&mut self, index: usize, data_centres: usize, started_ms: u64) {
+        self.sent.retain(|sent| sent.node != index);
+        let replaced = self.fleet.node(index, data_centres, started_ms);
+        let before = std::mem::replace(&mut self.fleet.nodes[index], replaced);
+        let known = before.router.registry().upstreams();
+        for upstream in known.iter().filter(|upstream| upstream.gone_at.is_none()) {
+            let router = &mut self.fleet.nodes[index].router;
+            router.registry_mut().apply_upstream(self.fleet.now, upstream.entry.clone());
+        }
+        let left: Vec<Name> = self.fleet.nodes[index]
+            .router
+            .registry()
+            .upstreams()
+            .iter()
+            .map(|upstream| upstream.entry.id.clone())
+            .filter(|id| known.get(id.as_str()).is_none_or(|upstream| upstream.gone_at.is_some()))
+            .collect();
+        for id in left {
+            let router = &mut self.fleet.nodes[index].router;
+            router.registry_mut().remove_upstream_at(id.as_str(), self.fleet.now);
+        }
+    }
+
     /// Returns the quarantined segments at a router.
     fn quarantined(&self, node: usize) -> Vec<u64> {
         self.fleet.nodes[node].router.quarantine().quarantined()
@@ -356,3 +380,43 @@
     }
     assert!(scene.sends_after_crashes() <= MAX_SENDS);
 }
+
+// Guards against trials that cost one upstream after the other.
+#[test]
+fn crashing_segment_is_tried_rarely_over_a_long_time() {
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(100), &[FIRST, HARMFUL], ms(300));
+    assert!(scene.crashes.len() <= MAX_CRASHES + MAX_SENDS, "{} crashes", scene.crashes.len());
+    assert!(scene.sends_after_crashes() <= MAX_SENDS);
+}
+
+// Guards against what routers forget when they are restarted, one after the other.
+#[test]
+fn crashing_segment_stays_quarantined_while_routers_restart_in_turn() {
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(6), &[FIRST, HARMFUL], ms(300));
+    for (count, index) in [0, 1, 2, 3, 0, 1, 2, 3].into_iter().enumerate() {
+        scene.restart(index, 3, 2 + count as u64);
+        scene.run(Duration::from_secs(4), &[FIRST, HARMFUL], ms(300));
+    }
+    assert!(scene.crashes.len() <= MAX_CRASHES + MAX_SENDS, "{} crashes", scene.crashes.len());
+    assert!(scene.sends_after_crashes() <= MAX_SENDS);
+}
+
+// Guards against a second harmful segment that is not found beside the first.
+#[test]
+fn two_crashing_segments_are_both_quarantined() {
+    const OTHER: u64 = 0x777;
+
+    let mut scene = Scene::start(4, 3);
+    scene.run(Duration::from_secs(3), &[], ms(0));
+    for _ in 0..20 {
+        scene.run(ms(400), &[FIRST, HARMFUL], ms(400));
+        scene.run(ms(400), &[0x21, OTHER], ms(400));
+    }
+    for node in 0..4 {
+        assert_eq!(scene.quarantined(node), [HARMFUL, OTHER], "r{node}");
+    }
+    let served = scene.sound_fraction(scene.fleet.now - Duration::from_secs(5));
+    assert!(served > 0.5, "{served} of the sound requests");
+}
