A restarted router keeps half of its allowance of retries

A router now has half of its allowance in that time, since one process before it may have spent the other; the test of restarts in a row passes with the same bound.

--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -44,6 +44,9 @@
     /// earlier process on this VM sent to cold upstreams leave the window of the cold limit.
     const SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
+    /// Processes of one VM that may spend retries in one window of the retry limits.
+    const PROCESSES_PER_WINDOW: f64 = 2.0;
+
     /// Longest elapsed time that a single tick applies to failure rates and over-share factors, for
     /// example after a pause.
     const MAX_DECAY_STEP: Duration = Duration::from_millis(1_000);
@@ -74,8 +77,8 @@
 
     /// Sets the start of the process. Until the settle time is over, this router sends nothing to
     /// cold upstreams, because it may not have received the reports of the other routers yet. For the
-    /// window of the retry limits, its retries are only those that its requests earn, because an
-    /// earlier process on this VM may have spent the allowance.
+    /// window of the retry limits, it has a part of its allowance, because an earlier process on this
+    /// VM may have spent some.
     pub fn start(&mut self, now: Time) {
         self.settled_at = now + Self::SETTLE_TIME;
         self.retries_settled_at = now + self.settings.retries.window;
@@ -84,8 +87,9 @@
     /// Returns the retry limits that apply now.
     fn retry_limits(&self, now: Time) -> RetryLimits {
         let limits = self.settings.retries;
-        let allowance = if now < self.retries_settled_at { 0.0 } else { limits.allowance };
-        RetryLimits { allowance, ..limits }
+        let is_settled = now >= self.retries_settled_at;
+        let processes = if is_settled { 1.0 } else { Self::PROCESSES_PER_WINDOW };
+        RetryLimits { allowance: limits.allowance / processes, ..limits }
     }
 
     /// Replaces the settings; name, data centre and start time stay.
