--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -1,5 +1,6 @@
 //! Guards for the resources that a request holds, released when dropped.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -157,9 +158,8 @@
     /// Counts a new request as in flight until the guard is dropped.
     pub fn new(cx: &Rc<Shared>) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
-        let max_bytes = cx.settings().limits.max_buffered_bytes;
 
-        Self { cx: Rc::clone(cx), buffer: BufferGuard::new(cx, max_bytes) }
+        Self { cx: Rc::clone(cx), buffer: BufferGuard::for_request(cx) }
     }
 
     /// Returns the number of requests that the process is serving.
@@ -180,34 +180,40 @@
     }
 }
 
+/// Messages whose buffered bytes are counted together.
+#[derive(Clone, Copy, Debug)]
+enum BufferKind {
+    Request,
+    Response,
+}
+
 /// Counts buffered bytes of a message until it is dropped.
 pub(super) struct BufferGuard {
     cx: Rc<Shared>,
-    /// Bytes that all messages together may buffer for this one to grow.
-    max_bytes: usize,
+    kind: BufferKind,
     bytes: usize,
 }
 
 impl BufferGuard {
-    /// Part of the buffer limit that bodies of responses may use: they must not keep out requests.
-    const RESPONSE_FRACTION: usize = 2;
-
-    fn new(cx: &Rc<Shared>, max_bytes: usize) -> Self {
-        Self { cx: Rc::clone(cx), max_bytes, bytes: 0 }
+    /// Counts the body of a request.
+    fn for_request(cx: &Rc<Shared>) -> Self {
+        Self { cx: Rc::clone(cx), kind: BufferKind::Request, bytes: 0 }
     }
 
-    /// Counts the body of a response.
+    /// Counts the body of a response, or its incomplete event.
     pub fn for_response(cx: &Rc<Shared>) -> Self {
-        Self::new(cx, cx.settings().limits.max_buffered_bytes / Self::RESPONSE_FRACTION)
+        Self { cx: Rc::clone(cx), kind: BufferKind::Response, bytes: 0 }
     }
 
     /// Counts `bytes` more if the limit allows it; returns `false` without counting them otherwise.
+    ///
+    /// Requests and responses have a limit each, so that neither keeps out the other.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let total = self.cx.buffered_bytes.get() + bytes;
-        if total > self.max_bytes {
+        let total = self.total().get() + bytes;
+        if total > self.cx.settings().limits.max_buffered_bytes {
             return false;
         }
-        self.cx.buffered_bytes.set(total);
+        self.total().set(total);
         self.bytes += bytes;
         true
     }
@@ -216,13 +222,20 @@
     pub fn try_resize(&mut self, bytes: usize) -> bool {
         let shrunk = self.bytes.saturating_sub(bytes);
         self.bytes -= shrunk;
-        self.cx.buffered_bytes.set(self.cx.buffered_bytes.get() - shrunk);
+        self.total().set(self.total().get() - shrunk);
         self.try_grow(bytes - self.bytes)
     }
+
+    fn total(&self) -> &Cell<usize> {
+        match self.kind {
+            BufferKind::Request => &self.cx.buffered_bytes,
+            BufferKind::Response => &self.cx.buffered_response_bytes,
+        }
+    }
 }
 
 impl Drop for BufferGuard {
     fn drop(&mut self) {
-        self.cx.buffered_bytes.set(self.cx.buffered_bytes.get() - self.bytes);
+        self.total().set(self.total().get() - self.bytes);
     }
 }
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -60,6 +60,8 @@
     pub connections: Cell<usize>,
     /// Bytes of request bodies held in memory.
     pub buffered_bytes: Cell<usize>,
+    /// Bytes of response bodies and incomplete events held in memory.
+    pub buffered_response_bytes: Cell<usize>,
     /// Version after which the registry is watched; when absent, the registry is listed again.
     pub watch_version: Cell<Option<RegistryVersion>>,
     /// Whether the last call to the registry failed.
@@ -107,6 +109,7 @@
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
+            buffered_response_bytes: Cell::new(0),
             watch_version: Cell::new(None),
             is_registry_failing: Cell::new(false),
             last_registry_response: Cell::new(None),
