Bound the read buffer of connections to upstreams

Cause: the HTTP library's own read buffers, up to 400 KB for each of 160 connections, count toward no limit, and the test told the process that it has 256 MB, of which a quarter may be buffered.

--- a/sapphirespur_node/src/edge/connect.rs
+++ b/sapphirespur_node/src/edge/connect.rs
@@ -25,6 +25,10 @@
 /// Time that sent data may stay unacknowledged before a connection counts as broken.
 const ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest read buffer of a connection, and largest head of a response, in bytes; it counts toward no
+/// other limit.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Reason why a connection cannot be opened.
 #[derive(Debug, Error)]
 pub enum ConnectError {
@@ -96,7 +100,9 @@
         .map_err(|_| ConnectError::Timeout(timeout))??;
     set_socket_options(&stream)?;
 
-    let (sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     let driver = actix_rt::spawn(async move {
         if let Err(e) = connection.await {
             log::debug!(address = address.to_string().as_str(), error = e.to_string().as_str(); "connection closed with an error");
