Bound what others may have admitted by what was asked for in that time

Cause: a workspace within its share that comes rarely to a router was taken for admitted elsewhere many times over, since the proportion of its requests was drawn from one or two of them; its requests were then treated as above the share.

Test: usage of a workspace within its share was infinite, is now below one; the floods of late_reports pass as before.

--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -145,8 +145,12 @@
             recent.filter(|charge| charge.is_admitted).map(|charge| charge.tokens).sum();
         let others_asked = asked.saturating_sub(own.requested_tokens);
         let ratio = others_asked as f64 / own.requested_tokens.max(1) as f64;
+        let estimate =
+            (admitted as f64 + tokens as f64 * self.draw(now, key.workspace, lag)) * ratio;
 
-        ((admitted as f64 + tokens as f64 * self.draw(now, key.workspace, lag)) * ratio) as u64
+        // They can't have admitted more than was asked for in that time.
+        let asked_since = others_asked as f64 * lag.as_secs_f64() / self.window.as_secs_f64();
+        estimate.min(asked_since) as u64
     }
 
     /// Returns a number from zero to one that is drawn anew after each `lag`.
--- a/sapphirespur_core/tests/edge/hot_tenant.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant.rs
@@ -174,3 +174,18 @@
     let usage = shares.share_usage(START, within, 1_000, 2_000, [other].into_iter(), ms(0));
     assert!(usage <= 1.0, "{usage}");
 }
+
+// Guards against a workspace within its share that is held back for what others may have admitted of it
+// since their reports, although they were not asked for so much.
+#[test]
+fn workspace_within_its_share_is_not_held_back_for_late_reports() {
+    let mut shares = Shares::new(ms(4_000), 1);
+    let within = UsageKey { workspace: 1, route: 1 };
+    shares.charge(START, within, 1_000, true);
+    let others = [
+        WorkspaceUsage { workspace: 1, asked: 5_000, admitted: 4_000 },
+        WorkspaceUsage { workspace: 2, asked: 50_000, admitted: 3_000 },
+    ];
+    let usage = shares.share_usage(START, within, 1_000, 4_000, others.into_iter(), ms(750));
+    assert!(usage <= 1.0, "{usage}");
+}
