Log refusals by workspace, and how short of processor time a router is

No line told where the requests of an unserved workspace arrived nor why they were refused: refusals for lack of time were one counter, logged at their begin and end.

Each second the router logs the three workspaces with most refused tokens, with what it admitted and the reasons; while it refuses for lack of time, its lateness, the refused part and whether it is ready. Decisions are unchanged.

--- a/sapphirespur_core/src/edge/overload.rs
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -106,6 +106,11 @@
         Some(Duration::from_secs_f64(min + (max - min) * position))
     }
 
+    /// Returns the fraction of the requests that the router refuses.
+    pub fn refused_fraction(&self) -> f64 {
+        self.refused_fraction
+    }
+
     /// Returns whether the router is refusing requests.
     pub fn is_refusing(&self) -> bool {
         self.refused_fraction > 0.0
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -42,11 +42,18 @@
     pub fn admit(&self, cx: &Shared, call: &Call) -> Admission {
         let now = cx.now();
         let mut router = cx.router.borrow_mut();
-        if self.tried.is_empty() {
-            router.admit(now, &call.info)
-        } else {
-            router.admit_retry(now, &call.info, &self.tried, self.reached_upstream)
+        if !self.tried.is_empty() {
+            return router.admit_retry(now, &call.info, &self.tried, self.reached_upstream);
+        }
+
+        let admission = router.admit(now, &call.info);
+        let (workspace, prompt) = (call.info.workspace.as_ref(), call.info.prompt.as_ref());
+        let mut counts = cx.workspace_counts.borrow_mut();
+        match &admission {
+            Ok(_) => counts.record_admitted(workspace, prompt),
+            Err(decline) => counts.record_refused(workspace, prompt, decline.reason.as_str()),
         }
+        admission
     }
 
     /// Asks the router for another upstream than `current`, which has run the request. Returns `None`
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -30,6 +30,9 @@
 /// request to count as a retry.
 const RETRY_MARGIN_FRACTION: f64 = 0.02;
 
+/// Reason of refusals for lack of processor time, in metrics and logs.
+const SHORT_OF_TIME: &str = "short_of_time";
+
 /// Handles a request and returns its response.
 pub(super) async fn handle(cx: Rc<Shared>, req: Request<Incoming>) -> ClientResponse {
     let mut request_guard = RequestGuard::new(&cx);
@@ -89,7 +92,9 @@
     if let Some(retry_after) = cx.overload.borrow_mut().check(workspace_hash) {
         let mut router = cx.router.borrow_mut();
         router.record_refused(arrived_at, &route.name, workspace, head.prompt.as_ref());
-        cx.metrics.record_decline("short_of_time");
+        cx.metrics.record_decline(SHORT_OF_TIME);
+        let mut counts = cx.workspace_counts.borrow_mut();
+        counts.record_refused(workspace, head.prompt.as_ref(), SHORT_OF_TIME);
         return Err(ErrorResponse::Busy(retry_after));
     }
     let service = route
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -25,6 +25,7 @@
 mod status;
 mod stream;
 mod ticker;
+mod workspace_counts;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -14,6 +14,7 @@
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::workspace_counts::WorkspaceCounts;
 use crate::clock::{Clock, time_since_boot, wall_us};
 use crate::settings::EdgeSettings;
 
@@ -72,6 +73,8 @@
     pub closing: Notify,
     /// Notifies the task that accepts client connections to close its listener.
     pub stop_accepting: Notify,
+    /// Requests by workspace since the last summary in the log.
+    pub workspace_counts: RefCell<WorkspaceCounts>,
     /// Rate limit on log lines about requests.
     pub log_budget: LogBudget,
 }
@@ -115,6 +118,7 @@
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
             stop_accepting: Notify::new(),
+            workspace_counts: RefCell::default(),
             log_budget: LogBudget::default(),
         }
     }
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use sapphirespur_core::edge::QuarantineChange;
+use sapphirespur_core::edge::{OverloadGuard, QuarantineChange};
 use sapphirespur_core::time::Time;
 
 use super::shared::Shared;
@@ -19,6 +19,9 @@
 /// Ticks between checks for a changed settings file.
 const TICKS_PER_SETTINGS_CHECK: u32 = 20;
 
+/// Workspaces with refused requests that are logged each second.
+const LOGGED_WORKSPACES: usize = 3;
+
 /// Runs the periodic work until the process exits.
 pub(super) async fn run(cx: Rc<Shared>) {
     let mut interval = tokio::time::interval(TICK_INTERVAL);
@@ -48,7 +51,7 @@
             reload(&cx);
         }
         if ticks.is_multiple_of(TICKS_PER_S) {
-            every_second(&cx);
+            every_second(&cx, now, lateness);
         }
     }
 }
@@ -58,18 +61,23 @@
     let mut overload = cx.overload.borrow_mut();
     let (was_refusing, wanted_relief) = (overload.is_refusing(), overload.wants_relief(now));
     overload.on_tick(now, lateness);
-    let (is_refusing, wants_relief) = (overload.is_refusing(), overload.wants_relief(now));
-    if (is_refusing, wants_relief) != (was_refusing, wanted_relief) {
-        log::warn!(
-            late_ms = lateness.as_millis() as u64,
-            refuses = is_refusing,
-            ready = !wants_relief,
-            connections = cx.connections.get();
-            "short of processor time"
-        );
+    if (overload.is_refusing(), overload.wants_relief(now)) != (was_refusing, wanted_relief) {
+        log_shortage(cx, now, &overload, lateness);
     }
 }
 
+/// Logs how short of processor time the router is.
+fn log_shortage(cx: &Shared, now: Time, overload: &OverloadGuard, lateness: Duration) {
+    log::warn!(
+        late_ms = lateness.as_millis() as u64,
+        refuses = overload.is_refusing(),
+        refused_percent = (overload.refused_fraction() * 100.0) as u64,
+        ready = !overload.wants_relief(now),
+        connections = cx.connections.get();
+        "short of processor time"
+    );
+}
+
 /// Logs which prompt segments were quarantined or released.
 fn log_quarantine(cx: &Shared) {
     let changes = cx.router.borrow_mut().quarantine_mut().take_changes();
@@ -123,11 +131,26 @@
     std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
-fn every_second(cx: &Shared) {
+fn every_second(cx: &Shared, now: Time, lateness: Duration) {
     cx.pool.borrow_mut().remove_expired(cx.now());
     let suppressed = cx.log_budget.refill();
     cx.metrics.record_suppressed_log_lines(suppressed);
     if suppressed > 0 {
         log::info!(lines = suppressed; "lines about requests left out");
     }
+    let overload = cx.overload.borrow();
+    if overload.is_refusing() {
+        log_shortage(cx, now, &overload, lateness);
+    }
+    let refused = cx.workspace_counts.borrow_mut().take_refused(LOGGED_WORKSPACES);
+    for (workspace, count) in refused {
+        log::info!(
+            workspace = workspace.as_str(),
+            admitted = count.admitted,
+            admitted_tokens = count.admitted_tokens,
+            refused = count.refused_by_reason().as_str(),
+            refused_tokens = count.refused_tokens;
+            "requests of a workspace refused"
+        );
+    }
 }
