--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -166,6 +166,18 @@
     assert!(!guard.wants_relief(now));
 }
 
+// Guards against a router that refuses most of a flood and stays in rotation, because its refusals keep
+// its ticks nearly in time.
+#[test]
+fn router_that_goes_on_refusing_asks_for_relief_although_its_ticks_are_hardly_late() {
+    let mut guard = OverloadGuard::default();
+    let mut now = START;
+    flood(&mut guard, &mut now, ms(190), 2, &[100]);
+    flood(&mut guard, &mut now, ms(45), 12, &[100]);
+    assert!(guard.is_refusing());
+    assert!(guard.wants_relief(now));
+}
+
 #[test]
 fn requests_refused_in_a_flood_count_as_asked_for() {
     let mut router = router("r", 1);
--- a/sapphirespur_core/tests/edge/hot_tenant.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant.rs
@@ -165,6 +165,24 @@
     assert!(usage_beside(8_000).is_finite(), "the other one is served");
 }
 
+// Guards against a workspace that is let half a share ahead of its own, however little another one gets:
+// it then got more than three times as much as one whose router was short of time.
+#[test]
+fn workspace_beyond_its_share_stays_within_reach_of_one_that_gets_far_less() {
+    let mut shares = Shares::new(Duration::from_secs(4), 1);
+    let ahead = UsageKey { workspace: 1, route: 1 };
+    for _ in 0..4 {
+        shares.charge(START, ahead, 1_000, true);
+    }
+    // The share is 4,000 tokens.
+    let mut usage_with = |admitted| {
+        let other = WorkspaceUsage { workspace: 2, asked: 9_000, admitted };
+        shares.share_usage(START, ahead, 1_000, 2_000, [other].into_iter(), ms(0))
+    };
+    assert!(usage_with(1_500).is_infinite());
+    assert!(usage_with(3_500).is_finite(), "the lead is small");
+}
+
 #[test]
 fn workspace_within_its_share_is_not_held_back_by_an_unserved_one() {
     let mut shares = Shares::new(Duration::from_secs(4), 1);
