A workspace beyond its share stays within reach of the least served one

Cause: the bound on the lead over an unserved workspace was half as much again as the share, or as what the unserved one got if that was more. Where the unserved one gets far less than its share for lack of its router's time, the bound did not bind.

Change: beyond its share a workspace gets at most half as much again as the least served one. Within its share nothing changes, so no other workspace is held down to an unserved one.

--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -81,7 +81,8 @@
         self.by_workspace.iter().map(to_report).collect()
     }
 
-    /// Lead over the least served workspace beyond which another one gets nothing beyond its share.
+    /// Lead over the least served workspace beyond which another one gets nothing beyond its share:
+    /// less than twice, since usage is known with a delay.
     const MAX_LEAD: f64 = 1.5;
 
     /// Part of what a workspace asked for below which it counts as unserved.
@@ -216,7 +217,7 @@
         *asked > level && (*admitted as f64) < *asked as f64 * Shares::UNSERVED_FRACTION
     };
     let least_served = others.filter(is_unserved).map(|(_, admitted)| *admitted).min();
-    least_served.map_or(f64::INFINITY, |least| least.max(level) as f64 * Shares::MAX_LEAD)
+    least_served.map_or(f64::INFINITY, |least| (least as f64 * Shares::MAX_LEAD).max(level as f64))
 }
 
 /// Returns the max-min fair level: the largest amount that any demand gets when all demands share
