A router short of time accepts what it can serve, and lets half of the refused clients stay

What callers saw: a flooded router, after two late ticks, refused up to 97% of a flood and served 18 to 60 requests a second, though it can serve 100 or more; the flood moved as a whole to the next small router, where the same began again.

Cause: the refused part rose with each late tick without regard to what the router still served, and fell by 6% of all requests with each calm tick; each refusal closed its connection once the router had left the rotation.

Change: the refused part leaves room for three quarters of the requests that ended in the last interval; relief is asked for at once when most is refused; every second refused client is moved, so that the rest stays where it can be served.

Two core tests: router_accepts_most_of_what_it_can_serve_while_its_ticks_are_late, and hot_tenant_at_one_router, a model of routers, load balancer and sticky clients, in which the flood has to be served by more than one router within the window of the rule.

--- a/sapphirespur_core/src/edge/overload.rs
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -16,6 +16,10 @@
     requests: HashMap<u32, u64>,
     /// Requests in the interval before.
     previous: HashMap<u32, u64>,
+    /// Accepted requests that ended in the current interval.
+    finished: u64,
+    /// Accepted requests that ended in the interval before.
+    previous_finished: u64,
     interval_end: Time,
     /// Requests that each workspace may send in an interval.
     limit: u64,
@@ -54,6 +58,17 @@
     /// Upper bound of the refused fraction.
     const MAX_REFUSED_FRACTION: f64 = 0.97;
 
+    /// Part of the requests that ended in the last interval that is accepted at least, so that one
+    /// late tick does not leave the router idle. Less than all, since a queue has to shrink.
+    const MIN_ACCEPTED: f64 = 0.75;
+
+    /// Refusals for each closed connection of a refused client. With each one closed, all clients
+    /// would leave before the refused fraction has followed.
+    const REFUSALS_PER_MOVE: u64 = 2;
+
+    /// Refused fraction beyond which the router asks for no new connections at once.
+    const MOST: f64 = 0.5;
+
     /// Time with refusals after which the router asks for no new connections.
     const RELIEF_AFTER: Duration = Duration::from_millis(1_000);
 
@@ -79,27 +94,34 @@
         if lateness < Self::CALM_LATENESS {
             self.refused_fraction -= Self::DECREASE;
         }
-        self.refused_fraction = self.refused_fraction.clamp(0.0, Self::MAX_REFUSED_FRACTION);
-        self.ask_for_relief(now, lateness);
-
         if now >= self.interval_end {
             self.interval_end = now + Self::INTERVAL;
             self.previous = std::mem::take(&mut self.requests);
+            self.previous_finished = std::mem::take(&mut self.finished);
         }
         let counts: Vec<u64> = self.previous.values().copied().collect();
-        let accepted = counts.iter().sum::<u64>() as f64 * (1.0 - self.refused_fraction);
+        let total = counts.iter().sum::<u64>() as f64;
+        let min_accepted = self.previous_finished as f64 * Self::MIN_ACCEPTED / total.max(1.0);
+        let max_refused = (1.0 - min_accepted).clamp(0.0, Self::MAX_REFUSED_FRACTION);
+        self.refused_fraction = self.refused_fraction.clamp(0.0, max_refused);
+        self.ask_for_relief(now, lateness);
+
+        let accepted = total * (1.0 - self.refused_fraction);
         self.limit = water_fill(&counts, accepted as u64).max(1);
     }
 
-    /// Asks for relief while requests are refused, from [`Self::RELIEF_AFTER`] on and until the ticks
-    /// are calm: the refusals keep them nearly in time, and the refused clients would come back.
+    /// Asks for relief while most requests are refused, or some from [`Self::RELIEF_AFTER`] on, until
+    /// the ticks are calm: the refusals keep them nearly in time, and the refused clients would come
+    /// back.
     fn ask_for_relief(&mut self, now: Time, lateness: Duration) {
         if !self.is_refusing() {
             self.refusing_since = None;
             return;
         }
         let since = *self.refusing_since.get_or_insert(now);
-        if now.since(since) >= Self::RELIEF_AFTER && lateness >= Self::CALM_LATENESS {
+        let is_lasting = now.since(since) >= Self::RELIEF_AFTER;
+        let refuses_most = self.refused_fraction > Self::MOST;
+        if (is_lasting || refuses_most) && lateness >= Self::CALM_LATENESS {
             self.relief_until = now + Self::RELIEF_DURATION;
         }
     }
@@ -129,15 +151,22 @@
         self.refused_fraction > 0.0
     }
 
+    /// Records that an accepted request has ended.
+    pub fn on_finished(&mut self) {
+        self.finished += 1;
+    }
+
     /// Records the answer to a readiness check of the load balancer.
     pub fn on_readiness_check(&mut self, is_ready: bool) {
         self.failed_checks = if is_ready { 0 } else { self.failed_checks.saturating_add(1) };
     }
 
-    /// Returns whether the connections of refused clients are to be closed: the load balancer opens
-    /// new ones at other routers.
-    pub fn moves_clients(&self) -> bool {
-        self.is_refusing() && self.failed_checks >= Self::CHECKS_TO_LEAVE
+    /// Returns whether the connection of the client that was refused last is to be closed: the load
+    /// balancer opens a new one at another router.
+    pub fn moves_client(&self) -> bool {
+        self.is_refusing()
+            && self.failed_checks >= Self::CHECKS_TO_LEAVE
+            && self.refused.is_multiple_of(Self::REFUSALS_PER_MOVE)
     }
 
     /// Returns whether the router asks for no new connections.
@@ -152,6 +181,8 @@
             refused_fraction: 0.0,
             requests: HashMap::default(),
             previous: HashMap::default(),
+            finished: 0,
+            previous_finished: 0,
             interval_end: Time::default(),
             limit: u64::MAX,
             refused: 0,
--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -178,6 +178,20 @@
     assert!(guard.wants_relief(now));
 }
 
+// Guards against a router that serves next to nothing after late ticks, although it can serve a part of
+// the flood.
+#[test]
+fn router_accepts_most_of_what_it_can_serve_while_its_ticks_are_late() {
+    let mut guard = OverloadGuard::default();
+    let mut now = START;
+    let mut accepted = 0;
+    for _ in 0..20 {
+        (0..30).for_each(|_| guard.on_finished());
+        accepted = flood(&mut guard, &mut now, ms(150), 1, &[100])[0];
+    }
+    assert!((15..30).contains(&accepted), "{accepted}");
+}
+
 #[test]
 fn requests_refused_in_a_flood_count_as_asked_for() {
     let mut router = router("r", 1);
--- a/sapphirespur_core/tests/edge/hot_tenant_at_one_router.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant_at_one_router.rs
@@ -1,5 +1,6 @@
 //! A hot tenant whose clients the load balancer sends to one small router.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use sapphirespur_core::edge::OverloadGuard;
@@ -35,30 +36,50 @@
 /// Router with its queue of work.
 struct SmallRouter {
     guard: OverloadGuard,
-    /// Time that the accepted work takes.
-    queue: Duration,
+    /// Work that waits: the time that each request takes, and whether it is served.
+    queue: VecDeque<(Duration, bool)>,
+    /// Time for which the queue keeps the router busy.
+    backlog: Duration,
     tick_due: Time,
     misses: u32,
 }
 
 impl SmallRouter {
     fn new() -> Self {
-        let guard = OverloadGuard::default();
-        Self { guard, queue: Duration::ZERO, tick_due: START + TICK, misses: 0 }
+        Self {
+            guard: OverloadGuard::default(),
+            queue: VecDeque::new(),
+            backlog: Duration::ZERO,
+            tick_due: START + TICK,
+            misses: 0,
+        }
     }
 
     /// Takes a request; returns whether it is served.
     fn take(&mut self) -> bool {
         let is_served = self.guard.check(1).is_none();
         let cost = if is_served { 1.0 } else { REFUSAL_COST };
-        self.queue += Duration::from_secs_f64(cost / CAPACITY_PER_S);
+        let cost = Duration::from_secs_f64(cost / CAPACITY_PER_S);
+        self.queue.push_back((cost, is_served));
+        self.backlog += cost;
         is_served
     }
 
     /// Works for one step.
     fn step(&mut self, now: Time) {
-        self.queue = self.queue.saturating_sub(STEP);
-        if now >= self.tick_due + self.queue / ROUNDS {
+        let mut left = STEP;
+        while let Some((cost, is_served)) = self.queue.front_mut() {
+            let worked = left.min(*cost);
+            (*cost, left, self.backlog) = (*cost - worked, left - worked, self.backlog - worked);
+            if !cost.is_zero() {
+                break;
+            }
+            if *is_served {
+                self.guard.on_finished();
+            }
+            self.queue.pop_front();
+        }
+        if now >= self.tick_due + self.backlog / ROUNDS {
             let lateness = now.since(self.tick_due);
             self.guard.on_tick(now, lateness);
             self.tick_due = now + TICK;
@@ -91,7 +112,7 @@
             let router = &mut routers[connections[turn]];
             if router.take() {
                 served[step / steps_per_s] += 1;
-            } else if router.guard.moves_clients() {
+            } else if router.guard.moves_client() {
                 // The hash of the client leads all its new connections to the same router.
                 let next = routers.iter().position(SmallRouter::is_in_rotation);
                 connections[turn] = next.unwrap_or(0);
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -152,6 +152,7 @@
 pub(super) struct RequestGuard {
     cx: Rc<Shared>,
     buffer: BufferGuard,
+    is_accepted: bool,
 }
 
 impl RequestGuard {
@@ -159,7 +160,12 @@
     pub fn new(cx: &Rc<Shared>) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
 
-        Self { cx: Rc::clone(cx), buffer: BufferGuard::for_request(cx) }
+        Self { cx: Rc::clone(cx), buffer: BufferGuard::for_request(cx), is_accepted: false }
+    }
+
+    /// Records that the router has time for the request.
+    pub fn accept(&mut self) {
+        self.is_accepted = true;
     }
 
     /// Returns the number of requests that the process is serving.
@@ -176,6 +182,9 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        if self.is_accepted {
+            self.cx.overload.borrow_mut().on_finished();
+        }
         self.cx.in_flight.set(self.cx.in_flight.get() - 1);
     }
 }
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -97,6 +97,7 @@
         counts.record_refused(workspace, head.prompt.as_ref(), SHORT_OF_TIME);
         return Err(ErrorResponse::Busy(retry_after));
     }
+    request_guard.accept();
     let service = route
         .service_for(&head.attempt_id)
         .ok_or(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER))?;
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -146,7 +146,7 @@
             cx.metrics.record_response(response.status().as_u16());
             let is_refusal = response.status() == StatusCode::SERVICE_UNAVAILABLE;
             let is_closing = cx.phase.get() == Phase::Closing;
-            if is_closing || is_refusal && cx.closes_refused_clients() {
+            if is_closing || is_refusal && cx.closes_refused_client() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(response)
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -184,11 +184,11 @@
             && !is_flooded
     }
 
-    /// Returns whether the connections of refused clients are closed: to save memory and descriptors,
-    /// or since new ones are opened at other routers.
-    pub fn closes_refused_clients(&self) -> bool {
+    /// Returns whether the connection of the client that was refused last is closed: to save memory
+    /// and descriptors, or since a new one is opened at another router.
+    pub fn closes_refused_client(&self) -> bool {
         self.connections.get() > self.settings.borrow().limits.refused_close_threshold
-            || self.overload.borrow().moves_clients()
+            || self.overload.borrow().moves_client()
     }
 
     /// Returns whether a line about a refused or failed request may be logged, and counts it.
