--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -184,12 +184,13 @@
 fn router_accepts_most_of_what_it_can_serve_while_its_ticks_are_late() {
     let mut guard = OverloadGuard::default();
     let mut now = START;
-    let mut accepted = 0;
+    let mut accepted = Vec::new();
     for _ in 0..20 {
         (0..30).for_each(|_| guard.on_finished());
-        accepted = flood(&mut guard, &mut now, ms(150), 1, &[100])[0];
+        accepted.extend(flood(&mut guard, &mut now, ms(150), 1, &[100]));
     }
-    assert!((15..30).contains(&accepted), "{accepted}");
+    let settled: u32 = accepted[10..].iter().sum();
+    assert!((200..300).contains(&settled), "{accepted:?}");
 }
 
 #[test]
