Failing test of FAIR: equal floods get twice as much as each other in a window of the rule

Usage counts in full for four seconds and is then forgotten at once, so what was admitted in one burst makes room for the next one four seconds later. Two equal floods at one router that begin 1, 2 or 3 s apart get 80,000 and 160,000 (140,000) tokens in six seconds.

--- a/sapphirespur_core/tests/edge/hot_tenant.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant.rs
@@ -165,6 +165,53 @@
     assert!(usage_beside(8_000).is_finite(), "the other one is served");
 }
 
+/// Window in which the users compare what workspaces get.
+const FAIRNESS_WINDOW: usize = 60;
+
+/// Returns the tokens that two equal floods are admitted in each step of 100 ms, where the second
+/// one begins `delay` steps after the first.
+fn staggered_floods(delay: usize, steps: usize) -> [Vec<u64>; 2] {
+    let mut shares = Shares::new(Duration::from_secs(4), 1);
+    let mut admitted = [vec![0; steps], vec![0; steps]];
+    for step in 0..steps {
+        let now = START + ms(100 * step as u64);
+        for (index, sums) in admitted.iter_mut().enumerate().filter(|(i, _)| step >= i * delay) {
+            let key = UsageKey { workspace: index as u32, route: 1 };
+            for _ in 0..20 {
+                let usage = shares.share_usage(now, key, 1_000, 40_000, std::iter::empty(), ms(0));
+                shares.charge(now, key, 1_000, usage <= 1.0);
+                sums[step] += if usage <= 1.0 { 1_000 } else { 0 };
+            }
+        }
+    }
+    admitted
+}
+
+macro_rules! staggered_floods_are_alike {
+    ($($name:ident: $delay:expr;)*) => {
+        $(
+            // Guards against usage that is forgotten all at once: a flood then gets the share of the whole
+            // window in one burst and nothing until that is forgotten, and in some windows twice as much as
+            // another one.
+            #[test]
+            fn $name() {
+                let admitted = staggered_floods($delay, 300);
+                for from in 100..300 - FAIRNESS_WINDOW {
+                    let [one, other] =
+                        [0, 1].map(|i| admitted[i][from..from + FAIRNESS_WINDOW].iter().sum::<u64>());
+                    assert!(one * 3 >= other * 2 && other * 3 >= one * 2, "{from}: {one} {other}");
+                }
+            }
+        )*
+    };
+}
+
+staggered_floods_are_alike! {
+    floods_that_begin_a_second_apart_get_similar_service_in_any_window: 10;
+    floods_that_begin_two_seconds_apart_get_similar_service_in_any_window: 20;
+    floods_that_begin_three_seconds_apart_get_similar_service_in_any_window: 30;
+}
+
 // Guards against a workspace that is let half a share ahead of its own, however little another one gets:
 // it then got more than three times as much as one whose router was short of time.
 #[test]
