Usage of workspaces decays, and what other routers admitted since their reports is estimated without bias

Causes, both in how usage is counted: - Usage counted in full for four seconds and was then forgotten at once. A workspace got the share of the whole window in one burst and nothing until that was forgotten, so that in six seconds one of two equal floods got twice as much (three failing tests). - What other routers had admitted since their reports was estimated from single admissions here, times the other 102 routers, and their reported usage did not decay on the way.

Change: requested and admitted tokens decay exponentially; admitted ones in half of the window, so that who begins is less ahead. Who asks for no more than its share of the whole window is never over it. Reported usage decays for the lag of the reports, and a part, drawn by each router, of what was asked for since is added: the part of the routers that admit is what is left of the share as a ratio to what they would admit together. Where a router is asked for more than what is left, it takes it by its part of the requests. In balance both kinds of workspace get their share.

--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -1,6 +1,5 @@
 //! Token usage of workspaces and their max-min fair shares of the capacity.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::collections::HashMap;
@@ -9,14 +8,6 @@
 use crate::name::Name;
 use crate::time::Time;
 
-/// Tokens of one request, and whether it was admitted.
-#[derive(Clone, Copy, Debug)]
-struct Charge {
-    at: Time,
-    tokens: u64,
-    is_admitted: bool,
-}
-
 /// Workspace and route to which the tokens of a request are charged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct UsageKey {
@@ -26,18 +17,24 @@
     pub route: u32,
 }
 
-/// Token usage of a workspace, or of one of its routes, at this router.
-#[derive(Clone, Debug, Default)]
+/// Token usage of a workspace, or of one of its routes, at this router, which decays with time.
+///
+/// Usage that counted in full for a while and was then forgotten at once would make room for a burst
+/// as large as the one that it forgets.
+#[derive(Clone, Copy, Debug, Default)]
 struct Usage {
-    charges: VecDeque<Charge>,
-    requested_tokens: u64,
-    admitted_tokens: u64,
+    requested_tokens: f64,
+    admitted_tokens: f64,
+    decayed_at: Time,
 }
 
-/// Token usage of all workspaces over a sliding window.
+/// Token usage of all workspaces.
 #[derive(Clone, Debug)]
 pub struct Shares {
+    /// Time in which requested tokens decay by a factor of e.
     window: Duration,
+    /// Time in which admitted tokens decay by a factor of e.
+    admission_window: Duration,
     /// Hash of this router's name, by which its draws differ from those of the others.
     seed: u64,
     by_workspace: HashMap<u32, Usage>,
@@ -50,9 +47,24 @@
     /// many admitted requests, the route's own usage has half of the weight.
     const PRIOR_REQUESTS: u64 = 4;
 
-    /// Creates empty usage records over a window, at the router whose name has the hash `seed`.
+    /// Usage below which a record is removed, in tokens.
+    const NEGLIGIBLE_TOKENS: f64 = 1.0;
+
+    /// Ratio of the window of requested tokens to that of admitted ones. With a shorter one, a
+    /// workspace that begins to ask for more than its share is less ahead of the others; a longer one
+    /// has room for large requests.
+    const ADMISSION_WINDOWS: u32 = 2;
+
+    /// Creates empty usage records at the router whose name has the hash `seed`. A workspace that asks
+    /// for its share of `window` or less may use it at once.
     pub fn new(window: Duration, seed: u64) -> Self {
-        Self { window, seed, by_workspace: HashMap::default(), by_route: HashMap::default() }
+        Self {
+            window,
+            admission_window: window / Self::ADMISSION_WINDOWS,
+            seed,
+            by_workspace: HashMap::default(),
+            by_route: HashMap::default(),
+        }
     }
 
     /// Returns the hash that identifies a workspace, route or service in reports.
@@ -62,21 +74,30 @@
 
     /// Charges the tokens of a request to a workspace and route.
     pub fn charge(&mut self, now: Time, key: UsageKey, tokens: u64, is_admitted: bool) {
-        let charge = Charge { at: now, tokens, is_admitted };
-        self.by_workspace.entry(key.workspace).or_default().add(charge);
-        self.by_route.entry((key.workspace, key.route)).or_default().add(charge);
+        let (window, admission_window) = (self.window, self.admission_window);
+        for usage in [
+            self.by_workspace.entry(key.workspace).or_default(),
+            self.by_route.entry((key.workspace, key.route)).or_default(),
+        ] {
+            usage.decay(now, window, admission_window);
+            usage.add(tokens, is_admitted);
+        }
     }
 
-    /// Returns the usage of each workspace in the window that ends now.
+    /// Returns the usage of each workspace now.
     pub fn usage(&mut self, now: Time) -> Vec<WorkspaceUsage> {
-        let window = self.window;
-        self.by_workspace.retain(|_, usage| usage.expire(now, window));
-        self.by_route.retain(|_, usage| usage.expire(now, window));
+        let (window, admission_window) = (self.window, self.admission_window);
+        let is_used = |usage: &mut Usage| {
+            usage.decay(now, window, admission_window);
+            usage.requested_tokens >= Self::NEGLIGIBLE_TOKENS
+        };
+        self.by_workspace.retain(|_, usage| is_used(usage));
+        self.by_route.retain(|_, usage| is_used(usage));
 
         let to_report = |(workspace, usage): (&u32, &Usage)| WorkspaceUsage {
             workspace: *workspace,
-            asked: usage.requested_tokens,
-            admitted: usage.admitted_tokens,
+            asked: usage.requested_tokens as u64,
+            admitted: usage.admitted_tokens as u64,
         };
         self.by_workspace.iter().map(to_report).collect()
     }
@@ -110,14 +131,19 @@
             sum.1 += used.admitted;
         }
         let total = totals.entry(key.workspace).or_default();
-        let unreported = self.unreported_tokens(now, key, tokens, total.0, report_lag);
+        let by_others = self.admitted_by_others(now, key.workspace, *total, report_lag);
         total.0 += tokens;
-        let admitted = total.1 + unreported + tokens;
+        let own = self.by_workspace.get(&key.workspace).map_or(0.0, |own| own.admitted_tokens);
+        let (asked, admitted) = (total.0, own as u64 + by_others + tokens);
 
         let capacity = (tokens_per_s as f64 * self.window.as_secs_f64()) as u64;
         let demands: Vec<u64> = totals.values().map(|(asked, _)| *asked).collect();
         let level = water_fill(&demands, capacity).max(1);
-        let share_usage = admitted as f64 / level as f64;
+        let share = (level / u64::from(Self::ADMISSION_WINDOWS)).max(1);
+        let share_usage = admitted as f64 / share as f64;
+        if asked <= level {
+            return share_usage.min(1.0);
+        }
         totals.remove(&key.workspace);
         if share_usage > 1.0 && admitted as f64 > max_usage(level, totals.values()) {
             return f64::INFINITY;
@@ -125,33 +151,34 @@
         share_usage * self.route_advantage(key, tokens)
     }
 
-    /// Returns the tokens that other routers have probably admitted since their last reports, of a
-    /// workspace of which `asked` tokens were asked for in all: as this one has, in proportion to the
-    /// requests.
+    /// Returns the tokens that other routers have probably admitted of a workspace, of which `totals`
+    /// were asked for and admitted here and in their reports: what is left of those, and a part, drawn
+    /// by this router, of what was asked for there since.
     ///
-    /// Without them, all routers would admit a hot workspace at the same time whenever its usage has
-    /// fallen. Where its share does not suffice for one request at each router, the draws of the
-    /// routers decide which of them count this request as admitted by few others.
-    fn unreported_tokens(
+    /// Without the draw, all routers would admit a hot workspace at the same time whenever its usage
+    /// has decayed. With it, the part of the routers that admits it is what is left of its share, as a
+    /// ratio to what they would admit together.
+    fn admitted_by_others(
         &self,
         now: Time,
-        key: UsageKey,
-        tokens: u64,
-        asked: u64,
+        workspace: u32,
+        totals: (u64, u64),
         lag: Duration,
     ) -> u64 {
-        let Some(own) = self.by_workspace.get(&key.workspace) else { return 0 };
-        let recent = own.charges.iter().rev().take_while(|charge| now.since(charge.at) < lag);
-        let admitted: u64 =
-            recent.filter(|charge| charge.is_admitted).map(|charge| charge.tokens).sum();
-        let others_asked = asked.saturating_sub(own.requested_tokens);
-        let ratio = others_asked as f64 / own.requested_tokens.max(1) as f64;
-        let estimate =
-            (admitted as f64 + tokens as f64 * self.draw(now, key.workspace, lag)) * ratio;
-
-        // They can't have admitted more than was asked for in that time.
-        let asked_since = others_asked as f64 * lag.as_secs_f64() / self.window.as_secs_f64();
-        estimate.min(asked_since) as u64
+        let own = self.by_workspace.get(&workspace).copied().unwrap_or_default();
+        let asked = (totals.0 as f64 - own.requested_tokens).max(0.0);
+        let admitted = (totals.1 as f64 - own.admitted_tokens).max(0.0);
+        let lag_s = lag.as_secs_f64();
+        let left = admitted * (-lag_s / self.admission_window.as_secs_f64()).exp();
+
+        // Where a router is asked for more than what is left, one of them takes it all.
+        let draw = self.draw(now, workspace, lag);
+        let own_fraction = own.requested_tokens / (totals.0 as f64).max(1.0);
+        if draw < own_fraction {
+            return left as u64;
+        }
+        let asked_since = asked * lag_s / self.window.as_secs_f64();
+        (left + asked_since * draw) as u64
     }
 
     /// Returns a number from zero to one that is drawn anew after each `lag`.
@@ -173,37 +200,31 @@
 
         // A route of which only few requests would be admitted here at the workspace's mean counts
         // as average: that none was admitted may be due to chance.
-        let expected_admitted = workspace.admitted_fraction(tokens) * route.requested_tokens as f64;
+        let expected_admitted = workspace.admitted_fraction(tokens as f64) * route.requested_tokens;
         let prior = (tokens * Self::PRIOR_REQUESTS) as f64;
-        (route.admitted_tokens as f64 + prior) / (expected_admitted + prior)
+        (route.admitted_tokens + prior) / (expected_admitted + prior)
     }
 }
 
 impl Usage {
-    fn add(&mut self, charge: Charge) {
-        self.requested_tokens += charge.tokens;
-        if charge.is_admitted {
-            self.admitted_tokens += charge.tokens;
+    fn add(&mut self, tokens: u64, is_admitted: bool) {
+        self.requested_tokens += tokens as f64;
+        if is_admitted {
+            self.admitted_tokens += tokens as f64;
         }
-        self.charges.push_back(charge);
     }
 
     /// Returns the fraction of the requested tokens that was admitted, with `tokens` more of both.
-    fn admitted_fraction(&self, tokens: u64) -> f64 {
-        (self.admitted_tokens + tokens) as f64 / (self.requested_tokens + tokens).max(1) as f64
+    fn admitted_fraction(&self, tokens: f64) -> f64 {
+        (self.admitted_tokens + tokens) / (self.requested_tokens + tokens).max(1.0)
     }
 
-    /// Removes charges older than the window. Returns whether any are left.
-    fn expire(&mut self, now: Time, window: Duration) -> bool {
-        while let Some(charge) = self.charges.front().filter(|c| now.since(c.at) > window) {
-            self.requested_tokens -= charge.tokens;
-            if charge.is_admitted {
-                self.admitted_tokens -= charge.tokens;
-            }
-            self.charges.pop_front();
-        }
-
-        !self.charges.is_empty()
+    /// Lets the usage decay until now.
+    fn decay(&mut self, now: Time, window: Duration, admission_window: Duration) {
+        let elapsed = now.since(self.decayed_at).as_secs_f64();
+        self.requested_tokens *= (-elapsed / window.as_secs_f64()).exp();
+        self.admitted_tokens *= (-elapsed / admission_window.as_secs_f64()).exp();
+        self.decayed_at = now;
     }
 }
 
@@ -213,11 +234,14 @@
 /// A workspace whose clients all use one flooded router gets less than its share for lack of that
 /// router's time, and not of upstreams; the others must not run away from it.
 fn max_usage<'a>(level: u64, others: impl Iterator<Item = &'a (u64, u64)>) -> f64 {
+    let windows = u64::from(Shares::ADMISSION_WINDOWS);
     let is_unserved = |(asked, admitted): &&(u64, u64)| {
-        *asked > level && (*admitted as f64) < *asked as f64 * Shares::UNSERVED_FRACTION
+        let served = (*admitted * windows) as f64;
+        *asked > level && served < *asked as f64 * Shares::UNSERVED_FRACTION
     };
     let least_served = others.filter(is_unserved).map(|(_, admitted)| *admitted).min();
-    least_served.map_or(f64::INFINITY, |least| (least as f64 * Shares::MAX_LEAD).max(level as f64))
+    let share = (level / windows) as f64;
+    least_served.map_or(f64::INFINITY, |least| (least as f64 * Shares::MAX_LEAD).max(share))
 }
 
 /// Returns the max-min fair level: the largest amount that any demand gets when all demands share
