--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -77,6 +77,9 @@
     /// Crashes when it begins to respond to a request with this prompt segment before the last one,
     /// like a process that ends: all its connections close, and its port refuses new ones.
     CrashOn(u64),
+    /// Crashes in the same way when it begins to run a request whose path ends with
+    /// [`Runner::HARMFUL_PATH`], before it sends anything.
+    CrashOnPath,
     /// Sends bytes without end in one part of the response.
     Endless {
         /// Part that does not end.
@@ -152,6 +155,12 @@
         self.headers.iter().find(|(header, _)| header == name).map(|(_, value)| value.as_str())
     }
 
+    /// Returns whether the path ends with [`Runner::HARMFUL_PATH`].
+    pub fn is_harmful(&self) -> bool {
+        let path = self.line.split(' ').nth(1).unwrap_or_default();
+        path.ends_with(Runner::HARMFUL_PATH)
+    }
+
     /// Returns the identities of the prompt's segments but the last one.
     pub fn shared_segments(&self) -> Vec<u64> {
         let segments = self.header("x-sapphirespur-prompt-prefix-hash").unwrap_or_default();
@@ -202,6 +211,9 @@
     /// Number of events in a complete stream.
     pub const EVENTS_PER_STREAM: u64 = 10;
 
+    /// End of the path of requests under which a runner crashes with [`Behaviour::CrashOnPath`].
+    pub const HARMFUL_PATH: &str = "/harmful";
+
     /// Starts a runner of `service` on a free port of the loopback interface.
     ///
     /// # Errors
@@ -400,6 +412,11 @@
             Ok(true)
         }
         Behaviour::DropResponse => Ok(false),
+        Behaviour::CrashOnPath if request.is_harmful() => {
+            tokio::time::sleep(CRASH_DELAY).await;
+            state.crash();
+            Ok(false)
+        }
         Behaviour::NoResponse => {
             // The client sends nothing more on this connection, so any read result means that it
             // disconnected.
