Quarantine a request that crashes each upstream that runs it, over the whole fleet

What callers saw: one catalogue read, sent anew by its clients, ended all three upstreams of the registry again and again; approvals and reads were refused or failed for seconds.

Cause: the quarantine knew prompt segments only. A request without a prompt, or one whose segments sound requests share, was placed on the next upstream each time that it came, and once more by the router itself.

Ruled out: load (three upstreams end within 0.1 s with few requests), parts of prompts (there are none).

Two losses under the same request with no whole response in between quarantine it (three if it was ever answered whole), for retries of the router as well. It is tried after 5 and 20 s by one router, and after two more losses refused as long as it comes. The identity is computed only while such requests are known, and when an upstream is lost. Reports tell the most suspected first, so that the many innocent requests of a crash do not crowd them out. Older builds end a datagram before the new part.

--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -280,6 +280,7 @@
             service: Name::new("pool"),
             workspace: Some(Name::new(&format!("w{}", request.workspace))),
             prompt: Some(request.prompt.clone()),
+            identity: None,
             target: kind.target_latency,
             remaining: kind.timeout,
             is_client_retry: false,
--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -53,6 +53,7 @@
         ("connections", status.connections.to_string()),
         ("data centres out", status.out.join(" ")),
         ("quarantined segments", status.quarantined.join(" ")),
+        ("quarantined requests", status.quarantined_requests.join(" ")),
     ];
     let rows: Vec<Vec<String>> =
         rows.into_iter().map(|(name, value)| vec![name.to_owned(), value]).collect();
--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -38,7 +38,7 @@
     Overloaded,
     /// The workspace has used its share and the upstreams are busy.
     OverShare,
-    /// Upstreams have ended under a segment of the prompt.
+    /// Upstreams have ended under the request before, or under a segment of its prompt.
     Quarantined,
     /// The retry budget of the service is exhausted.
     RetryBudget,
--- a/sapphirespur_core/src/edge/backoff.rs
+++ b/sapphirespur_core/src/edge/backoff.rs
@@ -15,7 +15,7 @@
     const RETRY_AFTER_RANGE: (Duration, Duration) =
         (Duration::from_millis(200), Duration::from_secs(4));
 
-    /// Shortest retry-after time of a request that is refused for its prompt.
+    /// Shortest retry-after time of a request under which upstreams have ended.
     const MIN_QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(5);
 
     /// Golden ratio. The fractional parts of its multiples are evenly spread, so that declined
@@ -31,7 +31,7 @@
         Decline { retry_after, ..decline }
     }
 
-    /// Declines a call because of its prompt; the client should not retry before `retry_after`.
+    /// Declines a call because upstreams have ended under it or its like; the client should not retry before `retry_after`.
     pub fn decline_quarantined(&mut self, call: &CallInfo, retry_after: Duration) -> Decline {
         let decline = self.decline(call, DeclineReason::Quarantined, None);
         let retry_after = retry_after.max(Self::MIN_QUARANTINE_RETRY_AFTER);
--- a/sapphirespur_core/src/edge/call_info.rs
+++ b/sapphirespur_core/src/edge/call_info.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::Prompt;
+use crate::edge::{Prompt, QuarantineKey, RequestIdentity};
 use crate::name::Name;
 
 /// Call of a client, as opposed to the requests that are sent to upstreams for it.
@@ -16,6 +16,8 @@
     pub workspace: Option<Name>,
     /// Prompt; none for plain calls.
     pub prompt: Option<Prompt>,
+    /// Identity of the call; none while it is not needed.
+    pub identity: Option<RequestIdentity>,
     /// Target latency of the first event, or of the response of a plain call; a later one has less
     /// value.
     pub target: Duration,
@@ -24,3 +26,12 @@
     /// Whether the client retries a request that was declined before.
     pub is_client_retry: bool,
 }
+
+impl CallInfo {
+    /// Returns what of the call may be quarantined.
+    pub(super) fn quarantine_keys(&self) -> impl Iterator<Item = QuarantineKey> {
+        let segments = self.prompt.iter().flat_map(|prompt| prompt.shared_ids.iter());
+        let request = self.identity.map(QuarantineKey::Request);
+        request.into_iter().chain(segments.map(|id| QuarantineKey::Segment(*id)))
+    }
+}
--- a/sapphirespur_core/src/edge/exchange/fleet_news.rs
+++ b/sapphirespur_core/src/edge/exchange/fleet_news.rs
@@ -4,15 +4,19 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{LimitReport, SegmentReport};
+use crate::edge::{LimitReport, SuspectReport};
 
-/// What a router knows of prompt segments and of upstreams that every router has to know.
+/// What a router knows of requests, prompt segments and upstreams that every router has to know.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FleetNews {
     /// Prompt segments under which upstreams were lost.
-    pub segments: Vec<SegmentReport>,
+    pub segments: Vec<SuspectReport>,
     /// Limits that upstreams have named.
     pub limits: Vec<LimitReport>,
+    /// Requests under which upstreams were lost; encoded after the rest, as builds before don't know
+    /// them.
+    #[serde(skip)]
+    pub requests: Vec<SuspectReport>,
 }
 
 impl FleetNews {
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::edge::LossEvidence;
+use crate::edge::{LossEvidence, QuarantineKey, RequestIdentity};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -20,6 +20,8 @@
     pub service: Name,
     /// Identities of the prompt's segments that other requests may share.
     pub segments: Arc<[u64]>,
+    /// Identity of the request; none while it is not needed.
+    pub identity: Option<RequestIdentity>,
     /// Prompt tokens that the upstream has to prefill.
     pub prefill_tokens: u64,
     /// Prompt tokens in the upstream's prefill queue at placement, including this request.
@@ -46,6 +48,12 @@
         self.events <= Self::FIRST_EVENTS
     }
 
+    /// Returns what of the request may be quarantined.
+    pub(super) fn quarantine_keys(&self) -> impl Iterator<Item = QuarantineKey> {
+        let segments = self.segments.iter().map(|id| QuarantineKey::Segment(*id));
+        self.identity.map(QuarantineKey::Request).into_iter().chain(segments)
+    }
+
     /// Returns how strongly the loss of the upstream speaks against this request.
     pub(super) fn loss_evidence(&self) -> LossEvidence {
         if self.first_event_at.is_some() && self.events == 0 {
--- a/sapphirespur_core/src/edge/quarantine_change.rs
+++ b/sapphirespur_core/src/edge/quarantine_change.rs
@@ -1,10 +1,12 @@
 //! Change of the quarantine, for logs.
 
-/// Prompt segment that was quarantined or released.
+use crate::edge::QuarantineKey;
+
+/// Request or prompt segment that was quarantined or released.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantineChange {
-    /// Identity of the segment.
-    pub segment: u64,
+    /// What it concerns.
+    pub key: QuarantineKey,
     /// Whether it is quarantined now.
     pub is_quarantined: bool,
 }
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -126,12 +126,12 @@
         self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY_STEP), self.exchange.peers());
     }
 
-    /// Returns the prompt segments under which upstreams were lost.
+    /// Returns the requests and prompt segments under which upstreams were lost.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
     }
 
-    /// Returns these prompt segments for modification.
+    /// Returns these for modification.
     pub fn quarantine_mut(&mut self) -> &mut Quarantine {
         &mut self.quarantine
     }
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -9,8 +9,8 @@
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
-    Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, Router,
-    Shares, Upstream, Upstreams, UsageKey,
+    Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, QuarantineKey,
+    Router, Shares, Upstream, Upstreams, UsageKey,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -75,15 +75,18 @@
             && budget.try_spend(now, limits, routers)
     }
 
-    /// Returns the prompt segment that the call would try, if one of its segments is quarantined;
-    /// declines the call when it must not be sent.
-    fn check_quarantine(&mut self, now: Time, call: &CallInfo) -> Result<Option<u64>, Decline> {
-        let Some(prompt) = &call.prompt else { return Ok(None) };
+    /// Returns what the call would try, if something of it is quarantined; declines the call when it
+    /// must not be sent.
+    fn check_quarantine(
+        &mut self,
+        now: Time,
+        call: &CallInfo,
+    ) -> Result<Option<QuarantineKey>, Decline> {
         let (members, own) = (self.exchange.peers().members(), self.name_hash());
-        let rank = |segment: u64| members.rank(now, own, segment as u32);
-        match self.quarantine.check(now, &prompt.shared_ids, rank) {
+        let rank = |id: u64| members.rank(now, own, id as u32);
+        match self.quarantine.check(now, call.quarantine_keys(), rank) {
             QuarantineVerdict::Admitted => Ok(None),
-            QuarantineVerdict::Trial(segment) => Ok(Some(segment)),
+            QuarantineVerdict::Trial(key) => Ok(Some(key)),
             QuarantineVerdict::Refused(retry_after) => {
                 Err(self.backoff.decline_quarantined(call, retry_after))
             }
@@ -126,7 +129,7 @@
     }
 
     /// Places the request on the upstream with the lowest score among those without a reason to
-    /// decline it. A request that tries the quarantined segment `trial` goes to the one with the
+    /// decline it. A request that tries `trial`, which is quarantined, goes to the one with the
     /// fewest requests, which it may cut.
     fn choose_upstream(
         &mut self,
@@ -134,7 +137,7 @@
         call: &CallInfo,
         tried: &[Name],
         share_usage: f64,
-        trial: Option<u64>,
+        trial: Option<QuarantineKey>,
     ) -> Admission {
         let spec = self.registry.service_spec(&call.service).copied();
         let share = FleetShare {
@@ -230,8 +233,8 @@
             return Err(Decline { share_usage, pressure, over_share_factor, ..decline });
         };
         let (id, estimate) = (chosen.upstream.entry.id.clone(), chosen.estimate);
-        if let Some(segment) = trial {
-            self.quarantine.on_tried(now, segment);
+        if let Some(key) = trial {
+            self.quarantine.on_tried(now, key);
         }
         self.commit(now, call, id, estimate)
     }
@@ -276,6 +279,7 @@
                     .as_ref()
                     .map(|prompt| prompt.shared_ids.clone())
                     .unwrap_or_default(),
+                identity: call.identity,
                 prefill_tokens,
                 queued_tokens,
                 placed_at: now,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -36,10 +36,9 @@
     /// Returns the messages to the other routers that are due.
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
-        let news = FleetNews {
-            segments: self.quarantine.reports(now),
-            limits: self.registry.upstreams_mut().limit_reports(now),
-        };
+        let limits = self.registry.upstreams_mut().limit_reports(now);
+        let mut news = FleetNews { limits, ..FleetNews::default() };
+        self.quarantine.write_news(now, &mut news);
         self.exchange.tick(now, report, news)
     }
 
@@ -50,7 +49,7 @@
         from: SocketAddr,
         message: PeerMessage,
     ) -> Option<OutgoingMessage> {
-        self.quarantine.merge(now, &message.news.segments);
+        self.quarantine.merge(now, &message.news);
         self.registry.upstreams_mut().merge_limits(now, &message.news.limits);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -70,7 +70,7 @@
             self.output_lengths.record(&request.route, tokens);
         }
         if outcome == SendOutcome::Answered && request.proves_survival() {
-            self.quarantine.on_answered(now, &request.segments);
+            self.quarantine.on_answered(now, request.quarantine_keys());
         }
         let Some(upstream) = self.find_upstream(request) else { return };
         upstream.on_end(now, request, outcome);
--- a/sapphirespur_core/src/edge/segment_record.rs
+++ b/sapphirespur_core/src/edge/suspect_record.rs
@@ -1,37 +1,34 @@
-//! Losses of upstreams under one prompt segment.
+//! Losses of upstreams under one request or prompt segment.
 
 use std::time::Duration;
 
-use crate::edge::{FleetNews, LossEvidence, SegmentReport};
+use crate::edge::{FleetNews, LossEvidence, QuarantineKey, SuspectReport};
 use crate::time::Time;
 
-/// Upstreams that were lost as they began to respond to requests with one prompt segment, since the
-/// last whole response to such a request.
-#[derive(Clone, Debug, Default)]
-pub(super) struct SegmentRecord {
+/// Upstreams that were lost as they began to respond to one request, or to requests with one prompt
+/// segment, since the last whole response to such a request.
+#[derive(Clone, Debug)]
+pub(super) struct SuspectRecord {
+    /// What is suspected.
+    key: QuarantineKey,
     /// Sum of the weights of the losses that count: each under a request that was sent after the loss before it.
     pub suspicion: u32,
     /// When the last loss that counts happened.
     pub lost_at: Time,
-    /// When a request with the segment was last answered whole; none since the record was created.
+    /// When such a request was last answered whole; none since the record was created.
     pub answered_at: Option<Time>,
-    /// Whether a request with the segment has ever been answered whole.
+    /// Whether such a request has ever been answered whole.
     pub is_proven: bool,
-    /// When a request with the segment was last tried although it is quarantined.
+    /// When such a request was last tried although it is quarantined.
     pub tried_at: Option<Time>,
+    /// When such a request was last refused here.
+    pub refused_at: Time,
     /// When the record last changed here.
     pub changed_at: Time,
 }
 
-impl SegmentRecord {
-    /// Suspicion at which a segment is quarantined that no response has ever been whole with.
-    const LIMIT: u32 = 2 * LossEvidence::MidStart.weight();
-
-    /// Suspicion at which a segment is quarantined that was fine before: it is more likely that
-    /// another segment of the same requests is the cause, which is quarantined first.
-    const PROVEN_LIMIT: u32 = 2 * Self::LIMIT;
-
-    /// Time from a loss to the first trial of a quarantined segment.
+impl SuspectRecord {
+    /// Time from a loss to the first trial of what is quarantined.
     const TRIAL_DELAY: Duration = Duration::from_secs(5);
 
     /// Factor by which the delay grows with each trial that costs another upstream.
@@ -40,9 +37,33 @@
     /// Longest delay between trials.
     const MAX_TRIAL_DELAY: Duration = Duration::from_secs(600);
 
+    /// Time after the last loss after which a key is forgotten.
+    const LOSS_TTL: Duration = Duration::from_secs(900);
+
+    /// Time for which a key that is cleared is remembered, so that all other routers hear of it.
+    const CLEARED_TTL: Duration = Duration::from_secs(10);
+
     /// Time after which a trial that no router has made is open to one more router.
     const TRIAL_HANDOVER: Duration = Duration::from_secs(1);
 
+    /// Trials of a request that cost an upstream each, after which it is not tried any more: a request
+    /// that comes again by itself would take one upstream after the other for ever.
+    const MAX_REQUEST_TRIALS: u32 = 2;
+
+    /// Creates the record of a key under which no upstream was lost yet.
+    pub fn new(key: QuarantineKey, is_proven: bool) -> Self {
+        Self {
+            key,
+            suspicion: 0,
+            lost_at: Time::default(),
+            refused_at: Time::default(),
+            answered_at: None,
+            is_proven,
+            tried_at: None,
+            changed_at: Time::default(),
+        }
+    }
+
     /// Records the loss of an upstream under a request that was sent at `sent_at`.
     ///
     /// Upstreams that are lost at the same time may have a common cause, so a loss counts only if
@@ -52,7 +73,7 @@
             return;
         }
 
-        self.suspicion = self.suspicion.saturating_add(evidence.weight());
+        self.suspicion = self.suspicion.saturating_add(self.key.weight(evidence));
         self.lost_at = now;
         self.changed_at = now;
     }
@@ -73,31 +94,43 @@
         self.changed_at = now;
     }
 
-    /// Returns whether requests with the segment are refused, but for trials.
+    /// Returns whether such requests are refused, but for trials.
     pub fn is_quarantined(&self) -> bool {
         self.suspicion >= self.limit()
     }
 
-    /// Returns when the next trial is due.
+    /// Returns the losses since the key was quarantined.
+    fn failed_trials(&self) -> u32 {
+        self.suspicion.saturating_sub(self.limit()) / LossEvidence::MidStart.weight()
+    }
+
+    /// Returns whether the key stays quarantined until it is forgotten.
+    fn is_final(&self) -> bool {
+        self.key.is_request() && self.failed_trials() >= Self::MAX_REQUEST_TRIALS
+    }
+
+    /// Returns when the next trial is due, or when the key is forgotten if there is none.
     pub fn trial_due_at(&self) -> Time {
-        let excess = self.suspicion.saturating_sub(self.limit());
-        let trials = excess / LossEvidence::MidStart.weight();
+        if self.is_final() {
+            return self.refused_at.max(self.lost_at) + Self::LOSS_TTL;
+        }
+        let trials = self.failed_trials();
         let factor = Self::TRIAL_DELAY_FACTOR.saturating_pow(trials);
         let delay = Self::TRIAL_DELAY.saturating_mul(factor).min(Self::MAX_TRIAL_DELAY);
         let last = self.tried_at.map_or(self.lost_at, |tried_at| tried_at.max(self.lost_at));
         last + delay
     }
 
-    /// Returns whether the router with this rank for the segment may try a request now. The first
+    /// Returns whether the router with this rank for the key may try a request now. The first
     /// one may when the trial is due; the others follow, as it may get no such request.
     pub fn may_try(&self, now: Time, rank: usize) -> bool {
         let due_at = self.trial_due_at();
         let handovers = u32::try_from(rank).unwrap_or(u32::MAX);
-        now >= due_at + Self::TRIAL_HANDOVER.saturating_mul(handovers)
+        !self.is_final() && now >= due_at + Self::TRIAL_HANDOVER.saturating_mul(handovers)
     }
 
     /// Takes over what another router reports.
-    pub fn merge(&mut self, now: Time, report: &SegmentReport) {
+    pub fn merge(&mut self, now: Time, report: &SuspectReport) {
         let before = (self.suspicion, self.is_proven, self.tried_at, self.answered_at);
         let at = |age_ms: u32| now - Duration::from_millis(u64::from(age_ms));
 
@@ -125,11 +158,11 @@
     }
 
     /// Returns the report of the record.
-    pub fn report(&self, now: Time, segment: u64) -> SegmentReport {
+    pub fn report(&self, now: Time) -> SuspectReport {
         let age_ms = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
 
-        SegmentReport {
-            segment,
+        SuspectReport {
+            id: self.key.id(),
             suspicion: self.suspicion,
             is_proven: self.is_proven,
             lost_age_ms: age_ms(self.lost_at),
@@ -138,8 +171,19 @@
         }
     }
 
+    /// Returns whether the record is of no use any more. What is refused for good is remembered as long
+    /// as it comes.
+    pub fn has_expired(&self, now: Time) -> bool {
+        if self.suspicion == 0 {
+            return now.since(self.changed_at) >= Self::CLEARED_TTL;
+        }
+        let used_at =
+            if self.is_final() { self.lost_at.max(self.refused_at) } else { self.lost_at };
+        now.since(used_at) >= Self::LOSS_TTL
+    }
+
     fn limit(&self) -> u32 {
-        if self.is_proven { Self::PROVEN_LIMIT } else { Self::LIMIT }
+        self.key.limit(self.is_proven)
     }
 }
 
--- a/sapphirespur_core/src/edge/segment_report.rs
+++ b/sapphirespur_core/src/edge/suspect_report.rs
@@ -1,15 +1,15 @@
-//! What routers tell each other of prompt segments under which upstreams were lost.
+//! What routers tell each other of requests and prompt segments under which upstreams were lost.
 
 use serde::{Deserialize, Serialize};
 
-/// State of one prompt segment at a router. Times are ages, because routers share no clock.
+/// State of one request or prompt segment at a router. Times are ages, because routers share no clock.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SegmentReport {
-    /// Identity of the segment.
-    pub segment: u64,
-    /// Suspicion from upstreams lost under the segment since its last whole response.
+pub struct SuspectReport {
+    /// Identity of the request or segment.
+    pub id: u64,
+    /// Suspicion from upstreams lost under it since its last whole response.
     pub suspicion: u32,
-    /// Whether a request with the segment has ever been answered whole.
+    /// Whether such a request has ever been answered whole.
     pub is_proven: bool,
     /// Time since the last of these losses, in milliseconds.
     pub lost_age_ms: u32,
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -5,7 +5,9 @@
 
 mod admission;
 mod cold_return;
+mod crash_scene;
 mod crashing_prompt;
+mod crashing_request;
 mod exchange;
 mod fleet;
 mod fleet_sums;
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -43,7 +43,8 @@
         let now = cx.now();
         let mut router = cx.router.borrow_mut();
         if !self.tried.is_empty() {
-            return router.admit_retry(now, &call.info, &self.tried, self.reached_upstream);
+            let info = call.admission_info(router.quarantine().watches_requests());
+            return router.admit_retry(now, &info, &self.tried, self.reached_upstream);
         }
 
         let admission = router.admit(now, &call.info);
@@ -66,7 +67,9 @@
         }
 
         let tried = [self.tried.as_slice(), &[Name::new(current)]].concat();
-        cx.router.borrow_mut().admit_retry(cx.now(), &call.info, &tried, true).ok()
+        let mut router = cx.router.borrow_mut();
+        let info = call.admission_info(router.quarantine().watches_requests());
+        router.admit_retry(cx.now(), &info, &tried, true).ok()
     }
 
     /// Records the failed send of a reservation.
@@ -89,11 +92,15 @@
             self.possible_runs += 1;
         }
         if cx.may_log_failure() {
+            // Only under such a request an upstream may have crashed.
+            let is_suspect = outcome == SendOutcome::Disconnected;
+            let identity = if is_suspect { call.identity.get().to_string() } else { String::new() };
             log::warn!(
                 request = call.head.attempt_id.as_str(),
                 route = call.route.name.as_str(),
                 workspace = call.info.workspace.as_ref().map_or("", Name::as_str),
                 segments = segment_ids(call).as_str(),
+                identity = identity.as_str(),
                 upstream = reservation.upstream(),
                 events = reservation.events(),
                 outcome = outcome.as_str(),
@@ -145,7 +152,7 @@
             }
         };
 
-        let mut reservation = UpstreamReservation::new(cx, &placement);
+        let mut reservation = UpstreamReservation::new(cx, &call, &placement);
         let head_timeout = head_timeout(cx, &call, &sends);
         let sent = send(cx, &call, &placement, &mut reservation, None, head_timeout).await;
         let (outcome, may_have_run) = match sent {
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -10,6 +10,8 @@
 
 use super::connect::connect;
 use super::dialect::ResponseHead;
+use super::lazy_identity::LazyIdentity;
+use super::send::Call;
 use super::shared::Shared;
 
 /// Shortest time without an event after which an unresponsive upstream is abandoned, where the
@@ -31,16 +33,18 @@
 pub(super) struct UpstreamReservation {
     cx: Rc<Shared>,
     request: InFlightRequest,
+    identity: Rc<LazyIdentity>,
     address: SocketAddr,
     is_finished: bool,
 }
 
 impl UpstreamReservation {
     /// Wraps the reservation that admission made.
-    pub fn new(cx: &Rc<Shared>, placement: &Placement) -> Self {
+    pub fn new(cx: &Rc<Shared>, call: &Call, placement: &Placement) -> Self {
         Self {
             cx: Rc::clone(cx),
             request: placement.request.clone(),
+            identity: Rc::clone(&call.identity),
             address: placement.address,
             is_finished: false,
         }
@@ -123,9 +127,10 @@
 
         let now = self.cx.now();
         self.cx.router.borrow_mut().finish(now, &self.request, outcome);
-        let is_suspect = self.request.has_just_begun() && !self.request.segments.is_empty();
-        if outcome == SendOutcome::Disconnected && is_suspect {
-            let (cx, request) = (Rc::clone(&self.cx), self.request.clone());
+        if outcome == SendOutcome::Disconnected && self.request.has_just_begun() {
+            let identity = Some(self.identity.get());
+            let (cx, request) =
+                (Rc::clone(&self.cx), InFlightRequest { identity, ..self.request.clone() });
             actix_rt::spawn(check_loss(cx, request, self.address, now));
         }
     }
@@ -142,7 +147,7 @@
 async fn check_loss(cx: Rc<Shared>, request: InFlightRequest, address: SocketAddr, lost_at: Time) {
     if let Err(e) = connect(address, LOSS_CHECK_TIMEOUT).await {
         if cx.may_log_failure() {
-            log::warn!(upstream = request.upstream.as_str(), error = e.to_string().as_str(); "upstream lost as it began to respond");
+            log::warn!(upstream = request.upstream.as_str(), identity = request.identity.map(|identity| identity.to_string()).unwrap_or_default().as_str(), error = e.to_string().as_str(); "upstream lost as it began to respond");
         }
         cx.router.borrow_mut().on_upstream_lost(lost_at, &request);
     }
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -15,6 +15,7 @@
 use super::dialect::RequestHead;
 use super::guards::RequestGuard;
 use super::hop_headers;
+use super::lazy_identity::LazyIdentity;
 use super::response::{ClientResponse, ErrorResponse};
 use super::send::Call;
 use super::shared::{Phase, Shared};
@@ -105,11 +106,12 @@
     let client_timeout = head.remaining.unwrap_or(route.timeout);
     let remaining = client_timeout.min(route.timeout);
     let retry_margin = route.timeout.mul_f64(RETRY_MARGIN_FRACTION);
-    let info = CallInfo {
+    let mut info = CallInfo {
         route: route.name.clone(),
         service: service.clone(),
         workspace: workspace.cloned(),
         prompt: head.prompt.clone(),
+        identity: None,
         target: route.target,
         remaining,
         is_client_retry: client_timeout + retry_margin < route.timeout,
@@ -117,7 +119,11 @@
     let body = read_body(body, table.limits.max_body_bytes, request_guard);
     let body = timeout(remaining, body).await.map_err(|_| ErrorResponse::BodyTimedOut)??;
     let deadline = arrived_at + remaining;
-    Ok(Call { parts, head, body, route: route.clone(), info, arrived_at, deadline })
+    let identity = Rc::new(LazyIdentity::new(&parts, &info, &body));
+    if cx.router.borrow().quarantine().watches_requests() {
+        info.identity = Some(identity.get());
+    }
+    Ok(Call { parts, head, body, route: route.clone(), info, identity, arrived_at, deadline })
 }
 
 /// Returns the error response for a request without a route.
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -76,6 +76,7 @@
     retries_left: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
+    quarantined_requests: Gauge,
     limited_upstreams: Gauge,
 }
 
@@ -104,6 +105,7 @@
             retries_left: Family::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
             registry: Registry::default(),
         };
@@ -132,6 +134,11 @@
             "Prompt parts refused",
             metrics.quarantined_segments.clone(),
         );
+        r.register(
+            "quarantined_requests",
+            "Requests refused that crashed upstreams",
+            metrics.quarantined_requests.clone(),
+        );
         r.register(
             "limited_upstreams",
             "Upstreams that name a limit",
@@ -239,7 +246,10 @@
         self.cached_segments.set(cached.sum::<usize>() as i64);
         let limited = router.registry().upstreams().iter().filter(|u| u.limit.is_some()).count();
         self.limited_upstreams.set(limited as i64);
-        self.quarantined_segments.set(router.quarantine().quarantined().len() as i64);
+        let quarantined = router.quarantine().quarantined();
+        let requests = quarantined.iter().filter(|key| key.is_request()).count();
+        self.quarantined_requests.set(requests as i64);
+        self.quarantined_segments.set((quarantined.len() - requests) as i64);
         for (service, left) in router.retries_left(now) {
             let service = service.to_string();
             self.retries_left.get_or_create(&ServiceLabel { service }).set(left as i64);
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -10,6 +10,7 @@
 mod guards;
 mod handle;
 pub mod hop_headers;
+mod lazy_identity;
 mod lifecycle;
 pub mod log_budget;
 mod metrics;
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -145,7 +145,8 @@
 /// Returns an error when the message cannot be encoded.
 pub fn encode_datagram(message: &PeerMessage) -> Result<Vec<u8>, DatagramError> {
     let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
-    Ok(postcard::to_extend(&message.extension(), bytes)?)
+    let bytes = postcard::to_extend(&message.extension(), bytes)?;
+    Ok(postcard::to_extend(&message.news.requests, bytes)?)
 }
 
 /// Decodes a datagram of another router.
@@ -156,9 +157,13 @@
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
     let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
     let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
-    // Builds that know nothing of the extension end the datagram here.
+    // Builds that know nothing of the extension, or of requests in the news, end the datagram before.
     if !rest.is_empty() {
-        message.apply_extension(postcard::from_bytes(rest)?);
+        let (extension, rest) = postcard::take_from_bytes(rest)?;
+        message.apply_extension(extension);
+        if !rest.is_empty() {
+            message.news.requests = postcard::from_bytes(rest)?;
+        }
     }
 
     Ok(message)
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -1,5 +1,6 @@
 //! A single send of a call to one upstream.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use super::dialect::{RequestHead, ResponseHead, UpstreamRequestHead};
 use super::guards::{BufferGuard, UpstreamReservation};
 use super::hop_headers;
+use super::lazy_identity::LazyIdentity;
 use super::pool::PoolKey;
 use super::shared::Shared;
 
@@ -43,6 +45,8 @@
     pub route: Route,
     /// Input of the admission decision.
     pub info: CallInfo,
+    /// Identity of the request.
+    pub identity: Rc<LazyIdentity>,
     /// Time at which the head was received.
     pub arrived_at: Time,
     /// Time by which the response must end.
@@ -95,6 +99,14 @@
         self.deadline.since(now)
     }
 
+    /// Returns the input of the admission decision, with the identity of the request if it is needed.
+    pub fn admission_info(&self, is_identity_needed: bool) -> Cow<'_, CallInfo> {
+        if !is_identity_needed || self.info.identity.is_some() {
+            return Cow::Borrowed(&self.info);
+        }
+        Cow::Owned(CallInfo { identity: Some(self.identity.get()), ..self.info.clone() })
+    }
+
     /// Builds the request to the upstream of `placement`.
     fn request(
         &self,
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::Upstream;
+use sapphirespur_core::edge::{QuarantineKey, Upstream};
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
@@ -42,6 +42,9 @@
     /// Prompt segments that are refused because upstreams ended under them, in hexadecimal.
     #[serde(default)]
     pub quarantined: Vec<String>,
+    /// Identities of requests that are refused because upstreams ended under them, in hexadecimal.
+    #[serde(default)]
+    pub quarantined_requests: Vec<String>,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -92,8 +95,9 @@
         registry.upstreams().data_centres_out().iter().map(ToString::to_string).collect();
     out.sort();
 
-    let quarantined = router.quarantine().quarantined();
-    let quarantined = quarantined.iter().map(|segment| format!("{segment:x}")).collect();
+    let (requests, segments): (Vec<_>, Vec<_>) =
+        router.quarantine().quarantined().into_iter().partition(QuarantineKey::is_request);
+    let to_text = |keys: Vec<QuarantineKey>| keys.iter().map(ToString::to_string).collect();
     let relay = router.exchange().sums_source(now);
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
@@ -108,7 +112,8 @@
         in_flight: cx.in_flight.get(),
         connections: cx.connections.get(),
         out,
-        quarantined,
+        quarantined: to_text(segments),
+        quarantined_requests: to_text(requests),
         upstreams,
     }
 }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -108,7 +108,7 @@
                     return Err(error.into_response(&*cx.dialect, &id));
                 }
             };
-            let mut reservation = UpstreamReservation::new(&cx, &placement);
+            let mut reservation = UpstreamReservation::new(&cx, &self.call, &placement);
             let head_timeout = self.head_timeout(placement.expected_delay);
             let sent =
                 send(&cx, &self.call, &placement, &mut reservation, self.last_id, head_timeout)
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
-use sapphirespur_core::edge::{OverloadGuard, QuarantineChange};
+use sapphirespur_core::edge::{OverloadGuard, QuarantineChange, QuarantineKey};
 use sapphirespur_core::time::Time;
 
 use super::shared::Shared;
@@ -78,15 +78,24 @@
     );
 }
 
-/// Logs which prompt segments were quarantined or released.
+/// Logs which requests and prompt segments were quarantined or released.
 fn log_quarantine(cx: &Shared) {
     let changes = cx.router.borrow_mut().quarantine_mut().take_changes();
-    for QuarantineChange { segment, is_quarantined } in changes {
-        let segment = format!("{segment:x}");
-        if is_quarantined {
-            log::warn!(segment = segment.as_str(); "prompt segment quarantined");
-        } else {
-            log::info!(segment = segment.as_str(); "prompt segment released");
+    for QuarantineChange { key, is_quarantined } in changes {
+        let id = key.to_string();
+        match (key, is_quarantined) {
+            (QuarantineKey::Request(_), true) => {
+                log::warn!(identity = id.as_str(); "request quarantined")
+            }
+            (QuarantineKey::Request(_), false) => {
+                log::info!(identity = id.as_str(); "request released")
+            }
+            (QuarantineKey::Segment(_), true) => {
+                log::warn!(segment = id.as_str(); "prompt segment quarantined")
+            }
+            (QuarantineKey::Segment(_), false) => {
+                log::info!(segment = id.as_str(); "prompt segment released")
+            }
         }
     }
 }
