What other routers are asked for follows where a flood goes

Cause: the estimate of what other routers may have admitted since their reports took what was asked for there from the decaying sum, which stays high for seconds after the flood has left.

The test flood_that_has_moved_to_another_router_gets_its_share_there fails before (router 5: 0 and 73,000 tokens in single seconds of a share of 250,000).

Change: the demand of the other routers is what their sum gained between two samples, a report lag apart.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod load;
 mod loss_evidence;
 mod named_limit;
+mod others_demand;
 mod output_lengths;
 mod overload;
 mod pause_detector;
--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -4,6 +4,7 @@
 
 use crate::collections::HashMap;
 use crate::edge::WorkspaceUsage;
+use crate::edge::others_demand::OthersDemand;
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
@@ -40,6 +41,8 @@
     by_workspace: HashMap<u32, Usage>,
     /// Usage by workspace and route, at this router only.
     by_route: HashMap<(u32, u32), Usage>,
+    /// Demand at the other routers, of workspaces with requests here.
+    others_demand: HashMap<u32, OthersDemand>,
 }
 
 impl Shares {
@@ -64,6 +67,7 @@
             seed,
             by_workspace: HashMap::default(),
             by_route: HashMap::default(),
+            others_demand: HashMap::default(),
         }
     }
 
@@ -93,6 +97,7 @@
         };
         self.by_workspace.retain(|_, usage| is_used(usage));
         self.by_route.retain(|_, usage| is_used(usage));
+        self.others_demand.retain(|_, demand| now.since(demand.sampled_at) < window);
 
         let to_report = |(workspace, usage): (&u32, &Usage)| WorkspaceUsage {
             workspace: *workspace,
@@ -159,7 +164,7 @@
     /// has decayed. With it, the part of the routers that admits it is what is left of its share, as a
     /// ratio to what they would admit together.
     fn admitted_by_others(
-        &self,
+        &mut self,
         now: Time,
         workspace: u32,
         totals: (u64, u64),
@@ -171,14 +176,19 @@
         let lag_s = lag.as_secs_f64();
         let left = admitted * (-lag_s / self.admission_window.as_secs_f64()).exp();
 
+        let window = self.window;
+        let demand = self.others_demand.entry(workspace);
+        let demand = demand.or_insert_with(|| OthersDemand::new(now, asked, window));
+        demand.sample(now, asked, window, lag);
+        let others_per_s = demand.per_s;
+
         // Where a router is asked for more than what is left, one of them takes it all.
+        let own_per_s = own.requested_tokens / window.as_secs_f64();
         let draw = self.draw(now, workspace, lag);
-        let own_fraction = own.requested_tokens / (totals.0 as f64).max(1.0);
-        if draw < own_fraction {
+        if draw * (own_per_s + others_per_s) < own_per_s {
             return left as u64;
         }
-        let asked_since = asked * lag_s / self.window.as_secs_f64();
-        (left + asked_since * draw) as u64
+        (left + others_per_s * lag_s * draw) as u64
     }
 
     /// Returns a number from zero to one that is drawn anew after each `lag`.
--- a/sapphirespur_core/tests/edge/late_reports.rs
+++ b/sapphirespur_core/tests/edge/late_reports.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashMap;
-use sapphirespur_core::edge::{InFlightRequest, SendOutcome};
+use sapphirespur_core::edge::{InFlightRequest, SendOutcome, Shares, UsageKey, WorkspaceUsage};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
 use crate::fleet::{Fleet, SETTLED, STEP};
-use crate::support::call;
+use crate::support::{START, call, ms};
 
 /// Upstreams of the service; its capacity is 100,000 tokens a second.
 const UPSTREAMS: u16 = 9;
@@ -95,6 +95,43 @@
     }
 }
 
+/// Returns the tokens that a router admits of a flood in each second, after the flood has moved to it
+/// from another router, whose reports show what was asked for there before.
+fn admitted_after_a_move(seed: u64, seconds: u64) -> Vec<u64> {
+    const WINDOW_MS: u64 = 4_000;
+    const ASKED_BEFORE: f64 = 10_000_000.0;
+
+    let mut shares = Shares::new(ms(WINDOW_MS), seed);
+    let key = UsageKey { workspace: 1, route: 1 };
+    let mut admitted = vec![0; seconds as usize];
+    for step in 0..seconds * 10 {
+        let now = START + ms(100 * step);
+        let decay = (-((100 * step) as f64) / WINDOW_MS as f64).exp();
+        let others = [
+            WorkspaceUsage { workspace: 1, asked: (ASKED_BEFORE * decay) as u64, admitted: 0 },
+            WorkspaceUsage { workspace: 2, asked: 9_000_000, admitted: 500_000 },
+        ];
+        for _ in 0..200 {
+            let usage = shares.share_usage(now, key, 1_000, 500_000, others.into_iter(), ms(750));
+            shares.charge(now, key, 1_000, usage <= 1.0);
+            admitted[step as usize / 10] += if usage <= 1.0 { 1_000 } else { 0 };
+        }
+    }
+    admitted
+}
+
+// Guards against a flood that is held far below its share after it has moved to another router, for what it
+// asked for at the one before.
+#[test]
+fn flood_that_has_moved_to_another_router_gets_its_share_there() {
+    for seed in 0..20 {
+        let admitted = admitted_after_a_move(seed, 6);
+        let after_a_second: u64 = admitted[1..].iter().sum();
+        // Half of the capacity, for five seconds.
+        assert!(after_a_second >= 5 * 250_000 * 3 / 4, "router {seed}: {admitted:?}");
+    }
+}
+
 macro_rules! equal_floods_get_similar_service {
     ($($name:ident: $routers:expr, $data_centres:expr;)*) => {
         $(
