--- a/sapphirespur_core/tests/edge/crash_scene.rs
+++ b/sapphirespur_core/tests/edge/crash_scene.rs
@@ -182,8 +182,9 @@
             let router = &mut self.fleet.nodes[sent.node].router;
             router.finish(now, &sent.request, SendOutcome::Disconnected);
             let retried = sent.harmful.as_ref().filter(|_| self.has_retries && !sent.is_retry);
-            let retry = retried
-                .and_then(|call| router.admit_retry(now, call, &[upstream.clone()], true).ok());
+            let retry = retried.and_then(|call| {
+                router.admit_retry(now, call, std::slice::from_ref(upstream), true).ok()
+            });
             // The router knows only a moment later that the upstream is lost.
             if sent.request.has_just_begun() {
                 router.on_upstream_lost(now, &sent.request);
