--- a/sapphirespur_core/tests/edge/hot_tenant_at_one_router.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant_at_one_router.rs
@@ -30,7 +30,7 @@
 const CONNECTIONS: usize = 50;
 const REQUESTS_PER_S: usize = 500;
 
-/// Window in which the users compare what tenants get.
+/// Window in which the users compare what workspaces get.
 const FAIRNESS_WINDOW: Duration = Duration::from_secs(6);
 
 /// Router with its queue of work.
