Read once more: names for the losses of segments, no copies of method and path for each request

The limits of segments in the quarantine stood as plain numbers beside named ones for requests. LazyIdentity copied the method and path of each request into strings; it now shares them, as they are needed rarely. Two comments are wrapped. Behaviour is as before.

--- a/sapphirespur_core/src/edge/backoff.rs
+++ b/sapphirespur_core/src/edge/backoff.rs
@@ -31,7 +31,8 @@
         Decline { retry_after, ..decline }
     }
 
-    /// Declines a call because upstreams have ended under it or its like; the client should not retry before `retry_after`.
+    /// Declines a call because upstreams have ended under it or its like; the client should not retry
+    /// before `retry_after`.
     pub fn decline_quarantined(&mut self, call: &CallInfo, retry_after: Duration) -> Decline {
         let decline = self.decline(call, DeclineReason::Quarantined, None);
         let retry_after = retry_after.max(Self::MIN_QUARANTINE_RETRY_AFTER);
--- a/sapphirespur_core/src/edge/quarantine_key.rs
+++ b/sapphirespur_core/src/edge/quarantine_key.rs
@@ -18,6 +18,10 @@
     const REQUEST_LOSSES: u32 = 2;
     const PROVEN_REQUEST_LOSSES: u32 = 3;
 
+    /// The same for a segment, in losses of the stronger kind.
+    const SEGMENT_LOSSES: u32 = 2;
+    const PROVEN_SEGMENT_LOSSES: u32 = 4;
+
     /// Returns whether it is a request.
     pub fn is_request(&self) -> bool {
         matches!(self, Self::Request(_))
@@ -51,8 +55,8 @@
         let losses = match (self, is_proven) {
             (Self::Request(_), false) => Self::REQUEST_LOSSES,
             (Self::Request(_), true) => Self::PROVEN_REQUEST_LOSSES,
-            (Self::Segment(_), false) => 2,
-            (Self::Segment(_), true) => 4,
+            (Self::Segment(_), false) => Self::SEGMENT_LOSSES,
+            (Self::Segment(_), true) => Self::PROVEN_SEGMENT_LOSSES,
         };
         losses * LossEvidence::MidStart.weight()
     }
--- a/sapphirespur_core/src/edge/suspect_record.rs
+++ b/sapphirespur_core/src/edge/suspect_record.rs
@@ -11,7 +11,8 @@
 pub(super) struct SuspectRecord {
     /// What is suspected.
     key: QuarantineKey,
-    /// Sum of the weights of the losses that count: each under a request that was sent after the loss before it.
+    /// Sum of the weights of the losses that count: each under a request that was sent after the loss
+    /// before it.
     pub suspicion: u32,
     /// When the last loss that counts happened.
     pub lost_at: Time,
--- a/sapphirespur_node/src/edge/lazy_identity.rs
+++ b/sapphirespur_node/src/edge/lazy_identity.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::http::request::Parts;
+use hyper::{Method, Uri};
 use sapphirespur_core::edge::{CallInfo, RequestIdentity};
 use sapphirespur_core::name::Name;
 
@@ -12,8 +13,8 @@
 pub(super) struct LazyIdentity {
     service: Name,
     workspace: Option<Name>,
-    method: String,
-    target: String,
+    method: Method,
+    uri: Uri,
     body: Bytes,
     value: OnceCell<RequestIdentity>,
 }
@@ -24,8 +25,8 @@
         Self {
             service: info.service.clone(),
             workspace: info.workspace.clone(),
-            method: parts.method.as_str().to_owned(),
-            target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+            method: parts.method.clone(),
+            uri: parts.uri.clone(),
             body: body.clone(),
             value: OnceCell::new(),
         }
@@ -37,8 +38,8 @@
             RequestIdentity::new(
                 &self.service,
                 self.workspace.as_ref(),
-                &self.method,
-                &self.target,
+                self.method.as_str(),
+                self.uri.path_and_query().map_or("/", |target| target.as_str()),
                 &self.body,
             )
         };
