--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -141,6 +141,7 @@
             service: Name::new("pool"),
             address: ([10, 0, 0, 1], index as u16 + 1).into(),
             data_centre: Name::new("milano"),
+            version: Name::new("v1"),
             slots: self.model.slots as u32,
             state: UpstreamState::Ready,
             cold: Duration::ZERO,
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -14,6 +14,8 @@
     /// Start time of the upstream's process instance, in milliseconds since the Unix epoch; none
     /// when its registry entry has none.
     pub started_ms: Option<u64>,
+    /// Version of the upstream's software.
+    pub version: Name,
     /// Route that matched the request.
     pub route: Name,
     /// Service that runs the request.
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -272,6 +272,7 @@
             request: InFlightRequest {
                 upstream: id.clone(),
                 started_ms: upstream.entry.started_ms,
+                version: upstream.entry.version.clone(),
                 route: call.route.clone(),
                 service: call.service.clone(),
                 segments: call
--- a/sapphirespur_core/src/edge/upstream_entry.rs
+++ b/sapphirespur_core/src/edge/upstream_entry.rs
@@ -27,6 +27,8 @@
     pub address: SocketAddr,
     /// Data centre in which it runs.
     pub data_centre: Name,
+    /// Version of its software. What two versions generate does not fit together.
+    pub version: Name,
     /// Number of requests that it runs at the same time.
     pub slots: u32,
     /// Whether it accepts requests.
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -72,6 +72,7 @@
         service: Name::new("pool"),
         address: ([10, 0, 0, 1], port).into(),
         data_centre: Name::new("milano"),
+        version: Name::new("v1"),
         slots: 64,
         state: UpstreamState::Ready,
         cold: Duration::ZERO,
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -21,6 +21,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the client received; present when it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Identifier of the attempt that brought the first event of the stream that is resumed.
+    pub resumes: Option<String>,
 }
 
 /// Reason why the head of a request is malformed.
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::edge::{InFlightRequest, Placement, SendOutcome};
+use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
 use super::connect::connect;
@@ -55,6 +56,11 @@
         self.request.upstream.as_str()
     }
 
+    /// Returns the version of the upstream's software.
+    pub fn version(&self) -> &Name {
+        &self.request.version
+    }
+
     /// Returns the number of complete events that the upstream has sent.
     pub fn events(&self) -> u32 {
         self.request.events
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -289,8 +289,9 @@
             let id = upstream.id.clone();
             let state = format!("{:?}", upstream.state);
             let cold_ms = upstream.cold.as_millis() as u64;
+            let (version, started_ms) = (upstream.version.clone(), upstream.started_ms);
             let is_new = router.registry_mut().apply_upstream(now, upstream);
-            log::info!(upstream = id.as_str(), state = state.as_str(), cold_ms = cold_ms, is_new = is_new; "upstream entry");
+            log::info!(upstream = id.as_str(), version = version.as_str(), started_ms = started_ms, state = state.as_str(), cold_ms = cold_ms, is_new = is_new; "upstream entry");
         }
         RegistryEntry::DataCentreOut(data_centre) => {
             log::info!(data_centre = data_centre.as_str(); "data centre out");
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -17,8 +17,8 @@
 use super::connect::{ConnectError, connect};
 use super::shared::Shared;
 
-/// Path on which a router serves its snapshot.
-pub(super) const PATH: &str = "/snapshot";
+/// Path on which a router serves its snapshot; builds with another format have another path.
+pub(super) const PATH: &str = "/snapshot/2";
 
 /// Interval between checks for whether a snapshot is needed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -84,6 +84,7 @@
     if let Err(error) = relay.start(None).await {
         return error;
     }
+    relay.log_taken_up();
     relay.into_response()
 }
 
@@ -301,7 +302,8 @@
     /// Returns an error when no upstream resumes the stream.
     async fn resume(&mut self, outcome: SendOutcome) -> Result<(), AbortReason> {
         let Some(reservation) = &self.reservation else { return Err(AbortReason::UpstreamLost) };
-        let upstream = reservation.upstream().to_owned();
+        let (upstream, version) =
+            (reservation.upstream().to_owned(), reservation.version().clone());
         let placement = self.sends.admit_elsewhere(&self.cx, &self.call, &upstream);
         if placement.is_none() && outcome == SendOutcome::NoResponse {
             self.last_progress = self.cx.now();
@@ -320,7 +322,9 @@
         log::info!(
             request = self.call.head.attempt_id.as_str(),
             from = upstream.as_str(),
+            from_version = version.as_str(),
             to = self.reservation.as_ref().map_or("", UpstreamReservation::upstream),
+            to_version = self.version(),
             after_event = self.last_id.unwrap_or_default();
             "stream goes on elsewhere"
         );
@@ -385,6 +389,26 @@
         }
     }
 
+    /// Returns the version of the current upstream's software; empty between two upstreams.
+    fn version(&self) -> &str {
+        self.reservation.as_ref().map_or("", |reservation| reservation.version().as_str())
+    }
+
+    /// Logs where a stream goes on that the client resumes.
+    fn log_taken_up(&self) {
+        let Some(after_event) = self.call.head.last_event_id else { return };
+        if self.cx.may_log_failure() {
+            log::info!(
+                request = self.call.head.attempt_id.as_str(),
+                resumes = self.call.head.resumes.as_deref().unwrap_or_default(),
+                after_event = after_event,
+                upstream = self.reservation.as_ref().map_or("", UpstreamReservation::upstream),
+                version = self.version();
+                "stream of an earlier attempt goes on"
+            );
+        }
+    }
+
     /// Logs that the stream ends incomplete.
     fn log_aborted(&self, reason: &str) {
         log::warn!(
