--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -174,6 +174,7 @@
 #[derive(Debug)]
 struct State {
     id: String,
+    version: RefCell<String>,
     behaviour: Cell<Behaviour>,
     requests: RefCell<Vec<ReceivedRequest>>,
     client_disconnects: Cell<u32>,
@@ -223,6 +224,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let state = Rc::new(State {
             id: id.to_owned(),
+            version: RefCell::new("v1".to_owned()),
             behaviour: Cell::new(Behaviour::Normal),
             requests: RefCell::default(),
             client_disconnects: Cell::new(0),
@@ -257,6 +259,16 @@
         &self.state.id
     }
 
+    /// Returns the version of its software.
+    pub fn version(&self) -> String {
+        self.state.version.borrow().clone()
+    }
+
+    /// Sets the version of its software, as its entry names it.
+    pub fn set_version(&self, version: &str) {
+        *self.state.version.borrow_mut() = version.to_owned();
+    }
+
     /// Sets the behaviour, which also applies to open connections and streams.
     pub fn set_behaviour(&self, behaviour: Behaviour) {
         self.state.behaviour.set(behaviour);
@@ -283,7 +295,7 @@
             "service": self.service,
             "address": self.address.to_string(),
             "zone": "milano",
-            "version": "v1",
+            "version": self.version(),
             "slots": 64,
             "state": state,
             "cold_remaining_ms": 0,
