A stream goes on only at the version that began it, within one response

Callers saw: answers of 200 whose first part was of one software version and the rest of another, after an upstream crashed or was cut off. Cause: the router that resumes a stream asked for any other upstream. An entry's version was not read. Ruled out: upstreams that restart under their identifier (none in the logs). Change: a call is bound to the version of the first upstream that responds; placement passes over the others. A stream that goes on is refused only if no upstream can finish it in time, as most of its work is done. When its version has left it is refused at once; when it has crashed, the client is told to return. Streams that clients take up themselves are another fault, still open.

--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -280,6 +280,7 @@
             route: Name::new(kind.route),
             service: Name::new("pool"),
             workspace: Some(Name::new(&format!("w{}", request.workspace))),
+            version: None,
             prompt: Some(request.prompt.clone()),
             identity: None,
             target: kind.target_latency,
--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -26,6 +26,8 @@
 pub enum DeclineReason {
     /// No upstream of the service accepts requests.
     NoUpstream,
+    /// No upstream runs the version that began the stream, and none of it is expected back.
+    VersionGone,
     /// Each upstream of the service that accepts requests has asked this router for a pause.
     Paused,
     /// Each available upstream of the service is cold and at this router's limit, or was already
@@ -49,6 +51,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoUpstream => "no_upstream",
+            Self::VersionGone => "version_gone",
             Self::Paused => "paused",
             Self::Cold => "cold",
             Self::Limited => "limited",
--- a/sapphirespur_core/src/edge/call_info.rs
+++ b/sapphirespur_core/src/edge/call_info.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::{Prompt, QuarantineKey, RequestIdentity};
+use crate::edge::{Prompt, QuarantineKey, RequestIdentity, UpstreamEntry};
 use crate::name::Name;
 
 /// Call of a client, as opposed to the requests that are sent to upstreams for it.
@@ -14,6 +14,9 @@
     pub service: Name,
     /// Workspace whose share the call is charged to; none on routes that need no key.
     pub workspace: Option<Name>,
+    /// Version of the software that began the stream that goes on; only upstreams of it may take the
+    /// call. None for calls that begin.
+    pub version: Option<Name>,
     /// Prompt; none for plain calls.
     pub prompt: Option<Prompt>,
     /// Identity of the call; none while it is not needed.
@@ -28,6 +31,11 @@
 }
 
 impl CallInfo {
+    /// Returns whether an upstream of the service runs the version that the call needs, if it needs one.
+    pub(super) fn fits_version(&self, upstream: &UpstreamEntry) -> bool {
+        self.version.as_ref().is_none_or(|version| upstream.version == *version)
+    }
+
     /// Returns what of the call may be quarantined.
     pub(super) fn quarantine_keys(&self) -> impl Iterator<Item = QuarantineKey> {
         let segments = self.prompt.iter().flat_map(|prompt| prompt.shared_ids.iter());
--- a/sapphirespur_core/src/edge/candidate.rs
+++ b/sapphirespur_core/src/edge/candidate.rs
@@ -213,6 +213,11 @@
             return Some(DeclineReason::Overloaded);
         }
         call.prompt.as_ref()?;
+        let expected_delay = self.estimate.expected_delay;
+        // Most of the work of a stream that goes on is done already.
+        if call.version.is_some() {
+            return (expected_delay > call.remaining).then_some(DeclineReason::Overloaded);
+        }
         if status.share_usage > 1.0 {
             let max_pressure = status.max_pressure(self.estimate.prefill_tokens);
             let is_busy =
@@ -222,7 +227,6 @@
         }
 
         let max_wait = if call.is_client_retry { call.remaining / 2 } else { call.target };
-        let expected_delay = self.estimate.expected_delay;
         let is_late =
             expected_delay > max_wait && self.wait > max_wait.mul_f64(Self::MAX_WAIT_FRACTION);
         (is_late || expected_delay > call.remaining).then_some(DeclineReason::Overloaded)
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -181,7 +181,9 @@
             mean_prefill_speed: self.registry.mean_prefill_speed(&call.service),
         };
         let is_allowed = |upstream: &&Upstream| {
-            !saturated.contains(&upstream.key) && !tried.contains(&upstream.entry.id)
+            !saturated.contains(&upstream.key)
+                && !tried.contains(&upstream.entry.id)
+                && call.fits_version(&upstream.entry)
         };
         let mut candidates =
             cx.ranked_candidates(upstreams.available(now, &call.service).filter(is_allowed));
@@ -189,8 +191,14 @@
             candidates.sort_by_key(|candidate| candidate.in_flight);
         }
         let Some(best) = candidates.first() else {
-            let is_any_available =
-                self.registry.upstreams().available(now, &call.service).next().is_some();
+            if call.version.is_some() && !self.registry.upstreams().may_serve_version(call) {
+                return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
+            }
+            let is_any_available = self
+                .registry
+                .upstreams()
+                .available(now, &call.service)
+                .any(|upstream| call.fits_version(&upstream.entry));
             if let Some(wait) = limited.values().min() {
                 return Err(self.backoff.decline(call, DeclineReason::Limited, Some(*wait)));
             }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -5,7 +5,10 @@
 use crate::collections::{HashMap, HashSet};
 use crate::edge::departed::Departed;
 use crate::edge::exchange::take_in_turn;
-use crate::edge::{Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry};
+use crate::edge::{
+    CallInfo, Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry,
+    UpstreamState,
+};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -193,6 +196,18 @@
         })
     }
 
+    /// Returns whether an upstream of the version that a call needs serves, or may again: it is known
+    /// and stays, or has left without having said that it would, as after a crash.
+    pub fn may_serve_version(&self, call: &CallInfo) -> bool {
+        let present = self.by_id.values().filter(|upstream| !upstream.is_leaving);
+        let departed = self.departed.entries();
+        present.map(|upstream| &upstream.entry).chain(departed).any(|entry| {
+            entry.service == call.service
+                && entry.state == UpstreamState::Ready
+                && call.fits_version(entry)
+        })
+    }
+
     /// Returns what to tell the other routers of named limits: those that changed recently, and the
     /// others in turn.
     pub fn limit_reports(&mut self, now: Time) -> Vec<LimitReport> {
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -24,4 +24,5 @@
 mod restored_registry;
 mod retries;
 mod routes;
+mod stream_version;
 mod support;
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -98,6 +98,7 @@
         route: Name::new("notes"),
         service: Name::new("pool"),
         workspace: Some(Name::new(workspace)),
+        version: None,
         prompt: Some(Prompt::new(&segments, shared_tokens + own_tokens, 100)),
         identity: None,
         target: TARGET,
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -110,6 +110,7 @@
         route: route.name.clone(),
         service: service.clone(),
         workspace: workspace.cloned(),
+        version: None,
         prompt: head.prompt.clone(),
         identity: None,
         target: route.target,
--- a/sapphirespur_node/src/edge/response.rs
+++ b/sapphirespur_node/src/edge/response.rs
@@ -48,6 +48,8 @@
     /// The process is short of processor time and has not looked at the request further; the client
     /// may retry after the given time.
     Busy(Duration),
+    /// The stream was not resumed and cannot be: the version that began it serves no longer.
+    VersionGone,
     /// The request may have run, but its response is lost.
     OutcomeUnknown,
     /// The deadline of the request passed; it may have run.
@@ -75,6 +77,7 @@
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTimedOut => StatusCode::REQUEST_TIMEOUT,
             Self::Busy(_) | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::VersionGone => StatusCode::MISDIRECTED_REQUEST,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -92,6 +95,9 @@
             }
             Self::Busy(_) => ("urn:sapphirespur:problem:not-run", "this router is busy"),
             Self::NotRun(_) => ("urn:sapphirespur:problem:not-run", "no room for the request now"),
+            Self::VersionGone => {
+                ("urn:sapphirespur:problem:version-gone", "stream cannot go on, begin it anew")
+            }
             Self::OutcomeUnknown => {
                 ("urn:sapphirespur:problem:outcome-unknown", "answer of the upstream is lost")
             }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use sapphirespur_core::edge::{Admission, Placement, SendOutcome};
+use sapphirespur_core::edge::{Admission, DeclineReason, Placement, SendOutcome};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 use tokio::time::timeout;
@@ -105,7 +105,12 @@
                 Ok(placement) => placement,
                 Err(decline) => {
                     log_decline(&cx, &self.call, &decline);
-                    let error = self.sends.final_error(&self.call, &cx, decline.retry_after);
+                    let error = match decline.reason {
+                        DeclineReason::VersionGone if self.sends.possible_runs == 0 => {
+                            ErrorResponse::VersionGone
+                        }
+                        _ => self.sends.final_error(&self.call, &cx, decline.retry_after),
+                    };
                     return Err(error.into_response(&*cx.dialect, &id));
                 }
             };
@@ -120,6 +125,8 @@
                 {
                     self.on_bytes_received();
                     self.last_progress = cx.now();
+                    // What two versions generate does not fit together.
+                    self.call.info.version = Some(reservation.version().clone());
                     self.reservation = Some(reservation);
                     self.upstream_response = Some(upstream_response);
                     return Ok(());
