The version that began a stream is on record, and a client's stream is taken up only there

Callers saw: a stream that broke off and was taken up with its events numbered on, answered 200 and whole, joined from two software versions. Cause: a client's resumption was placed like a new request. The router did not read which attempt began the stream, and nobody knew the version: not another router, and none after all were killed. Change: - Each router remembers the streams that it began. - A service has a base version in the platform's store. A stream that begins there has no record; one that begins at another version is recorded before its first event is passed on. Records are written in groups beside the prefill, within a quarter of the store's writes and three quarters of the delivery bound. - The base moves when its upstreams have been gone for longer than any stream lives. - A write that may have been lost is never repeated on the same item: the store may execute it later. - While the store takes no records, streams begin at the base version. After a restore, records are written again, and the absence of a record tells nothing until that is done. - A stream whose version is gone is refused at once with 421, one that cannot be looked up with 503. - Watches leave the records out, by prefix, while there are any. Ruled out: a lease per stream, a watch that delivers records to all routers, choosing the version by a hash. Now the write starts with the send.

--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -281,6 +281,7 @@
             service: Name::new("pool"),
             workspace: Some(Name::new(&format!("w{}", request.workspace))),
             version: None,
+            goes_on: false,
             prompt: Some(request.prompt.clone()),
             identity: None,
             target: kind.target_latency,
--- a/sapphirespur_core/src/edge/call_info.rs
+++ b/sapphirespur_core/src/edge/call_info.rs
@@ -14,9 +14,10 @@
     pub service: Name,
     /// Workspace whose share the call is charged to; none on routes that need no key.
     pub workspace: Option<Name>,
-    /// Version of the software that began the stream that goes on; only upstreams of it may take the
-    /// call. None for calls that begin.
+    /// Version of the software that an upstream must have to take the call; none when any may.
     pub version: Option<Name>,
+    /// Whether the call goes on with a stream that has begun.
+    pub goes_on: bool,
     /// Prompt; none for plain calls.
     pub prompt: Option<Prompt>,
     /// Identity of the call; none while it is not needed.
--- a/sapphirespur_core/src/edge/candidate.rs
+++ b/sapphirespur_core/src/edge/candidate.rs
@@ -215,7 +215,7 @@
         call.prompt.as_ref()?;
         let expected_delay = self.estimate.expected_delay;
         // Most of the work of a stream that goes on is done already.
-        if call.version.is_some() {
+        if call.goes_on {
             return (expected_delay > call.remaining).then_some(DeclineReason::Overloaded);
         }
         if status.share_usage > 1.0 {
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -43,6 +43,11 @@
         self.index.routes(service)
     }
 
+    /// Returns the services with streams that can be taken up.
+    pub fn resumable_services(&self) -> impl Iterator<Item = &Name> {
+        self.index.resumable_services()
+    }
+
     /// Returns the registered upstreams and the data centres that are out.
     pub fn upstreams(&self) -> &Upstreams {
         &self.upstreams
@@ -162,7 +167,8 @@
         self.version != RegistryVersion::default() && version.era > self.version.era
     }
 
-    /// Returns a copy of the state for other routers; none without a configuration.
+    /// Returns a copy of the state for other routers, without base versions; none without a
+    /// configuration.
     pub fn snapshot(&self, now: Time) -> Option<Snapshot> {
         let table = self.table.as_ref()?.as_ref().clone();
         let upstreams = self
@@ -182,7 +188,8 @@
 
         let out = self.upstreams.data_centres_out().iter().cloned().collect();
         let departed = self.upstreams.departed().cloned().collect();
-        Some(Snapshot { version: self.version, table, upstreams, departed, out })
+        let bases = Vec::new();
+        Some(Snapshot { version: self.version, table, upstreams, departed, out, bases })
     }
 
     /// Applies the state of another router if its version is newer. Returns whether it was.
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -3,13 +3,14 @@
 mod placement;
 mod reports;
 mod responses;
+mod streams;
 
 use std::time::Duration;
 
 use crate::collections::HashMap;
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, RouterSettings, Shares,
+    RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -27,6 +28,7 @@
     pressures: Pressures,
     quarantine: Quarantine,
     output_lengths: OutputLengths,
+    streams: StreamOrigins,
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
     sequence: u64,
@@ -65,6 +67,7 @@
             pressures: Pressures::default(),
             quarantine: Quarantine::default(),
             output_lengths: OutputLengths::default(),
+            streams: StreamOrigins::default(),
             prefilled: HashMap::default(),
             sequence: 0,
             is_registry_fresh: false,
@@ -152,6 +155,7 @@
             upstream.mark_unverified(now);
         }
         self.exchange.peers_mut().clear_reports();
+        self.streams.bases.doubt_all();
     }
 
     /// Records that the registry has answered a call that started after the last pause: the
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -191,7 +191,7 @@
             candidates.sort_by_key(|candidate| candidate.in_flight);
         }
         let Some(best) = candidates.first() else {
-            if call.version.is_some() && !self.registry.upstreams().may_serve_version(call) {
+            if call.goes_on && !self.registry.upstreams().may_serve_version(call) {
                 return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
             }
             let is_any_available = self
--- /dev/null
+++ b/sapphirespur_core/src/edge/router/streams.rs
@@ -0,0 +1,98 @@
+//! Versions at which streams began and may go on.
+
+use std::time::Duration;
+
+use crate::edge::{Router, ServiceVersions, Snapshot, StreamKey, StreamOrigins};
+use crate::name::Name;
+use crate::time::Time;
+
+impl Router {
+    /// Number of times that the longest timeout of a service's routes fits into the time in which one
+    /// of its streams can be taken up: it begins in one and goes on in another.
+    const TIMEOUTS_PER_STREAM: u32 = 2;
+
+    /// Returns the origins of streams.
+    pub fn streams(&self) -> &StreamOrigins {
+        &self.streams
+    }
+
+    /// Returns the origins of streams for modification.
+    pub fn streams_mut(&mut self) -> &mut StreamOrigins {
+        &mut self.streams
+    }
+
+    /// Returns the time for which a stream of a service can be taken up after it began.
+    pub fn stream_life(&self, service: &Name) -> Duration {
+        let timeouts = self.registry.routes(service).map(|routes| routes.timeouts.values());
+        let longest = timeouts.and_then(|timeouts| timeouts.max()).copied().unwrap_or_default();
+        longest * Self::TIMEOUTS_PER_STREAM
+    }
+
+    /// Returns the services with streams that can be taken up, and the versions that serve.
+    pub fn stream_services(&self) -> Vec<ServiceVersions> {
+        let services = self.registry.resumable_services();
+        services.map(|service| self.service_versions(service)).collect()
+    }
+
+    fn service_versions(&self, service: &Name) -> ServiceVersions {
+        let mut versions: Vec<(Name, usize)> = Vec::new();
+        for upstream in self.registry.upstreams().present(service) {
+            match versions.iter_mut().find(|(version, _)| *version == upstream.entry.version) {
+                Some((_, count)) => *count += 1,
+                None => versions.push((upstream.entry.version.clone(), 1)),
+            }
+        }
+        versions.sort_by(|(a, more), (b, less)| less.cmp(more).then_with(|| a.cmp(b)));
+        let life = self.stream_life(service);
+        ServiceVersions { service: service.clone(), versions, life }
+    }
+
+    /// Returns whether a stream that begins at a version must be on record before its first event is
+    /// passed on.
+    pub fn needs_record(&self, service: &Name, version: &Name) -> bool {
+        self.streams.bases.needs_record(service, version, self.registry.version().era)
+    }
+
+    /// Returns the base version of a service, if one of its upstreams accepts requests: new streams
+    /// begin there while they cannot be recorded.
+    pub fn serving_base(&self, now: Time, service: &Name) -> Option<Name> {
+        let base = self.streams.bases.get(service)?;
+        let mut available = self.registry.upstreams().available(now, service);
+        available
+            .any(|upstream| upstream.entry.version == base.version)
+            .then(|| base.version.clone())
+    }
+
+    /// Returns whether other routers are heard, and none of them knows more of the registry.
+    pub fn has_newest_registry(&self, now: Time) -> bool {
+        let newest = self.peers().newest_version(now);
+        newest.is_some_and(|newest| newest <= self.registry.version())
+    }
+
+    /// Returns the version of a service if it has had no other one for a while, as far as this router
+    /// knows.
+    pub fn sole_version(&self, service: &Name) -> Option<Name> {
+        let upstreams = self.registry.upstreams();
+        let departed = upstreams.departed().filter(|entry| entry.service == *service);
+        let present = upstreams.present(service).map(|upstream| &upstream.entry);
+        let mut versions = present.chain(departed).map(|entry| &entry.version);
+        let first = versions.next()?;
+        let base = self.streams.bases.get(service);
+        let is_sole = versions.all(|version| version == first)
+            && base.is_none_or(|base| base.version == *first);
+        is_sole.then(|| first.clone())
+    }
+
+    /// Returns a copy of the registry state for other routers, with the base versions; none without a
+    /// configuration.
+    pub fn snapshot(&self, now: Time) -> Option<Snapshot> {
+        let bases = self.streams.bases.iter().cloned().collect();
+        Some(Snapshot { bases, ..self.registry.snapshot(now)? })
+    }
+
+    /// Remembers a stream that began at a version, or goes on there.
+    pub fn remember_stream(&mut self, now: Time, service: &Name, key: StreamKey, version: &Name) {
+        let life = self.stream_life(service);
+        self.streams.memory.insert(now, key, version, life);
+    }
+}
--- a/sapphirespur_core/src/edge/snapshot.rs
+++ b/sapphirespur_core/src/edge/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{RegistryVersion, RouteTable, UpstreamEntry};
+use crate::edge::{BaseVersion, RegistryVersion, RouteTable, UpstreamEntry};
 use crate::name::Name;
 
 /// Registry state as of a version.
@@ -19,4 +19,6 @@
     pub departed: Vec<UpstreamEntry>,
     /// Data centres that are out.
     pub out: Vec<Name>,
+    /// Versions at which streams without a record began.
+    pub bases: Vec<BaseVersion>,
 }
--- /dev/null
+++ b/sapphirespur_core/src/edge/stream_bases.rs
@@ -0,0 +1,227 @@
+//! Base versions of services: where streams without a record began.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::collections::HashMap;
+use crate::name::Name;
+use crate::time::Time;
+
+/// Version of a service whose streams have no record.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BaseVersion {
+    /// Name of the service.
+    pub service: Name,
+    /// Version at which a stream without a record began.
+    pub version: Name,
+    /// Era of the store since which this holds. After a restore, records may be missing.
+    pub era: u64,
+}
+
+/// What a router knows of the upstreams of a service.
+#[derive(Clone, Debug)]
+pub struct ServiceVersions {
+    /// Name of the service.
+    pub service: Name,
+    /// Versions that serve, with the number of their upstreams, most first.
+    pub versions: Vec<(Name, usize)>,
+    /// Time for which a stream can be taken up after it began.
+    pub life: Duration,
+}
+
+/// Call to the store that is due.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BaseDuty {
+    /// Reads the base version of a service.
+    Read(Name),
+    /// Writes a base version if the item still has this revision; zero when there must be none.
+    Write {
+        /// Base version to write.
+        base: BaseVersion,
+        /// Revision that the item must have.
+        expected_revision: u64,
+    },
+}
+
+/// Base version of one service as last read.
+#[derive(Clone, Debug, Default)]
+struct Base {
+    /// Item with its revision; none when there is none, or before it was read.
+    item: Option<(BaseVersion, u64)>,
+    /// When it was last read or asked for.
+    asked_at: Option<Time>,
+    /// Whether it has been read, and nothing happened since that makes it doubtful.
+    is_current: bool,
+    /// Since when no upstream of the version serves.
+    absent_since: Option<Time>,
+    /// Since when this router has seen that the store was restored after the item was written.
+    restored_since: Option<Time>,
+    /// Since when this router wants to write the item.
+    wanted_since: Option<Time>,
+}
+
+/// Base versions of all services.
+#[derive(Clone, Debug, Default)]
+pub struct StreamBases {
+    by_service: HashMap<Name, Base>,
+}
+
+impl StreamBases {
+    /// Interval between reads while it matters which version is the base.
+    const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+    /// Time for which a base version must have been absent, beyond the life of its last streams:
+    /// routers hear of upstreams at different times.
+    const ABSENCE_SLACK: Duration = Duration::from_secs(3);
+
+    /// Time after a restore of the store in which routers write their records again.
+    const RESTORE_TIME: Duration = Duration::from_secs(3);
+
+    /// Longest time by which routers write after one another, so that one of them is enough.
+    const MAX_STAGGER: Duration = Duration::from_secs(1);
+
+    /// Returns the base version of a service; none when it is not known.
+    pub fn get(&self, service: &Name) -> Option<&BaseVersion> {
+        Some(&self.by_service.get(service)?.item.as_ref()?.0)
+    }
+
+    /// Returns the known base versions.
+    pub fn iter(&self) -> impl Iterator<Item = &BaseVersion> {
+        self.by_service.values().filter_map(|base| Some(&base.item.as_ref()?.0))
+    }
+
+    /// Takes a base version over from another router, if none is known here.
+    pub fn adopt(&mut self, base: BaseVersion) {
+        let known = self.by_service.entry(base.service.clone()).or_default();
+        if known.item.is_none() {
+            known.item = Some((base, 0));
+        }
+    }
+
+    /// Returns whether a stream that begins at a version must be recorded: another one is the base, or
+    /// it is not certain.
+    pub fn needs_record(&self, service: &Name, version: &Name, era: u64) -> bool {
+        let Some(Base { item: Some((base, _)), is_current: true, .. }) =
+            self.by_service.get(service)
+        else {
+            return true;
+        };
+        base.version != *version || base.era != era
+    }
+
+    /// Records what the store has for a service, with the revision of the item.
+    pub fn on_read(&mut self, now: Time, service: &Name, item: Option<(BaseVersion, u64)>) {
+        let base = self.by_service.entry(service.clone()).or_default();
+        if base.item.as_ref().map(|(item, _)| item) != item.as_ref().map(|(item, _)| item) {
+            base.absent_since = None;
+            base.restored_since = None;
+            base.wanted_since = None;
+        }
+        base.item = item;
+        base.asked_at = Some(now);
+        base.is_current = true;
+    }
+
+    /// Records that another router has written the item first.
+    pub fn on_conflict(&mut self, service: &Name) {
+        if let Some(base) = self.by_service.get_mut(service) {
+            base.asked_at = None;
+        }
+    }
+
+    /// Doubts all base versions until they are read again, as after a pause of the process.
+    pub fn doubt_all(&mut self) {
+        for base in self.by_service.values_mut() {
+            base.is_current = false;
+            base.asked_at = None;
+        }
+    }
+
+    /// Returns the calls that are due; to be called about once a second while the store answers.
+    ///
+    /// `era` is that of the store, `stagger` a fraction that differs between routers.
+    pub fn duties(
+        &mut self,
+        now: Time,
+        era: u64,
+        services: &[ServiceVersions],
+        stagger: f64,
+    ) -> Vec<BaseDuty> {
+        let mut duties = Vec::new();
+        for known in services.iter().filter(|known| !known.versions.is_empty()) {
+            let base = self.by_service.entry(known.service.clone()).or_default();
+            base.observe(now, era, known);
+            if base.is_read_due(now, era, known) {
+                base.asked_at = Some(now);
+                duties.push(BaseDuty::Read(known.service.clone()));
+                continue;
+            }
+            let Some(write) = base.wanted(now, era, known) else {
+                base.wanted_since = None;
+                continue;
+            };
+            let since = *base.wanted_since.get_or_insert(now);
+            if now.since(since) >= Self::MAX_STAGGER.mul_f64(stagger) {
+                duties.push(write);
+            }
+        }
+        duties
+    }
+}
+
+impl Base {
+    /// Records whether upstreams of the base version serve, and whether the store was restored. A
+    /// version that is back may find that the base has moved on without this router.
+    fn observe(&mut self, now: Time, era: u64, known: &ServiceVersions) {
+        let Some((base, _)) = &self.item else { return };
+        if base.era < era {
+            self.restored_since.get_or_insert(now);
+        } else {
+            self.restored_since = None;
+        }
+        let is_present = known.versions.iter().any(|(version, _)| *version == base.version);
+        if !is_present {
+            self.absent_since.get_or_insert(now);
+        } else if self.absent_since.take().is_some() {
+            self.is_current = false;
+            self.asked_at = None;
+        }
+    }
+
+    /// Returns whether the item is to be read: it is doubtful, or not the only version that serves.
+    fn is_read_due(&self, now: Time, era: u64, known: &ServiceVersions) -> bool {
+        let Some(asked_at) = self.asked_at else { return true };
+        let is_sole = self.item.as_ref().is_some_and(|(base, _)| {
+            base.era == era && known.versions.iter().all(|(version, _)| *version == base.version)
+        });
+        (!is_sole || !self.is_current) && now.since(asked_at) >= StreamBases::READ_INTERVAL
+    }
+
+    /// Returns the base version to write, with the revision that the item must have: there is no item,
+    /// its version has left for so long that none of its streams can go on, or the store was restored
+    /// and routers have had the time to write their records again.
+    fn wanted(&self, now: Time, era: u64, known: &ServiceVersions) -> Option<BaseDuty> {
+        if !self.is_current {
+            return None;
+        }
+        let has_lasted = |since: Option<Time>, span| since.is_some_and(|at| now.since(at) >= span);
+        let most = &known.versions.first()?.0;
+        let (version, expected_revision) = match &self.item {
+            None => (most, 0),
+            Some((_, revision))
+                if has_lasted(self.absent_since, known.life + StreamBases::ABSENCE_SLACK) =>
+            {
+                (most, *revision)
+            }
+            Some((base, revision))
+                if has_lasted(self.restored_since, StreamBases::RESTORE_TIME) =>
+            {
+                (&base.version, *revision)
+            }
+            Some(_) => return None,
+        };
+        let base = BaseVersion { service: known.service.clone(), version: version.clone(), era };
+        Some(BaseDuty::Write { base, expected_revision })
+    }
+}
--- a/sapphirespur_core/src/edge/table_index.rs
+++ b/sapphirespur_core/src/edge/table_index.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
-use crate::edge::RouteTable;
+use crate::edge::{RouteKind, RouteTable};
 use crate::name::Name;
 
 /// Timeouts and mean target latency of the routes that lead to one service.
@@ -13,6 +13,8 @@
     pub timeouts: HashMap<Name, Duration>,
     /// Mean target latency of the routes.
     pub mean_target: Duration,
+    /// Whether streams of a route can be taken up.
+    pub is_resumable: bool,
 }
 
 /// Timeouts and mean target latency of the routes, by service.
@@ -30,6 +32,7 @@
             for split in &route.splits {
                 let routes = services.entry(split.service.clone()).or_default();
                 routes.timeouts.insert(route.name.clone(), route.timeout);
+                routes.is_resumable |= route.kind == RouteKind::Stream { resumable: true };
                 let (sum, count) = targets.entry(split.service.clone()).or_default();
                 *sum += route.target;
                 *count += 1;
@@ -44,6 +47,12 @@
         Self { services }
     }
 
+    /// Returns the services with streams that can be taken up.
+    pub fn resumable_services(&self) -> impl Iterator<Item = &Name> {
+        let resumable = self.services.iter().filter(|(_, routes)| routes.is_resumable);
+        resumable.map(|(service, _)| service)
+    }
+
     /// Returns the routes of a service; none when no route leads to it.
     pub fn routes(&self, service: &Name) -> Option<&ServiceRoutes> {
         self.services.get(service)
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -185,6 +185,13 @@
         self.by_id.values_mut()
     }
 
+    /// Returns the upstreams of a service that have a registry entry.
+    pub fn present<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Upstream> + 'a {
+        self.by_id.values().filter(move |upstream| {
+            upstream.entry.service == *service && upstream.gone_at.is_none()
+        })
+    }
+
     /// Returns the upstreams of a service that may receive requests.
     pub fn available<'a>(
         &'a self,
--- a/sapphirespur_core/tests/edge/stream_version.rs
+++ b/sapphirespur_core/tests/edge/stream_version.rs
@@ -23,7 +23,7 @@
 
 /// Returns a call that goes on at a version.
 fn resumed(version: &str) -> CallInfo {
-    CallInfo { version: Some(Name::new(version)), ..call("w", 1, 1_000, 100) }
+    CallInfo { version: Some(Name::new(version)), goes_on: true, ..call("w", 1, 1_000, 100) }
 }
 
 // ORDER: a stream that goes on is placed at an upstream of another version.
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -99,6 +99,7 @@
         service: Name::new("pool"),
         workspace: Some(Name::new(workspace)),
         version: None,
+        goes_on: false,
         prompt: Some(Prompt::new(&segments, shared_tokens + own_tokens, 100)),
         identity: None,
         target: TARGET,
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -111,6 +111,7 @@
         service: service.clone(),
         workspace: workspace.cloned(),
         version: None,
+        goes_on: false,
         prompt: head.prompt.clone(),
         identity: None,
         target: route.target,
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -61,6 +61,9 @@
     failed_sends: Family<KindLabel, Counter>,
     registry_calls: Family<KindLabel, Counter>,
     resumed_streams: Counter,
+    taken_up_streams: Family<KindLabel, Counter>,
+    unrecorded_streams: Counter,
+    record_wait: Histogram,
     suppressed_log_lines: Counter,
     labelled_workspaces: RefCell<HashSet<String>>,
     first_event: Family<WorkspaceLabel, Histogram>,
@@ -90,6 +93,9 @@
             failed_sends: Family::default(),
             registry_calls: Family::default(),
             resumed_streams: Counter::default(),
+            taken_up_streams: Family::default(),
+            unrecorded_streams: Counter::default(),
+            record_wait: duration_histogram(),
             suppressed_log_lines: Counter::default(),
             labelled_workspaces: RefCell::default(),
             first_event: Family::new_with_constructor(duration_histogram),
@@ -116,6 +122,9 @@
         r.register("failed_sends", "Sends without an answer", metrics.failed_sends.clone());
         r.register("record_calls", "Calls to the record by result", metrics.registry_calls.clone());
         r.register("resumed", "Streams that went on elsewhere", metrics.resumed_streams.clone());
+        r.register("taken_up", "Streams taken up, by source", metrics.taken_up_streams.clone());
+        r.register("unrecorded", "Streams without a record", metrics.unrecorded_streams.clone());
+        r.register("record_wait_seconds", "Wait for the record", metrics.record_wait.clone());
         r.register("log_left_out", "Log lines left out", metrics.suppressed_log_lines.clone());
         r.register("first_event_seconds", "Time to the head", metrics.first_event.clone());
         r.register("total_seconds", "Time to the end of answers", metrics.total.clone());
@@ -147,6 +156,21 @@
         Self { registry, ..metrics }
     }
 
+    /// Counts a stream that a client takes up, by where its version is known from.
+    pub fn record_taken_up(&self, source: &'static str) {
+        self.taken_up_streams.get_or_create(&KindLabel { kind: source }).inc();
+    }
+
+    /// Counts a stream that begins without the record that it needs.
+    pub fn record_unrecorded_stream(&self) {
+        self.unrecorded_streams.inc();
+    }
+
+    /// Records the time for which the first event of a stream waited for its record.
+    pub fn record_stream_recorded(&self, wait: Duration) {
+        self.record_wait.observe(wait.as_secs_f64());
+    }
+
     /// Counts a response to a client by its status code.
     pub fn record_response(&self, status: u16) {
         let kind = match status {
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 pub mod peer_link;
 mod pool;
+mod record_store;
 mod registry;
 mod registry_sync;
 mod response;
@@ -25,6 +26,10 @@
 mod snapshot;
 mod status;
 mod stream;
+mod stream_keeper;
+mod stream_keys;
+mod stream_lookups;
+mod stream_origins;
 mod ticker;
 mod workspace_counts;
 
@@ -35,24 +40,27 @@
 
 pub use connect::{ConnectError, HttpConnection, connect};
 pub use dialect::{Dialect, RequestHead, RequestHeadError, ResponseHead, UpstreamRequestHead};
+pub use record_store::{RecordStore, Stored, StoredItem, Transaction, WriteOutcome};
 pub use registry::{
     Registry, RegistryChange, RegistryChanges, RegistryEntry, RegistryError, RegistryListing,
 };
 use shared::Shared;
 pub use status::{EdgeStatus, STATUS_PATH, UpstreamStatus};
+pub use stream_keys::RECORDS_PREFIX;
 
 use crate::settings::EdgeSettings;
 use crate::start::StartError;
 
-/// Runs the router until a stop signal, and drains it.
+/// Runs the router until a stop signal, and drains it. `records` opens a client of the store.
 ///
 /// # Errors
 ///
 /// Returns an error when a socket or signal handler cannot be opened or logging cannot start.
-pub async fn run(
+pub async fn run<R: RecordStore + 'static>(
     settings: EdgeSettings,
     dialect: Rc<dyn Dialect>,
     registry: impl Registry + 'static,
+    records: impl Fn() -> R + 'static,
 ) -> Result<(), StartError> {
     let flush_handle = crate::logging::start_on_stdout(&settings.log, settings.node.name.as_str())?;
     let mut lifecycle = lifecycle::Lifecycle::new()?;
@@ -63,7 +71,8 @@
     let peers = peer_link::PeerLink::open(own_address).await?;
     let metrics = server::listen(settings.listen.metrics)?;
 
-    let cx = Rc::new(Shared::new(settings, dialect));
+    let (stream_lookups, lookup_requests) = stream_lookups::StreamLookups::new();
+    let cx = Rc::new(Shared::new(settings, dialect, stream_lookups));
     // All routers receive reports on the same port; a seed names another port of its VM.
     let seeds = cx.settings().seeds.clone();
     let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own_address.port())).collect();
@@ -83,6 +92,9 @@
     actix_rt::spawn(server::serve_admin(metrics, Rc::clone(&cx)));
     actix_rt::spawn(peers.run(Rc::clone(&cx)));
     actix_rt::spawn(registry_sync::run(Rc::clone(&cx), registry));
+    actix_rt::spawn(stream_keeper::write_records(Rc::clone(&cx), records()));
+    actix_rt::spawn(stream_keeper::keep_bases(Rc::clone(&cx), records()));
+    actix_rt::spawn(stream_lookups::run(lookup_requests, records));
     actix_rt::spawn(snapshot::run(Rc::clone(&cx)));
     actix_rt::spawn(ticker::run(Rc::clone(&cx)));
 
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -249,6 +249,8 @@
         router.registry_mut().set_version(listing.version);
         drop(router);
         self.cx.watch_version.set(Some(listing.version));
+        self.cx.check_record_era(listing.version.era);
+        self.cx.bases_due.notify_one();
     }
 
     /// Applies changes in their order.
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -14,6 +14,7 @@
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::stream_lookups::StreamLookups;
 use super::workspace_counts::WorkspaceCounts;
 use crate::clock::{Clock, time_since_boot, wall_us};
 use crate::settings::EdgeSettings;
@@ -45,6 +46,16 @@
     pub unverified_since: Cell<Option<Time>>,
     /// Wakes the synchronisation with the registry for a call without a wait.
     pub registry_check: Notify,
+    /// Look-ups of streams in the store.
+    pub stream_lookups: StreamLookups,
+    /// Wakes the writes of stream records when there are new ones.
+    pub records_due: Notify,
+    /// Wakes streams that wait for their record after each write.
+    pub records_written: Notify,
+    /// Wakes the check of the base versions.
+    pub bases_due: Notify,
+    /// Era of the store in which the stream records were written.
+    record_era: Cell<u64>,
     /// Start of the process, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// Routing state: registry, peers, load, shares and retry budgets.
@@ -85,7 +96,11 @@
     const REGISTRY_STALE_AFTER: Duration = Duration::from_secs(3);
 
     /// Creates the state of a process that has just started.
-    pub fn new(settings: EdgeSettings, dialect: Rc<dyn Dialect>) -> Self {
+    pub fn new(
+        settings: EdgeSettings,
+        dialect: Rc<dyn Dialect>,
+        stream_lookups: StreamLookups,
+    ) -> Self {
         let started_ms = wall_us() / 1_000;
         let clock = Clock::start();
         let mut router = Router::new(RouterSettings {
@@ -103,6 +118,11 @@
             pause_detector: Cell::new(PauseDetector::new(clock.now())),
             unverified_since: Cell::new(None),
             registry_check: Notify::new(),
+            stream_lookups,
+            records_due: Notify::new(),
+            records_written: Notify::new(),
+            bases_due: Notify::new(),
+            record_era: Cell::new(0),
             clock,
             started_ms,
             router: RefCell::new(router),
@@ -176,6 +196,20 @@
         }
     }
 
+    /// Records the era of the store, as a response tells it. After a restore, the records of streams are
+    /// written again.
+    pub fn check_record_era(&self, era: u64) {
+        let known = self.record_era.get();
+        if era <= known {
+            return;
+        }
+        self.record_era.set(era);
+        if known > 0 {
+            self.router.borrow_mut().streams_mut().log.on_lost();
+            self.records_due.notify_one();
+        }
+    }
+
     /// Returns whether the load balancer may send connections.
     pub fn is_ready(&self) -> bool {
         let is_flooded = self.overload.borrow().wants_relief(self.now());
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -60,7 +60,7 @@
 
 /// Returns the encoded snapshot; absent while the router has no configuration.
 pub(super) fn encode(cx: &Shared) -> Option<Bytes> {
-    let snapshot = cx.router.borrow().registry().snapshot(cx.now())?;
+    let snapshot = cx.router.borrow().snapshot(cx.now())?;
 
     match postcard::to_stdvec(&snapshot) {
         Ok(bytes) => Some(bytes.into()),
@@ -162,10 +162,13 @@
 
 /// Applies a snapshot, or the parts of it that the registry lacks, if it is newer than this router's
 /// state.
-fn apply(cx: &Shared, source: Source, snapshot: Snapshot) {
+fn apply(cx: &Shared, source: Source, mut snapshot: Snapshot) {
     let (revision, version) = (snapshot.version.revision, snapshot.table.version);
     let (now, peer) = (cx.now(), source.address());
     let mut router = cx.router.borrow_mut();
+    for base in std::mem::take(&mut snapshot.bases) {
+        router.streams_mut().bases.adopt(base);
+    }
     if matches!(source, Source::NewerConfig(_)) {
         if router.registry_mut().merge_snapshot(now, snapshot) {
             log::info!(peer = peer.to_string().as_str(), version = version; "configuration taken from peer");
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -20,6 +20,7 @@
 use super::response::{AbortReason, ClientResponse, ErrorResponse, ResponseBody};
 use super::send::{Call, SendResult, UpstreamResponse, send};
 use super::shared::Shared;
+use super::stream_origins::{self, BeginVerdict, SendRecord};
 
 /// Largest incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -45,6 +46,8 @@
     last_progress: Time,
     /// Time from the arrival of the call to its first response head.
     first_event_after: Option<Duration>,
+    /// Whether a send of the call is on record with its version, or may be.
+    has_record: bool,
     request_guard: RequestGuard,
 }
 
@@ -78,9 +81,19 @@
         upstream_response: None,
         events: EventBuffer::default(),
         first_event_after: None,
+        has_record: false,
         request_guard,
     };
 
+    if relay.call.head.last_event_id.is_some() {
+        match stream_origins::resolve(&relay.cx, &relay.call).await {
+            Ok(version) => relay.bind(version),
+            Err(error) => {
+                let id = &relay.call.head.attempt_id;
+                return error.into_response(&*relay.cx.dialect, id);
+            }
+        }
+    }
     if let Err(error) = relay.start(None).await {
         return error;
     }
@@ -99,6 +112,9 @@
         let id = self.call.head.attempt_id.clone();
         let cx = Rc::clone(&self.cx);
         loop {
+            if !self.call.info.goes_on {
+                self.call.info.version = stream_origins::unrecorded_version(&cx, &self.call);
+            }
             let admission =
                 first.take().map_or_else(|| self.sends.admit(&cx, &self.call), Admission::Ok);
             let placement = match admission {
@@ -115,6 +131,7 @@
                 }
             };
             let mut reservation = UpstreamReservation::new(&cx, &self.call, &placement);
+            let record = self.record_send(reservation.version());
             let head_timeout = self.head_timeout(placement.expected_delay);
             let sent =
                 send(&cx, &self.call, &placement, &mut reservation, self.last_id, head_timeout)
@@ -125,11 +142,20 @@
                 {
                     self.on_bytes_received();
                     self.last_progress = cx.now();
-                    // What two versions generate does not fit together.
-                    self.call.info.version = Some(reservation.version().clone());
-                    self.reservation = Some(reservation);
-                    self.upstream_response = Some(upstream_response);
-                    return Ok(());
+                    match self.begin(reservation.version(), &record).await {
+                        BeginVerdict::PassOn => {
+                            self.bind(reservation.version().clone());
+                            self.reservation = Some(reservation);
+                            self.upstream_response = Some(upstream_response);
+                            return Ok(());
+                        }
+                        BeginVerdict::Elsewhere => (SendOutcome::Abandoned, true),
+                        BeginVerdict::Unknown => {
+                            return Err(
+                                ErrorResponse::OutcomeUnknown.into_response(&*cx.dialect, &id)
+                            );
+                        }
+                    }
                 }
                 SendResult::Response(upstream_response) => {
                     let is_failure = upstream_response.parts.status.is_server_error();
@@ -167,6 +193,36 @@
         }
     }
 
+    /// Binds the stream to a version: what two versions generate does not fit together.
+    fn bind(&mut self, version: Name) {
+        self.call.info.version = Some(version);
+        self.call.info.goes_on = true;
+    }
+
+    /// Returns whether the stream may be passed on that an upstream of a version has begun.
+    async fn begin(&self, version: &Name, record: &SendRecord) -> BeginVerdict {
+        if self.call.info.goes_on {
+            return BeginVerdict::PassOn;
+        }
+        // An earlier send is on record with another version.
+        if self.has_record && matches!(record, SendRecord::Impossible) {
+            return BeginVerdict::Unknown;
+        }
+        stream_origins::on_begun(&self.cx, &self.call, version, record).await
+    }
+
+    /// Begins to record the version at which the stream is about to begin.
+    fn record_send(&mut self, version: &Name) -> SendRecord {
+        if self.call.info.goes_on {
+            return SendRecord::NotNeeded;
+        }
+        let ordinal = self.sends.tried.len() as u8;
+        let record =
+            stream_origins::record_send(&self.cx, &self.call, version, ordinal, self.has_record);
+        self.has_record |= matches!(record, SendRecord::Waiting(_));
+        record
+    }
+
     /// Builds the response whose body relays the stream.
     fn into_response(self) -> ClientResponse {
         let mut response = Response::new(());
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -48,6 +48,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's registry.
     pub registry: SocketAddr,
+    /// Writes per second that the registry takes from all routers together.
+    pub record_writes_per_s: f64,
+    /// Time within which an event must be passed on.
+    pub delivery: Duration,
     /// Shortest time between two watches of the registry while changes arrive.
     pub watch_interval: Duration,
     /// Limits on buffered bodies, client connections and the time to stop.
@@ -84,8 +88,8 @@
         ("node", NodeSettings::KEYS),
         ("listen", &["http", "ready", "peers", "metrics"]),
         ("peers", &["seeds"]),
-        ("record", &["address"]),
-        ("bounds", &["drain-ms", "config-ms", "evacuation-ms"]),
+        ("record", &["address", "writes-per-s"]),
+        ("bounds", &["drain-ms", "config-ms", "evacuation-ms", "delivery-ms"]),
         ("limits", &["memory-mb", "descriptors", "grace-s"]),
         ("repeats", &["ratio", "allowance", "window-s"]),
         ("cold", &["overshoot", "allowance"]),
@@ -127,6 +131,10 @@
             path: path.to_owned(),
             seeds: f.addresses("peers", "seeds")?,
             registry: f.address("record", "address")?,
+            record_writes_per_s: f.decimal("record", "writes-per-s", 1.0..=1_000_000.0, 400.0)?,
+            delivery: Duration::from_secs_f64(
+                f.decimal("bounds", "delivery-ms", 1.0..=3_600_000.0, 120.0)? / 1_000.0,
+            ),
             watch_interval: read_tightest_bound(f)? / WATCHES_PER_BOUND,
             limits: EdgeLimits {
                 max_buffered_bytes: (memory_mb * BYTES_PER_MB / BUFFERED_MEMORY_DIVISOR) as usize,
--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -11,7 +11,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Collected, Full};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1::Builder;
@@ -42,6 +42,8 @@
     value: Vec<u8>,
     revision: u64,
     creation_revision: u64,
+    /// Lease that removes the item when it ends; zero for none.
+    lease_id: u64,
 }
 
 /// Change of a key.
@@ -65,6 +67,8 @@
     fault: Cell<StoreFault>,
     /// Number of times the store was restored from a copy.
     era: Cell<u64>,
+    /// Leases that hold.
+    leases: RefCell<Vec<u64>>,
     /// Number of reads of a first page.
     list_count: Cell<u32>,
     /// Number of watch calls.
@@ -87,6 +91,38 @@
     address: SocketAddr,
 }
 
+impl State {
+    fn next_revision(&self) -> u64 {
+        self.revision.set(self.revision.get() + 1);
+        self.revision.get()
+    }
+
+    /// Writes an item.
+    fn put(&self, key: &str, value: &[u8], lease_id: u64) {
+        let revision = self.next_revision();
+        let mut items = self.items.borrow_mut();
+        let creation_revision = items.get(key).map_or(revision, |item| item.creation_revision);
+        let item = Item { value: value.to_vec(), revision, creation_revision, lease_id };
+        items.insert(key.to_owned(), item.clone());
+        drop(items);
+        self.publish(Event { key: key.to_owned(), revision, item: Some(item) });
+    }
+
+    /// Deletes an item; does nothing when it is absent.
+    fn delete(&self, key: &str) {
+        if self.items.borrow_mut().remove(key).is_none() {
+            return;
+        }
+        let event = Event { key: key.to_owned(), revision: self.next_revision(), item: None };
+        self.publish(event);
+    }
+
+    fn publish(&self, event: Event) {
+        self.events.borrow_mut().push(event);
+        self.changed.notify_waiters();
+    }
+}
+
 impl MetadataStore {
     /// Starts a store on a free port of the loopback interface.
     ///
@@ -102,6 +138,7 @@
             compacted: Cell::new(0),
             fault: Cell::new(StoreFault::None),
             era: Cell::new(1),
+            leases: RefCell::default(),
             list_count: Cell::new(0),
             watch_count: Cell::new(0),
             changed: Notify::new(),
@@ -149,30 +186,30 @@
 
     /// Writes a value of arbitrary bytes, for example malformed JSON.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
-        let revision = self.state.revision.get() + 1;
-        self.state.revision.set(revision);
-        let mut items = self.state.items.borrow_mut();
-        let creation_revision = items.get(key).map_or(revision, |item| item.creation_revision);
-        let item = Item { value: value.to_vec(), revision, creation_revision };
-        items.insert(key.to_owned(), item.clone());
-        drop(items);
-
-        let event = Event { key: key.to_owned(), revision, item: Some(item) };
-        self.state.events.borrow_mut().push(event);
-        self.state.changed.notify_waiters();
+        self.state.put(key, value, 0);
     }
 
     /// Deletes a key; does nothing when it is absent.
     pub fn delete(&self, key: &str) {
-        if self.state.items.borrow_mut().remove(key).is_none() {
-            return;
+        self.state.delete(key);
+    }
+
+    /// Ends all leases and deletes their items.
+    pub fn end_leases(&self) {
+        self.state.leases.borrow_mut().clear();
+        let items = self.state.items.borrow();
+        let leased = items.iter().filter(|(_, item)| item.lease_id > 0);
+        let keys: Vec<String> = leased.map(|(key, _)| key.clone()).collect();
+        drop(items);
+        for key in keys {
+            self.state.delete(&key);
         }
+    }
 
-        let revision = self.state.revision.get() + 1;
-        self.state.revision.set(revision);
-        let event = Event { key: key.to_owned(), revision, item: None };
-        self.state.events.borrow_mut().push(event);
-        self.state.changed.notify_waiters();
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let items = self.state.items.borrow();
+        items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
     /// Returns a copy of all items.
@@ -184,6 +221,7 @@
     /// and the era rises. Waiting watches go on as if nothing had happened.
     pub fn restore(&self, copy: &StoreCopy) {
         *self.state.items.borrow_mut() = copy.items.clone();
+        self.state.leases.borrow_mut().clear();
         self.state.revision.set(copy.revision);
         self.state.events.borrow_mut().retain(|event| event.revision <= copy.revision);
         self.state.era.set(self.state.era.get() + 1);
@@ -214,7 +252,13 @@
         StoreFault::None => {}
     }
 
-    let (status, body) = match req.uri().path() {
+    let path = req.uri().path().to_owned();
+    let request_body = req.into_body().collect().await.map(Collected::to_bytes).unwrap_or_default();
+    let request_body: Value = serde_json::from_slice(&request_body).unwrap_or_default();
+    let (status, body) = match path.as_str() {
+        "/api/kv-key" => key(&state, &query),
+        "/api/kv-txn" => transact(&state, &request_body),
+        "/api/kv-lease" => lease(&state, &request_body),
         "/api/kv-range" => (StatusCode::OK, range(&state, &query)),
         "/api/kv-watch" => watch(&state, &query).await,
         _ => (StatusCode::NOT_FOUND, json!({})),
@@ -235,6 +279,43 @@
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// Returns an item.
+fn key(state: &State, query: &str) -> (StatusCode, Value) {
+    let key = query_parameter(query, "key").unwrap_or_default();
+    match state.items.borrow().get(key) {
+        Some(item) => (StatusCode::OK, item_json(key, item)),
+        None => (StatusCode::NOT_FOUND, json!({})),
+    }
+}
+
+/// Grants a lease; it holds until the test ends it.
+fn lease(state: &State, body: &Value) -> (StatusCode, Value) {
+    let mut leases = state.leases.borrow_mut();
+    let lease_id = state.next_revision();
+    leases.push(lease_id);
+    (StatusCode::OK, json!({"lease_id": lease_id, "ttl_ms": body["ttl_ms"]}))
+}
+
+/// Executes a transaction if its conditions hold.
+fn transact(state: &State, body: &Value) -> (StatusCode, Value) {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    let key = |row: &Value| row["key"].as_str().unwrap_or_default().to_owned();
+    let current = |key: &str| state.items.borrow().get(key).map_or(0, |item| item.revision);
+    if rows("expected_revision").iter().any(|row| row["revision"] != current(&key(row))) {
+        return (StatusCode::PRECONDITION_FAILED, json!({"entries": []}));
+    }
+    let lease_id = |row: &Value| row["lease_id"].as_u64().unwrap_or_default();
+    let holds = |row: &Value| lease_id(row) == 0 || state.leases.borrow().contains(&lease_id(row));
+    if !rows("write").iter().all(holds) {
+        return (StatusCode::NOT_FOUND, json!({}));
+    }
+    for row in rows("write") {
+        let value = STANDARD.decode(row["value"].as_str().unwrap_or_default()).unwrap_or_default();
+        state.put(&key(&row), &value, lease_id(&row));
+    }
+    (StatusCode::OK, json!({"revision": state.revision.get()}))
+}
+
 /// Returns a page of the keys with the prefix, after the key of the previous page.
 fn range(state: &State, query: &str) -> Value {
     let prefix = query_parameter(query, "path_prefix").unwrap_or_default();
@@ -287,7 +368,7 @@
         "value": STANDARD.encode(&item.value),
         "revision": item.revision,
         "creation_revision": item.creation_revision,
-        "lease_id": 0,
+        "lease_id": item.lease_id,
     })
 }
 
