The next base version is announced before it holds, writes of records are asked for by streams that wait

A model of routers and store in simulated time (edge::stream_scene) found streams joined from two versions in 2 of 8 kinds of trouble: the old version has left, the store is down or a router cut off, streams begin at the new one without a record, and the release is taken back. 'No record' then meant the old version again. Cause: what a stream may begin on without a record was decided by whether the base version serves, and the base went from one version to the next in one step, so that a router that had not heard of it went on. Change: a base is settled only when no stream of the one before can be taken up; meanwhile a stream without a record goes on nowhere, and begins without one only at the next base. The decisions of a send are in core. A write is due half of the delivery bound after a first event waits for it, and takes what was sent meanwhile along.

--- a/sapphirespur_core/src/edge/router/streams.rs
+++ b/sapphirespur_core/src/edge/router/streams.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use crate::edge::{Router, ServiceVersions, Snapshot, StreamKey, StreamOrigins};
+use crate::edge::{
+    BeginVerdict, Router, SendRecord, ServiceVersions, Snapshot, StreamKey, StreamOrigins,
+    StreamSend,
+};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -53,16 +56,6 @@
         self.streams.bases.needs_record(service, version, self.registry.version().era)
     }
 
-    /// Returns the base version of a service, if one of its upstreams accepts requests: new streams
-    /// begin there while they cannot be recorded.
-    pub fn serving_base(&self, now: Time, service: &Name) -> Option<Name> {
-        let base = self.streams.bases.get(service)?;
-        let mut available = self.registry.upstreams().available(now, service);
-        available
-            .any(|upstream| upstream.entry.version == base.version)
-            .then(|| base.version.clone())
-    }
-
     /// Returns whether other routers are heard, and none of them knows more of the registry.
     pub fn has_newest_registry(&self, now: Time) -> bool {
         let newest = self.peers().newest_version(now);
@@ -90,6 +83,61 @@
         Some(Snapshot { bases, ..self.registry.snapshot(now)? })
     }
 
+    /// Begins to record the version of the upstream to which a stream is sent, unless other routers infer
+    /// it; most upstreams respond after the write is done. After a recorded send of an attempt, each
+    /// further one is recorded.
+    pub fn record_send(&mut self, now: Time, send: &StreamSend) -> SendRecord {
+        if !send.has_record && !self.needs_record(&send.service, &send.version) {
+            return SendRecord::NotNeeded;
+        }
+        if !self.may_record(now) {
+            return SendRecord::Impossible;
+        }
+        let life = self.stream_life(&send.service);
+        let ticket = self.streams.log.append(now, send, life);
+        ticket.map_or(SendRecord::Impossible, SendRecord::Waiting)
+    }
+
+    /// Returns whether a stream may be passed on whose upstream has responded, and remembers it if so.
+    pub fn begin_stream(
+        &mut self,
+        now: Time,
+        send: &StreamSend,
+        record: &SendRecord,
+    ) -> BeginVerdict {
+        match record {
+            SendRecord::NotNeeded => {}
+            SendRecord::Waiting(ticket) if self.streams.log.is_written(ticket) => {}
+            SendRecord::Waiting(_) => return BeginVerdict::Unknown,
+            SendRecord::Impossible if send.has_record => return BeginVerdict::Unknown,
+            SendRecord::Impossible => {
+                let only = self.unrecorded_version(&send.service);
+                if only.is_some_and(|only| only != send.version) {
+                    return BeginVerdict::Elsewhere;
+                }
+            }
+        }
+        self.remember_stream(now, &send.service, send.key, &send.version);
+        BeginVerdict::PassOn
+    }
+
+    /// Returns the version at which a stream has to begin that cannot be recorded now; none when it may
+    /// begin at any.
+    pub fn begin_version(&self, now: Time, service: &Name) -> Option<Name> {
+        if self.may_record(now) { None } else { self.unrecorded_version(service) }
+    }
+
+    /// Returns the version at which other routers will take a stream without a record to have begun, if
+    /// they let it go on; none when that is not known.
+    fn unrecorded_version(&self, service: &Name) -> Option<Name> {
+        Some(self.streams.bases.get(service)?.version.clone())
+    }
+
+    /// Returns whether the store takes records, as far as is known.
+    fn may_record(&self, now: Time) -> bool {
+        !self.streams.is_store_failing && self.streams.log.may_record(now)
+    }
+
     /// Remembers a stream that began at a version, or goes on there.
     pub fn remember_stream(&mut self, now: Time, service: &Name, key: StreamKey, version: &Name) {
         let life = self.stream_life(service);
--- a/sapphirespur_core/src/edge/stream_bases.rs
+++ b/sapphirespur_core/src/edge/stream_bases.rs
@@ -15,6 +15,9 @@
     pub service: Name,
     /// Version at which a stream without a record began.
     pub version: Name,
+    /// Whether that is certain: streams that began without a record at an earlier base version cannot be
+    /// taken up any more. Until then, no stream without a record goes on.
+    pub is_settled: bool,
     /// Era of the store since which this holds. After a restore, records may be missing.
     pub era: u64,
 }
@@ -55,6 +58,8 @@
     is_current: bool,
     /// Since when no upstream of the version serves.
     absent_since: Option<Time>,
+    /// Since when this router knows that the version is the next base, and not settled.
+    unsettled_since: Option<Time>,
     /// Since when this router has seen that the store was restored after the item was written.
     restored_since: Option<Time>,
     /// Since when this router wants to write the item.
@@ -68,12 +73,20 @@
 }
 
 impl StreamBases {
-    /// Interval between reads while it matters which version is the base.
-    const READ_INTERVAL: Duration = Duration::from_secs(2);
+    /// Interval between reads while it matters which version is the base. Until a router knows the next
+    /// one, it records more streams than it has to.
+    const READ_INTERVAL: Duration = Duration::from_secs(8);
 
-    /// Time for which a base version must have been absent, beyond the life of its last streams:
-    /// routers hear of upstreams at different times.
-    const ABSENCE_SLACK: Duration = Duration::from_secs(3);
+    /// Interval between reads until one succeeds.
+    const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+    /// Time for which a base version must have been absent before its streams are given up: upstreams
+    /// that have crashed may come back.
+    const ABSENCE_TIME: Duration = Duration::from_secs(5);
+
+    /// Time that must pass beyond the life of the last streams of a base version before the next one is
+    /// settled: routers hear of changes at different times.
+    const SLACK: Duration = Duration::from_secs(3);
 
     /// Time after a restore of the store in which routers write their records again.
     const RESTORE_TIME: Duration = Duration::from_secs(3);
@@ -107,7 +120,7 @@
         else {
             return true;
         };
-        base.version != *version || base.era != era
+        !base.is_settled || base.version != *version || base.era != era
     }
 
     /// Records what the store has for a service, with the revision of the item.
@@ -115,6 +128,7 @@
         let base = self.by_service.entry(service.clone()).or_default();
         if base.item.as_ref().map(|(item, _)| item) != item.as_ref().map(|(item, _)| item) {
             base.absent_since = None;
+            base.unsettled_since = None;
             base.restored_since = None;
             base.wanted_since = None;
         }
@@ -180,8 +194,10 @@
         } else {
             self.restored_since = None;
         }
-        let is_present = known.versions.iter().any(|(version, _)| *version == base.version);
-        if !is_present {
+        if !base.is_settled {
+            self.unsettled_since.get_or_insert(now);
+        }
+        if !known.serves(&base.version) {
             self.absent_since.get_or_insert(now);
         } else if self.absent_since.take().is_some() {
             self.is_current = false;
@@ -193,35 +209,53 @@
     fn is_read_due(&self, now: Time, era: u64, known: &ServiceVersions) -> bool {
         let Some(asked_at) = self.asked_at else { return true };
         let is_sole = self.item.as_ref().is_some_and(|(base, _)| {
-            base.era == era && known.versions.iter().all(|(version, _)| *version == base.version)
+            let is_base = |(version, _): &(Name, usize)| *version == base.version;
+            base.is_settled && base.era == era && known.versions.iter().all(is_base)
         });
-        (!is_sole || !self.is_current) && now.since(asked_at) >= StreamBases::READ_INTERVAL
+        // The last read may have failed.
+        if !self.is_current {
+            return now.since(asked_at) >= StreamBases::RETRY_INTERVAL;
+        }
+        !is_sole && now.since(asked_at) >= StreamBases::READ_INTERVAL
     }
 
-    /// Returns the base version to write, with the revision that the item must have: there is no item,
-    /// its version has left for so long that none of its streams can go on, or the store was restored
-    /// and routers have had the time to write their records again.
+    /// Returns the base version to write, with the revision that the item must have.
+    ///
+    /// Another version is the next base once the present one has left, and is settled when no stream
+    /// of the present one can be taken up any more. After a restore of the store, routers first write
+    /// their records again.
     fn wanted(&self, now: Time, era: u64, known: &ServiceVersions) -> Option<BaseDuty> {
         if !self.is_current {
             return None;
         }
         let has_lasted = |since: Option<Time>, span| since.is_some_and(|at| now.since(at) >= span);
         let most = &known.versions.first()?.0;
-        let (version, expected_revision) = match &self.item {
-            None => (most, 0),
-            Some((_, revision))
-                if has_lasted(self.absent_since, known.life + StreamBases::ABSENCE_SLACK) =>
+        let (version, is_settled, expected_revision) = match &self.item {
+            None => (most, true, 0),
+            Some((_, revision)) if has_lasted(self.absent_since, StreamBases::ABSENCE_TIME) => {
+                (most, false, *revision)
+            }
+            Some((base, revision))
+                if has_lasted(self.unsettled_since, known.life + StreamBases::SLACK) =>
             {
-                (most, *revision)
+                (&base.version, true, *revision)
             }
             Some((base, revision))
                 if has_lasted(self.restored_since, StreamBases::RESTORE_TIME) =>
             {
-                (&base.version, *revision)
+                (&base.version, base.is_settled, *revision)
             }
             Some(_) => return None,
         };
-        let base = BaseVersion { service: known.service.clone(), version: version.clone(), era };
+        let (service, version) = (known.service.clone(), version.clone());
+        let base = BaseVersion { service, version, is_settled, era };
         Some(BaseDuty::Write { base, expected_revision })
     }
 }
+
+impl ServiceVersions {
+    /// Returns whether upstreams of a version serve.
+    fn serves(&self, version: &Name) -> bool {
+        self.versions.iter().any(|(serving, _)| serving == version)
+    }
+}
--- a/sapphirespur_core/src/edge/stream_log.rs
+++ b/sapphirespur_core/src/edge/stream_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::edge::{StreamKey, StreamRecord};
+use crate::edge::{StreamRecord, StreamSend};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -81,6 +81,8 @@
     number: u64,
     /// When the last write failed; none since it succeeded.
     failed_at: Option<Time>,
+    /// When the next write is due; none while no stream waits for one.
+    due_at: Option<Time>,
 }
 
 impl StreamLog {
@@ -93,21 +95,14 @@
     /// Time after a failed write in which streams begin where they need no record.
     const FAILURE_TIME: Duration = Duration::from_secs(1);
 
-    /// Adds a send of a stream, which can be taken up for `life`; `ordinal` is the number of sends of the
-    /// same attempt before. Returns none when it cannot be recorded.
-    pub fn append(
-        &mut self,
-        now: Time,
-        service: &Name,
-        (key, ordinal): (StreamKey, u8),
-        version: &Name,
-        life: Duration,
-    ) -> Option<RecordTicket> {
+    /// Adds a send of a stream, which can be taken up for `life`. Returns none when it cannot be
+    /// recorded.
+    pub fn append(&mut self, now: Time, send: &StreamSend, life: Duration) -> Option<RecordTicket> {
         self.slots.retain(|_, slot| slot.until > now);
         let span = now.as_micros() / Self::SPAN.as_micros() as u64;
-        let id = RecordId { service: service.clone(), shard: key.shard(), span };
+        let id = RecordId { service: send.service.clone(), shard: send.key.shard(), span };
         let slot = self.slots.entry(id.clone()).or_default();
-        if !slot.record.push(key, version, ordinal) {
+        if !slot.record.push(send) {
             return None;
         }
         self.number += 1;
@@ -121,9 +116,15 @@
         self.slots.get(&ticket.id).is_some_and(|slot| slot.written >= ticket.number)
     }
 
-    /// Returns whether records wait to be written.
-    pub fn has_unwritten(&self) -> bool {
-        self.slots.values().any(|slot| slot.written < slot.added)
+    /// Asks for a write at `at` or before: a stream waits for its record. All streams that were added by
+    /// then share it, so that most of them need not wait.
+    pub fn request_write(&mut self, at: Time) {
+        self.due_at = Some(self.due_at.map_or(at, |due_at| due_at.min(at)));
+    }
+
+    /// Returns when the next write is due; none while no stream waits for one.
+    pub fn due_at(&self) -> Option<Time> {
+        self.due_at
     }
 
     /// Returns whether the store has taken the last records, or may take them again.
@@ -142,7 +143,7 @@
     }
 
     /// Returns the records to write now; none when all are written or there is no lease.
-    pub fn batch(&self) -> Option<RecordBatch> {
+    pub fn batch(&mut self) -> Option<RecordBatch> {
         let lease = self.lease?.id;
         let unwritten = self.slots.iter().filter(|(_, slot)| slot.written < slot.added);
         let writes: Vec<_> = unwritten
@@ -154,11 +155,12 @@
                 record: slot.record.clone(),
             })
             .collect();
+        self.due_at = None;
         (!writes.is_empty()).then_some(RecordBatch { writes, lease, number: self.number })
     }
 
     /// Records that a batch is in the store, at this revision.
-    pub fn on_written(&mut self, batch: &RecordBatch, revision: u64) {
+    pub fn on_written(&mut self, now: Time, batch: &RecordBatch, revision: u64) {
         self.failed_at = None;
         for write in &batch.writes {
             if let Some(slot) = self.slots.get_mut(&write.id) {
@@ -166,12 +168,17 @@
                 slot.written = slot.written.max(slot.added.min(batch.number));
             }
         }
+        // Records that did not fit into the batch.
+        if self.slots.values().any(|slot| slot.written < slot.added.min(batch.number)) {
+            self.request_write(now);
+        }
     }
 
     /// Records that the store has not confirmed a batch. It may execute it later, so its records are
     /// written to other items.
     pub fn on_failed(&mut self, now: Time, batch: Option<&RecordBatch>) {
         self.failed_at = Some(now);
+        self.request_write(now);
         for write in batch.iter().flat_map(|batch| &batch.writes) {
             if let Some(slot) = self.slots.get_mut(&write.id) {
                 slot.renew();
@@ -181,8 +188,9 @@
 
     /// Records that the lease has ended, or that the store was restored from an older copy: all streams
     /// that can still be taken up are recorded again, under a new lease.
-    pub fn on_lost(&mut self) {
+    pub fn on_lost(&mut self, now: Time) {
         self.lease = None;
+        self.request_write(now);
         self.slots.values_mut().for_each(Slot::renew);
     }
 }
--- a/sapphirespur_core/src/edge/stream_lookup.rs
+++ b/sapphirespur_core/src/edge/stream_lookup.rs
@@ -31,7 +31,9 @@
         }
         match &self.base {
             // After a restore, the absence of a record tells nothing.
-            Some(base) if base.era == self.era => StreamVerdict::Version(base.version.clone()),
+            Some(base) if base.is_settled && base.era == self.era => {
+                StreamVerdict::Version(base.version.clone())
+            }
             _ => StreamVerdict::Unknowable,
         }
     }
--- a/sapphirespur_core/src/edge/stream_origins.rs
+++ b/sapphirespur_core/src/edge/stream_origins.rs
@@ -11,4 +11,6 @@
     pub bases: StreamBases,
     /// Records that this router writes.
     pub log: StreamLog,
+    /// Whether the last call to the registry failed, which the same store holds.
+    pub is_store_failing: bool,
 }
--- a/sapphirespur_core/src/edge/stream_record.rs
+++ b/sapphirespur_core/src/edge/stream_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{StreamKey, StreamOrigin};
+use crate::edge::{StreamKey, StreamOrigin, StreamSend};
 use crate::name::Name;
 
 /// Streams that one router sent to upstreams within one span of time, of one shard.
@@ -30,16 +30,20 @@
     const MAX_VERSIONS: usize = u8::MAX as usize;
 
     /// Adds a send of a stream. Returns `false` when it does not fit.
-    pub fn push(&mut self, key: StreamKey, version: &Name, ordinal: u8) -> bool {
-        let known = self.versions.iter().position(|known| known == version);
+    pub fn push(&mut self, send: &StreamSend) -> bool {
+        let known = self.versions.iter().position(|known| *known == send.version);
         let index = known.unwrap_or(self.versions.len());
         if index >= Self::MAX_VERSIONS {
             return false;
         }
         if known.is_none() {
-            self.versions.push(version.clone());
+            self.versions.push(send.version.clone());
         }
-        self.streams.push(RecordedSend { hash: key.hash(), version: index as u8, ordinal });
+        self.streams.push(RecordedSend {
+            hash: send.key.hash(),
+            version: index as u8,
+            ordinal: send.ordinal,
+        });
         true
     }
 
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -24,5 +24,8 @@
 mod restored_registry;
 mod retries;
 mod routes;
+mod stream_origins;
+mod stream_scene;
+mod stream_store;
 mod stream_version;
 mod support;
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -157,7 +157,7 @@
                     log::warn!(error = e.to_string().as_str(); "record lost");
                 }
                 self.failures += 1;
-                self.cx.is_registry_failing.set(true);
+                self.cx.set_registry_failing(true);
             }
         }
 
@@ -176,7 +176,7 @@
             self.has_outage = false;
             self.recovered_at = Some(now);
         }
-        self.cx.is_registry_failing.set(false);
+        self.cx.set_registry_failing(false);
         self.cx.last_registry_response.set(Some(now));
     }
 
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -205,11 +205,17 @@
         }
         self.record_era.set(era);
         if known > 0 {
-            self.router.borrow_mut().streams_mut().log.on_lost();
+            self.router.borrow_mut().streams_mut().log.on_lost(self.now());
             self.records_due.notify_one();
         }
     }
 
+    /// Sets whether the last call to the registry failed.
+    pub fn set_registry_failing(&self, is_failing: bool) {
+        self.is_registry_failing.set(is_failing);
+        self.router.borrow_mut().streams_mut().is_store_failing = is_failing;
+    }
+
     /// Returns whether the load balancer may send connections.
     pub fn is_ready(&self) -> bool {
         let is_flooded = self.overload.borrow().wants_relief(self.now());
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -8,7 +8,9 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
-use sapphirespur_core::edge::{Admission, DeclineReason, Placement, SendOutcome};
+use sapphirespur_core::edge::{
+    Admission, BeginVerdict, DeclineReason, Placement, SendOutcome, SendRecord, StreamSend,
+};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 use tokio::time::timeout;
@@ -20,7 +22,7 @@
 use super::response::{AbortReason, ClientResponse, ErrorResponse, ResponseBody};
 use super::send::{Call, SendResult, UpstreamResponse, send};
 use super::shared::Shared;
-use super::stream_origins::{self, BeginVerdict, SendRecord};
+use super::stream_origins;
 
 /// Largest incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -113,7 +115,7 @@
         let cx = Rc::clone(&self.cx);
         loop {
             if !self.call.info.goes_on {
-                self.call.info.version = stream_origins::unrecorded_version(&cx, &self.call);
+                self.call.info.version = stream_origins::begin_version(&cx, &self.call);
             }
             let admission =
                 first.take().map_or_else(|| self.sends.admit(&cx, &self.call), Admission::Ok);
@@ -131,7 +133,7 @@
                 }
             };
             let mut reservation = UpstreamReservation::new(&cx, &self.call, &placement);
-            let record = self.record_send(reservation.version());
+            let recorded = self.record_send(reservation.version());
             let head_timeout = self.head_timeout(placement.expected_delay);
             let sent =
                 send(&cx, &self.call, &placement, &mut reservation, self.last_id, head_timeout)
@@ -142,7 +144,7 @@
                 {
                     self.on_bytes_received();
                     self.last_progress = cx.now();
-                    match self.begin(reservation.version(), &record).await {
+                    match self.begin(recorded.as_ref()).await {
                         BeginVerdict::PassOn => {
                             self.bind(reservation.version().clone());
                             self.reservation = Some(reservation);
@@ -199,28 +201,27 @@
         self.call.info.goes_on = true;
     }
 
-    /// Returns whether the stream may be passed on that an upstream of a version has begun.
-    async fn begin(&self, version: &Name, record: &SendRecord) -> BeginVerdict {
+    /// Begins to record a send of a stream that others have to know the version of. Returns the send and
+    /// its record; none for a stream that goes on, or that cannot be taken up.
+    fn record_send(&mut self, version: &Name) -> Option<(StreamSend, SendRecord)> {
         if self.call.info.goes_on {
-            return BeginVerdict::PassOn;
+            return None;
         }
-        // An earlier send is on record with another version.
-        if self.has_record && matches!(record, SendRecord::Impossible) {
-            return BeginVerdict::Unknown;
-        }
-        stream_origins::on_begun(&self.cx, &self.call, version, record).await
+        let ordinal = self.sends.tried.len() as u8;
+        let send = stream_origins::stream_send(&self.call, version, ordinal, self.has_record)?;
+        let record = self.cx.router.borrow_mut().record_send(self.cx.now(), &send);
+        self.has_record |= matches!(record, SendRecord::Waiting(_));
+        Some((send, record))
     }
 
-    /// Begins to record the version at which the stream is about to begin.
-    fn record_send(&mut self, version: &Name) -> SendRecord {
-        if self.call.info.goes_on {
-            return SendRecord::NotNeeded;
+    /// Returns whether the stream of a send may be passed on, whose upstream has responded.
+    async fn begin(&self, recorded: Option<&(StreamSend, SendRecord)>) -> BeginVerdict {
+        match recorded {
+            Some((send, record)) => {
+                stream_origins::begin_stream(&self.cx, &self.call, send, record).await
+            }
+            None => BeginVerdict::PassOn,
         }
-        let ordinal = self.sends.tried.len() as u8;
-        let record =
-            stream_origins::record_send(&self.cx, &self.call, version, ordinal, self.has_record);
-        self.has_record |= matches!(record, SendRecord::Waiting(_));
-        record
     }
 
     /// Builds the response whose body relays the stream.
--- a/sapphirespur_node/src/edge/stream_keeper.rs
+++ b/sapphirespur_node/src/edge/stream_keeper.rs
@@ -18,10 +18,6 @@
 /// Fraction of the store's writes that the records of streams may take.
 const WRITE_FRACTION: f64 = 0.25;
 
-/// Fraction of the time within which an event must be passed on that the interval between two writes of
-/// records may take; the streams that begin meanwhile share one.
-const DELIVERY_FRACTION: f64 = 0.75;
-
 /// Time within which the store must confirm a write; after that it is made again.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -44,15 +40,13 @@
 /// Writes records of streams as they are added, until the process exits.
 pub(super) async fn write_records(cx: Rc<Shared>, mut store: impl RecordStore) {
     loop {
-        while !cx.router.borrow().streams().log.has_unwritten() {
-            cx.records_due.notified().await;
-        }
+        wait_until_due(&cx).await;
         let started = cx.now();
         let result = write_waiting(&cx, &mut store).await;
         cx.metrics.record_registry_call(result.is_ok());
         cx.records_written.notify_waiters();
         let pause = match result {
-            Ok(()) => write_interval(&cx),
+            Ok(()) => shortest_interval(&cx),
             Err(e) => {
                 if cx.may_log_failure() {
                     log::warn!(error = e.to_string().as_str(); "streams not recorded");
@@ -64,13 +58,29 @@
     }
 }
 
-/// Returns the interval between two writes of records: so short that a first event does not wait for
-/// too long, and so long that all routers together stay within their fraction of the store's writes.
-fn write_interval(cx: &Shared) -> Duration {
+/// Waits until a write of records is due.
+async fn wait_until_due(cx: &Shared) {
+    loop {
+        let due_at = cx.router.borrow().streams().log.due_at();
+        let Some(due_at) = due_at else {
+            cx.records_due.notified().await;
+            continue;
+        };
+        let wait = due_at.since(cx.now());
+        if wait.is_zero() {
+            return;
+        }
+        // An earlier write may be asked for meanwhile.
+        let _ = timeout(wait, cx.records_due.notified()).await;
+    }
+}
+
+/// Returns the shortest interval between two writes of records at which all routers together stay within
+/// their fraction of the store's writes.
+fn shortest_interval(cx: &Shared) -> Duration {
     let routers = cx.router.borrow().peers().count(cx.now()) + 1;
     let per_s = cx.settings().record_writes_per_s * WRITE_FRACTION;
-    let within_limit = Duration::from_secs_f64(routers as f64 / per_s);
-    within_limit.max(cx.settings().delivery.mul_f64(DELIVERY_FRACTION))
+    Duration::from_secs_f64(routers as f64 / per_s)
 }
 
 /// Writes the records that wait, with a lease that holds.
@@ -81,7 +91,8 @@
         cx.router.borrow_mut().streams_mut().log.on_failed(cx.now(), None);
         return Err(e);
     }
-    let Some(batch) = cx.router.borrow().streams().log.batch() else { return Ok(()) };
+    let batch = cx.router.borrow_mut().streams_mut().log.batch();
+    let Some(batch) = batch else { return Ok(()) };
     let result = in_time(write_batch(cx, store, &batch)).await;
     if result.is_err() {
         cx.router.borrow_mut().streams_mut().log.on_failed(cx.now(), Some(&batch));
@@ -110,10 +121,10 @@
     let mut router = cx.router.borrow_mut();
     let log = &mut router.streams_mut().log;
     match value {
-        WriteOutcome::Written(revision) => log.on_written(batch, revision),
+        WriteOutcome::Written(revision) => log.on_written(cx.now(), batch, revision),
         // Only a restore of the store changes an item of this process.
         WriteOutcome::Conflict | WriteOutcome::LeaseEnded => {
-            log.on_lost();
+            log.on_lost(cx.now());
             log::info!(era = era, is_conflict = value == WriteOutcome::Conflict; "stream records are written again");
         }
     }
@@ -222,8 +233,11 @@
     let mut router = cx.router.borrow_mut();
     let bases = &mut router.streams_mut().bases;
     let new = item.as_ref().map(|(base, _)| base);
-    if bases.get(service) != new {
-        log::info!(service = service.as_str(), version = new.map_or("", |base| base.version.as_str()), before = bases.get(service).map_or("", |base| base.version.as_str()), era = new.map_or(0, |base| base.era); "base version of streams");
+    let known = bases.get(service);
+    if known != new {
+        let text =
+            |base: Option<&BaseVersion>| base.map_or("", |base| base.version.as_str()).to_owned();
+        log::info!(service = service.as_str(), version = text(new).as_str(), before = text(known).as_str(), is_settled = new.is_some_and(|base| base.is_settled), era = new.map_or(0, |base| base.era); "base version of streams");
     }
     bases.on_read(now, service, item);
 }
--- a/sapphirespur_node/src/edge/stream_origins.rs
+++ b/sapphirespur_node/src/edge/stream_origins.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sapphirespur_core::edge::{RecordTicket, StreamKey, StreamOrigin, StreamVerdict};
+use sapphirespur_core::edge::{
+    BeginVerdict, RecordTicket, SendRecord, StreamKey, StreamOrigin, StreamSend, StreamVerdict,
+};
 use sapphirespur_core::name::Name;
 use tokio::time::{Instant, timeout_at};
 
@@ -17,6 +19,10 @@
 /// Time within which a stream must be on record; its client may be waiting for the first event.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Fraction of the time within which an event must be passed on that a first event waits for others to
+/// share the write of its record.
+const RECORD_WAIT_FRACTION: f64 = 0.5;
+
 /// Where the version that began a stream is known from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum OriginSource {
@@ -39,17 +45,6 @@
     }
 }
 
-/// Whether a stream that begins may be passed on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum BeginVerdict {
-    /// It can be taken up at any router, or no other version could take it up.
-    PassOn,
-    /// It has no record, and may begin at another version.
-    Elsewhere,
-    /// Whether it has a record is not known, so it must not be passed on at any version.
-    Unknown,
-}
-
 /// Returns the key of the stream that a call begins, or goes on with.
 fn stream_key(call: &Call, attempt_id: &str) -> StreamKey {
     StreamKey::new(call.info.workspace.as_ref(), attempt_id)
@@ -136,99 +131,70 @@
     }
 }
 
-/// Returns the version at which a stream that can be taken up has to begin, because it cannot be
-/// recorded now; none when it may begin at any.
-pub(super) fn unrecorded_version(cx: &Shared, call: &Call) -> Option<Name> {
-    let now = cx.now();
-    if !call.route.kind.is_retryable() || may_record(cx) {
+/// Returns the version at which the stream of a call has to begin because it cannot be recorded now; none
+/// when it may begin at any.
+pub(super) fn begin_version(cx: &Shared, call: &Call) -> Option<Name> {
+    if !call.route.kind.is_retryable() {
         return None;
     }
-    cx.router.borrow().serving_base(now, &call.info.service)
-}
-
-/// Returns whether the store takes records, as far as is known.
-fn may_record(cx: &Shared) -> bool {
-    !cx.is_registry_failing.get() && cx.router.borrow().streams().log.may_record(cx.now())
-}
-
-/// Whether the version of a stream that is sent to an upstream will be known at other routers.
-#[derive(Clone, Debug)]
-pub(super) enum SendRecord {
-    /// They infer it.
-    NotNeeded,
-    /// It is being recorded.
-    Waiting(RecordTicket),
-    /// It cannot be recorded.
-    Impossible,
+    cx.router.borrow().begin_version(cx.now(), &call.info.service)
 }
 
-/// Begins to record the version of the upstream to which a stream is sent, unless other routers infer
-/// it. The write is done before most upstreams respond. `ordinal` is the number of sends of the same
-/// attempt before; after a recorded one, each is recorded.
-pub(super) fn record_send(
-    cx: &Shared,
+/// Returns the send of a call to an upstream of a version; none when its stream cannot be taken up.
+pub(super) fn stream_send(
     call: &Call,
     version: &Name,
     ordinal: u8,
     has_record: bool,
-) -> SendRecord {
-    let (now, service) = (cx.now(), &call.info.service);
-    let mut router = cx.router.borrow_mut();
-    if !call.route.kind.is_retryable() || !(has_record || router.needs_record(service, version)) {
-        return SendRecord::NotNeeded;
-    }
-    if cx.is_registry_failing.get() || !router.streams().log.may_record(now) {
-        return SendRecord::Impossible;
-    }
-    let life = router.stream_life(service);
-    let send = (stream_key(call, &call.head.attempt_id), ordinal);
-    let ticket = router.streams_mut().log.append(now, service, send, version, life);
-    cx.records_due.notify_one();
-    ticket.map_or(SendRecord::Impossible, SendRecord::Waiting)
+) -> Option<StreamSend> {
+    call.route.kind.is_retryable().then(|| StreamSend {
+        service: call.info.service.clone(),
+        key: stream_key(call, &call.head.attempt_id),
+        version: version.clone(),
+        ordinal,
+        has_record,
+    })
 }
 
-/// Remembers that a stream has begun at a version, once it is on record if it has to be.
-pub(super) async fn on_begun(
-    cx: &Rc<Shared>,
+/// Returns whether a stream may be passed on whose upstream has responded, once it is on record if it
+/// has to be.
+pub(super) async fn begin_stream(
+    cx: &Shared,
     call: &Call,
-    version: &Name,
+    send: &StreamSend,
     record: &SendRecord,
 ) -> BeginVerdict {
-    let service = &call.info.service;
-    match record {
-        SendRecord::NotNeeded => {}
-        SendRecord::Waiting(ticket) if wait_for_record(cx, call, ticket).await => {}
-        SendRecord::Waiting(_) => return BeginVerdict::Unknown,
-        SendRecord::Impossible => {
-            let base = cx.router.borrow().serving_base(cx.now(), service);
-            if base.is_some_and(|base| base != *version) {
-                return BeginVerdict::Elsewhere;
-            }
-            cx.metrics.record_unrecorded_stream();
-        }
+    if let SendRecord::Waiting(ticket) = record {
+        wait_for_record(cx, call, ticket).await;
     }
-    if call.route.kind.is_retryable() {
-        let key = stream_key(call, &call.head.attempt_id);
-        cx.router.borrow_mut().remember_stream(cx.now(), service, key, version);
+    let verdict = cx.router.borrow_mut().begin_stream(cx.now(), send, record);
+    if (verdict, record) == (BeginVerdict::PassOn, &SendRecord::Impossible) {
+        cx.metrics.record_unrecorded_stream();
     }
-    BeginVerdict::PassOn
+    verdict
 }
 
-/// Waits until the version of a stream is on record. Returns whether it is in time.
-async fn wait_for_record(cx: &Rc<Shared>, call: &Call, ticket: &RecordTicket) -> bool {
+/// Waits until the version of a stream is on record, for as long as its client may wait.
+async fn wait_for_record(cx: &Shared, call: &Call, ticket: &RecordTicket) {
+    if cx.router.borrow().streams().log.is_written(ticket) {
+        return;
+    }
     let started = cx.now();
+    let at = started + cx.settings().delivery.mul_f64(RECORD_WAIT_FRACTION);
+    cx.router.borrow_mut().streams_mut().log.request_write(at);
+    cx.records_due.notify_one();
     let deadline = Instant::now() + RECORD_TIMEOUT.min(call.time_left(started));
     loop {
         let written = cx.records_written.notified();
         if cx.router.borrow().streams().log.is_written(ticket) {
             cx.metrics.record_stream_recorded(cx.now().since(started));
-            return true;
+            return;
         }
         if timeout_at(deadline, written).await.is_err() {
             if cx.may_log_failure() {
                 log::warn!(request = call.head.attempt_id.as_str(); "stream not recorded in time");
             }
-            return false;
+            return;
         }
     }
 }
