--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use awc::Client;
+use sapphirespur_core::edge::BaseVersion;
 use sapphirespur_node::edge::{EdgeStatus, STATUS_PATH, UpstreamStatus};
 
 use crate::args::RouterArgs;
@@ -54,6 +55,8 @@
         ("data centres out", status.out.join(" ")),
         ("quarantined segments", status.quarantined.join(" ")),
         ("quarantined requests", status.quarantined_requests.join(" ")),
+        ("base versions", base_versions(status)),
+        ("streams known", status.known_streams.to_string()),
     ];
     let rows: Vec<Vec<String>> =
         rows.into_iter().map(|(name, value)| vec![name.to_owned(), value]).collect();
@@ -61,6 +64,7 @@
     let header = [
         "upstream",
         "service",
+        "version",
         "data centre",
         "condition",
         "requests",
@@ -75,11 +79,21 @@
     format!("{}\n{}", format_table(&["fact", "value"], &rows), format_table(&header, &upstreams))
 }
 
+/// Returns the versions at which streams without a record began.
+fn base_versions(status: &EdgeStatus) -> String {
+    let name = |base: &BaseVersion| {
+        let state = if base.is_settled { "" } else { " (next)" };
+        format!("{}={}{state}", base.service, base.version)
+    };
+    status.base_versions.iter().map(name).collect::<Vec<_>>().join(" ")
+}
+
 /// Returns the table row of an upstream.
 fn row(upstream: &UpstreamStatus) -> Vec<String> {
     vec![
         upstream.id.clone(),
         upstream.service.clone(),
+        upstream.version.clone(),
         upstream.data_centre.clone(),
         upstream.condition.clone(),
         upstream.in_flight.to_string(),
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -274,6 +274,7 @@
         let known = router.registry().version();
         router.registry_mut().set_version(known.max(changes.changed));
         drop(router);
+        self.cx.bases_due.notify_one();
         self.cx.watch_version.set(Some(changes.version));
     }
 }
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{QuarantineKey, Upstream};
+use sapphirespur_core::edge::{BaseVersion, QuarantineKey, Upstream};
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,12 @@
     /// Identities of requests that are refused because upstreams ended under them, in hexadecimal.
     #[serde(default)]
     pub quarantined_requests: Vec<String>,
+    /// Versions at which streams without a record began, sorted by service.
+    #[serde(default)]
+    pub base_versions: Vec<BaseVersion>,
+    /// Streams of which this router knows the version that began them.
+    #[serde(default)]
+    pub known_streams: usize,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -56,6 +62,9 @@
     pub id: String,
     /// Service that the upstream runs.
     pub service: String,
+    /// Version of its software.
+    #[serde(default)]
+    pub version: String,
     /// Data centre of the upstream.
     pub data_centre: String,
     /// Whether it accepts requests: `warm`, `cold` or `closed`.
@@ -99,6 +108,8 @@
         router.quarantine().quarantined().into_iter().partition(QuarantineKey::is_request);
     let to_text = |keys: Vec<QuarantineKey>| keys.iter().map(ToString::to_string).collect();
     let relay = router.exchange().sums_source(now);
+    let mut base_versions: Vec<_> = router.streams().bases.iter().cloned().collect();
+    base_versions.sort_by(|a, b| a.service.cmp(&b.service));
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
         version: registry.table().map(|table| table.version),
@@ -114,6 +125,8 @@
         out,
         quarantined: to_text(segments),
         quarantined_requests: to_text(requests),
+        base_versions,
+        known_streams: router.streams().memory.len(),
         upstreams,
     }
 }
@@ -122,6 +135,7 @@
     UpstreamStatus {
         id: upstream.entry.id.to_string(),
         service: upstream.entry.service.to_string(),
+        version: upstream.entry.version.to_string(),
         data_centre: upstream.entry.data_centre.to_string(),
         condition: upstream.condition(now).as_str().to_owned(),
         in_flight: upstream.load.in_flight,
