A stream of a split route goes on at the service that began it

Change: by the attempt that began it. The test fails before (i-other in place of i-0-v1) and passes after. A change of the weights while the stream runs can still move it; not mended.

--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -25,6 +25,15 @@
     pub resumes: Option<String>,
 }
 
+impl RequestHead {
+    /// Returns the attempt by which a split route chooses the service: a stream goes on at the service
+    /// that began it.
+    pub fn split_id(&self) -> &str {
+        let resumes = self.resumes.as_deref().filter(|_| self.last_event_id.is_some());
+        resumes.unwrap_or(&self.attempt_id)
+    }
+}
+
 /// Reason why the head of a request is malformed.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum RequestHeadError {
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -99,9 +99,8 @@
         return Err(ErrorResponse::Busy(retry_after));
     }
     request_guard.accept();
-    let service = route
-        .service_for(&head.attempt_id)
-        .ok_or(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER))?;
+    let service =
+        route.service_for(head.split_id()).ok_or(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER))?;
 
     let client_timeout = head.remaining.unwrap_or(route.timeout);
     let remaining = client_timeout.min(route.timeout);
