A write that a restore has overtaken says nothing of the item that follows it

Found by reading: after a restore, the confirmation of the write that told of it set the revision of the next item, whose first write was then refused and made again. Now it is left alone.

--- a/sapphirespur_core/src/edge/stream_log.rs
+++ b/sapphirespur_core/src/edge/stream_log.rs
@@ -163,7 +163,9 @@
     pub fn on_written(&mut self, now: Time, batch: &RecordBatch, revision: u64) {
         self.failed_at = None;
         for write in &batch.writes {
-            if let Some(slot) = self.slots.get_mut(&write.id) {
+            if let Some(slot) = self.slots.get_mut(&write.id)
+                && slot.generation == write.generation
+            {
                 slot.revision = revision;
                 slot.written = slot.written.max(slot.added.min(batch.number));
             }
