--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -3,6 +3,10 @@
 
 #![allow(missing_docs)]
 
+#[macro_use]
+#[path = "../common/properties.rs"]
+mod properties;
+
 mod admission;
 mod cold_return;
 mod crash_scene;
--- a/sapphirespur_node/tests/edge/main.rs
+++ b/sapphirespur_node/tests/edge/main.rs
@@ -2,6 +2,10 @@
 
 #![allow(missing_docs)]
 
+#[macro_use]
+#[path = "../../../sapphirespur_core/tests/common/properties.rs"]
+mod properties;
+
 mod event_buffer;
 mod hop_headers;
 mod log;
