Members read changes of the registry at their relay

Each router keeps the changes of the last 10 s that it has applied (core::edge::change_log). A member asks its relay for those after its own version; the store is asked if the relay does not answer in 0.4 s, has forgotten some, ends before the newest known version, or has lost the store, and every 8 s as before. What a relay tells was trusted before, too.

Ruled out: one watch of all keys, which brings every router the records of all others.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod backoff;
 mod call_info;
 mod candidate;
+mod change_log;
 mod cold_limit;
 mod departed;
 mod exchange;
@@ -31,6 +32,7 @@
 mod quarantine_change;
 mod quarantine_key;
 mod recent_keys;
+mod registry_change;
 mod registry_state;
 mod registry_version;
 mod report;
@@ -64,6 +66,7 @@
 pub use admission::{Admission, Decline, DeclineReason, Placement};
 pub use backoff::Backoff;
 pub use call_info::CallInfo;
+pub use change_log::ChangeLog;
 pub use exchange::{
     Contact, Exchange, ExchangeRole, FleetNews, HeardContact, Members, MessageExtension, News,
     OutgoingMessage, PeerMessage, ReportScope,
@@ -84,6 +87,7 @@
 pub use quarantine::Quarantine;
 pub use quarantine_change::QuarantineChange;
 pub use quarantine_key::QuarantineKey;
+pub use registry_change::{RegistryChange, RegistryChanges, RegistryEntry, RevisedChange};
 pub use registry_state::RegistryState;
 pub use registry_version::RegistryVersion;
 pub use report::{
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -33,6 +33,13 @@
     kind: &'static str,
 }
 
+impl KindLabel {
+    /// Creates the label of a call by its result.
+    fn result(is_success: bool) -> Self {
+        Self { kind: if is_success { "good" } else { "failed" } }
+    }
+}
+
 /// Name of a workspace, or [`OTHER_WORKSPACES`], as a label.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct WorkspaceLabel {
@@ -60,6 +67,7 @@
     declines: Family<KindLabel, Counter>,
     failed_sends: Family<KindLabel, Counter>,
     registry_calls: Family<KindLabel, Counter>,
+    relay_calls: Family<KindLabel, Counter>,
     resumed_streams: Counter,
     taken_up_streams: Family<KindLabel, Counter>,
     unrecorded_streams: Counter,
@@ -92,6 +100,7 @@
             declines: Family::default(),
             failed_sends: Family::default(),
             registry_calls: Family::default(),
+            relay_calls: Family::default(),
             resumed_streams: Counter::default(),
             taken_up_streams: Family::default(),
             unrecorded_streams: Counter::default(),
@@ -121,6 +130,11 @@
         r.register("declines", "Requests not placed, by reason", metrics.declines.clone());
         r.register("failed_sends", "Sends without an answer", metrics.failed_sends.clone());
         r.register("record_calls", "Calls to the record by result", metrics.registry_calls.clone());
+        r.register(
+            "relay_calls",
+            "Changes read at the relay, by result",
+            metrics.relay_calls.clone(),
+        );
         r.register("resumed", "Streams that went on elsewhere", metrics.resumed_streams.clone());
         r.register("taken_up", "Streams taken up, by source", metrics.taken_up_streams.clone());
         r.register("unrecorded", "Streams without a record", metrics.unrecorded_streams.clone());
@@ -199,8 +213,12 @@
 
     /// Counts a call to the platform's registry.
     pub fn record_registry_call(&self, is_success: bool) {
-        let kind = if is_success { "good" } else { "failed" };
-        self.registry_calls.get_or_create(&KindLabel { kind }).inc();
+        self.registry_calls.get_or_create(&KindLabel::result(is_success)).inc();
+    }
+
+    /// Counts a call to the relay for changes of the registry.
+    pub fn record_relay_call(&self, is_success: bool) {
+        self.relay_calls.get_or_create(&KindLabel::result(is_success)).inc();
     }
 
     /// Counts a stream that was resumed at another upstream.
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 pub mod log_budget;
 mod metrics;
+mod peer_client;
 pub mod peer_link;
 mod pool;
 mod record_store;
@@ -31,6 +32,7 @@
 mod stream_lookups;
 mod stream_origins;
 mod ticker;
+mod told_changes;
 mod workspace_counts;
 
 use std::net::SocketAddr;
@@ -41,9 +43,7 @@
 pub use connect::{ConnectError, HttpConnection, connect};
 pub use dialect::{Dialect, RequestHead, RequestHeadError, ResponseHead, UpstreamRequestHead};
 pub use record_store::{RecordStore, Stored, StoredItem, Transaction, WriteOutcome};
-pub use registry::{
-    Registry, RegistryChange, RegistryChanges, RegistryEntry, RegistryError, RegistryListing,
-};
+pub use registry::{Registry, RegistryError, RegistryListing};
 use shared::Shared;
 pub use status::{EdgeStatus, STATUS_PATH, UpstreamStatus};
 pub use stream_keys::RECORDS_PREFIX;
--- a/sapphirespur_node/src/edge/registry.rs
+++ b/sapphirespur_node/src/edge/registry.rs
@@ -2,39 +2,9 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{RegistryVersion, RouteTable, UpstreamEntry};
-use sapphirespur_core::name::Name;
+use sapphirespur_core::edge::{RegistryChanges, RegistryEntry, RegistryVersion};
 use thiserror::Error;
 
-/// Entry of the registry, decoded by kind.
-#[derive(Clone, Debug)]
-pub enum RegistryEntry {
-    /// Routes, services and keys in force.
-    Config(RouteTable),
-    /// Upstream that registered itself.
-    Upstream(UpstreamEntry),
-    /// Data centre that is taken out of service.
-    DataCentreOut(Name),
-    /// Entry that cannot be decoded; it is logged and ignored.
-    Invalid {
-        /// Key of the entry.
-        key: String,
-        /// Reason why it cannot be decoded.
-        reason: String,
-    },
-}
-
-/// Change of one entry of the registry.
-#[derive(Clone, Debug)]
-pub enum RegistryChange {
-    /// An entry was created or replaced.
-    Written(RegistryEntry),
-    /// The entry of an upstream was deleted or has expired.
-    UpstreamRemoved(Name),
-    /// A data centre was put back into service.
-    DataCentreRestored(Name),
-}
-
 /// All entries of the registry as of a version.
 #[derive(Clone, Debug, Default)]
 pub struct RegistryListing {
@@ -44,17 +14,6 @@
     pub entries: Vec<RegistryEntry>,
 }
 
-/// Changes of the registry up to a version.
-#[derive(Clone, Debug, Default)]
-pub struct RegistryChanges {
-    /// Version after which to continue watching.
-    pub version: RegistryVersion,
-    /// Version of the last change, or of the previous position without changes.
-    pub changed: RegistryVersion,
-    /// Changes in the order in which they were made.
-    pub changes: Vec<RegistryChange>,
-}
-
 /// Reason why a call to the registry failed.
 #[derive(Clone, Debug, Error)]
 pub enum RegistryError {
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use sapphirespur_core::collections::HashSet;
-use sapphirespur_core::edge::{RegistryVersion, Router};
+use sapphirespur_core::edge::{
+    RegistryChange, RegistryChanges, RegistryEntry, RegistryVersion, RevisedChange, Router,
+};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
-use super::registry::{
-    Registry, RegistryChange, RegistryChanges, RegistryEntry, RegistryError, RegistryListing,
-};
+use super::registry::{Registry, RegistryError, RegistryListing};
 use super::shared::Shared;
+use super::told_changes::ToldChanges;
 
 /// Longest wait of one watch; an unresponsive connection is detected soon after.
 const WATCH_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -34,29 +35,40 @@
 /// State of the loop that applies the registry's entries and changes to the router.
 struct RegistrySync {
     cx: Rc<Shared>,
+    /// When the registry was last asked.
+    asked_at: Time,
     /// Failed calls since the last successful one.
     failures: u32,
     /// End of the last registry outage; absent when there was none.
     recovered_at: Option<Time>,
-    /// Newest version of another router for which the registry was asked.
+    /// Newest version of another router for which the registry was asked, or the relay.
     checked: RegistryVersion,
     /// Whether the relay that told this router of changes has lost the registry since.
     has_outage: bool,
+    /// Changes by way of the relay.
+    told: ToldChanges,
 }
 
 /// Keeps the router's state up to date until the process exits.
 pub(super) async fn run(cx: Rc<Shared>, mut registry: impl Registry) {
     let mut sync = RegistrySync {
+        asked_at: cx.now(),
         cx,
         failures: 0,
         recovered_at: None,
         checked: RegistryVersion::default(),
         has_outage: false,
+        told: ToldChanges::default(),
     };
     loop {
         sync.wait_until_told().await;
-        let result = sync.poll(&mut registry).await;
-        let delay = sync.on_result(result);
+        let delay = match sync.read_at_relay().await {
+            Some(delay) => delay,
+            None => {
+                let result = sync.poll(&mut registry).await;
+                sync.on_result(result)
+            }
+        };
         if !delay.is_zero() {
             tokio::time::sleep(delay).await;
         }
@@ -67,12 +79,11 @@
     /// Waits for as long as a relay tells this router of changes and there are none, but not so long
     /// that the registry forgets the revision.
     async fn wait_until_told(&mut self) {
-        let started = self.cx.now();
         loop {
             let now = self.cx.now();
             let is_listing = self.cx.watch_version.get().is_none();
             let is_unverified = self.cx.unverified_since.get().is_some();
-            if is_listing || is_unverified || now.since(started) >= TOLD_INTERVAL {
+            if is_listing || is_unverified || self.is_call_due(now) {
                 return;
             }
             if self.cx.router.borrow().exchange().has_relay_lost_registry(now) {
@@ -101,6 +112,7 @@
     /// before the next call.
     async fn poll(&mut self, registry: &mut impl Registry) -> Result<Duration, RegistryError> {
         let started = self.cx.now();
+        self.asked_at = started;
         let unverified_since = self.cx.unverified_since.get();
         let newest = self.newest_unchecked(started);
         let mut has_changes = true;
@@ -131,9 +143,35 @@
             self.cx.router.borrow_mut().on_registry_current();
         }
 
-        // Changes often come in series; a pause collects them into one call.
+        Ok(self.pause(started, has_changes))
+    }
+
+    /// Reads the changes of which the relay has told this router there, and applies them. Returns the
+    /// delay before the next call; none when the registry is to be asked.
+    async fn read_at_relay(&mut self) -> Option<Duration> {
+        let started = self.cx.now();
+        let is_told = self.cx.router.borrow().exchange().is_told_of_changes(started);
+        let is_in_doubt = self.cx.unverified_since.get().is_some() || self.has_outage;
+        if !is_told || is_in_doubt || self.failures > 0 || self.is_call_due(started) {
+            return None;
+        }
+        let (version, newest) = (self.cx.watch_version.get()?, self.newest_unchecked(started)?);
+        let changes = self.told.fetch(&self.cx, version, newest).await?;
+        self.checked = self.checked.max(newest);
+        self.apply_changes(changes);
+        Some(self.pause(started, true))
+    }
+
+    /// Returns whether the registry is to be asked although no change is known.
+    fn is_call_due(&self, now: Time) -> bool {
+        now.since(self.asked_at) >= TOLD_INTERVAL
+    }
+
+    /// Returns the delay before the next call: changes often come in series, and a pause collects them
+    /// into one call.
+    fn pause(&self, started: Time, has_changes: bool) -> Duration {
         let interval = if has_changes { self.cx.settings().watch_interval } else { Duration::ZERO };
-        Ok(interval.saturating_sub(self.cx.now().since(started)))
+        interval.saturating_sub(self.cx.now().since(started))
     }
 
     /// Records the result of a call and returns the delay before the next one.
@@ -212,6 +250,7 @@
     /// Applies a listing; upstreams that it lacks are scheduled for removal.
     fn apply_listing(&mut self, listing: RegistryListing) {
         self.check_restored(listing.version);
+        self.cx.change_log.borrow_mut().restart(listing.version);
         let now = self.cx.now();
         let remove_at = self.removal_time(now);
         let mut router = self.cx.router.borrow_mut();
@@ -257,8 +296,9 @@
     fn apply_changes(&mut self, changes: RegistryChanges) {
         let now = self.cx.now();
         let remove_at = self.removal_time(now);
+        self.cx.change_log.borrow_mut().append(now, &changes);
         let mut router = self.cx.router.borrow_mut();
-        for change in changes.changes {
+        for RevisedChange { change, .. } in changes.changes {
             match change {
                 RegistryChange::Written(entry) => apply_entry(&mut router, now, entry),
                 RegistryChange::UpstreamRemoved(id) => {
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -25,6 +25,7 @@
 use super::shared::{Phase, Shared};
 use super::snapshot;
 use super::status::{STATUS_PATH, status};
+use super::told_changes;
 use crate::start::StartError;
 
 /// Length of the queue of connections that wait to be accepted.
@@ -205,7 +206,8 @@
     .await;
 }
 
-/// Serves status, metrics and snapshots to operators, collectors and other routers.
+/// Serves status, metrics, snapshots and changes of the registry to operators, collectors and other
+/// routers.
 pub(super) async fn serve_admin(listener: TcpListener, cx: Rc<Shared>) {
     serve_simple(listener, move |req| match req.uri().path() {
         STATUS_PATH => match serde_json::to_vec(&status(&cx)) {
@@ -220,6 +222,10 @@
             Some(body) => respond(StatusCode::OK, "application/octet-stream", body),
             None => respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new()),
         },
+        path if path.starts_with(told_changes::PREFIX) => match told_changes::encode(&cx, path) {
+            Some(body) => respond(StatusCode::OK, "application/octet-stream", body),
+            None => respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", Bytes::new()),
+        },
         _ => respond(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
     })
     .await;
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::edge::{
-    OverloadGuard, PauseDetector, RegistryVersion, Router, RouterSettings,
+    ChangeLog, OverloadGuard, PauseDetector, RegistryVersion, Router, RouterSettings,
 };
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
@@ -44,6 +44,8 @@
     pause_detector: Cell<PauseDetector>,
     /// Time of a pause after which the registry has not answered yet; absent when there is none.
     pub unverified_since: Cell<Option<Time>>,
+    /// Recent changes of the registry, for routers that hear of them from this one.
+    pub change_log: RefCell<ChangeLog>,
     /// Wakes the synchronisation with the registry for a call without a wait.
     pub registry_check: Notify,
     /// Look-ups of streams in the store.
@@ -117,6 +119,7 @@
             dialect,
             pause_detector: Cell::new(PauseDetector::new(clock.now())),
             unverified_since: Cell::new(None),
+            change_log: RefCell::default(),
             registry_check: Notify::new(),
             stream_lookups,
             records_due: Notify::new(),
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -5,16 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper::header::HOST;
-use hyper::http::HeaderValue;
 use sapphirespur_core::edge::Snapshot;
 use sapphirespur_core::time::Time;
-use thiserror::Error;
-use tokio::time::timeout;
 
-use super::connect::{ConnectError, connect};
+use super::peer_client::PeerClient;
 use super::shared::Shared;
 
 /// Path on which a router serves its snapshot; builds with another format have another path.
@@ -35,29 +29,9 @@
 /// than a watch that returns no changes.
 const FETCH_AFTER: Duration = Duration::from_millis(2_500);
 
-/// Time within which a connection to a peer must open.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time within which a snapshot must be fetched, including the connection.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Reason why a snapshot cannot be fetched.
-#[derive(Debug, Error)]
-enum FetchError {
-    /// The connection to the peer cannot be opened.
-    #[error("cannot connect: {0}")]
-    Open(#[from] ConnectError),
-    /// The connection failed during the request.
-    #[error("connection failed: {0}")]
-    Http(#[from] hyper::Error),
-    /// The snapshot did not arrive in time.
-    #[error("timed out")]
-    Timeout,
-    /// The response is not a snapshot.
-    #[error("invalid snapshot: {0}")]
-    Decode(#[from] postcard::Error),
-}
-
 /// Returns the encoded snapshot; absent while the router has no configuration.
 pub(super) fn encode(cx: &Shared) -> Option<Bytes> {
     let snapshot = cx.router.borrow().snapshot(cx.now())?;
@@ -101,7 +75,7 @@
             find_newer_registry(&cx).or_else(|| find_newer_config(&cx, started, &mut behind_since));
         if let Some(source) = source {
             let peer = source.address();
-            match timeout(RESPONSE_TIMEOUT, fetch(peer)).await.unwrap_or(Err(FetchError::Timeout)) {
+            match PeerClient::default().fetch(peer, PATH, RESPONSE_TIMEOUT).await {
                 Ok(snapshot) => apply(&cx, source, snapshot),
                 Err(e) => {
                     log::warn!(peer = peer.to_string().as_str(), error = e.to_string().as_str(); "no snapshot from peer");
@@ -148,18 +122,6 @@
     Some(Source::NewerConfig(contact.address))
 }
 
-/// Fetches a snapshot from a router.
-async fn fetch(peer: SocketAddr) -> Result<Snapshot, FetchError> {
-    let mut connection = connect(peer, CONNECT_TIMEOUT).await?;
-    connection.ready().await?;
-    let mut req = Request::new(Full::new(Bytes::new()));
-    *req.uri_mut() = hyper::Uri::from_static(PATH);
-    req.headers_mut().insert(HOST, HeaderValue::from_static("router"));
-
-    let body = connection.send(req).await?.into_body().collect().await?.to_bytes();
-    Ok(postcard::from_bytes(&body)?)
-}
-
 /// Applies a snapshot, or the parts of it that the registry lacks, if it is newer than this router's
 /// state.
 fn apply(cx: &Shared, source: Source, mut snapshot: Snapshot) {
