A request that waited past its deadline to be read is refused, not sent

Cause: a router that is short of processor time (late by 0.4 to 0.5 s there, by its log) reads a request late, and counted its remaining time from then on; it also sent a request whose time ran out while a connection was opened. The close of the client's connection comes later in the same turn of its loop.

Change: the time for which ticks are late, or the next one is overdue, is taken off the remaining time of each request that is read; one without any left is refused at arrival with 503 and a time to come back, and none is sent after its deadline.

--- a/sapphirespur_core/src/edge/overload.rs
+++ b/sapphirespur_core/src/edge/overload.rs
@@ -31,6 +31,10 @@
     relief_until: Time,
     /// Readiness checks in a row that said that the router is not ready.
     failed_checks: u32,
+    /// Lateness of the last tick.
+    lateness: Duration,
+    /// When the next tick is due; none before the first one.
+    next_tick: Option<Time>,
 }
 
 impl OverloadGuard {
@@ -86,6 +90,7 @@
 
     /// Records that a tick came `lateness` after it was due.
     pub fn on_tick(&mut self, now: Time, lateness: Duration) {
+        self.lateness = lateness;
         if lateness > Self::MAX_LATENESS {
             let excess = lateness.as_secs_f64() / Self::MAX_LATENESS.as_secs_f64() - 1.0;
             let covered = 1.0 + lateness.as_secs_f64() / Self::INCREASE_TIME.as_secs_f64();
@@ -135,10 +140,28 @@
             return None;
         }
 
+        Some(self.refuse())
+    }
+
+    /// Counts a refused request. Returns the time after which the client should retry.
+    pub fn refuse(&mut self) -> Duration {
         self.refused += 1;
         let (min, max) = Self::RETRY_AFTER_RANGE_S;
         let position = (self.refused as f64 * Self::GOLDEN_RATIO).fract();
-        Some(Duration::from_secs_f64(min + (max - min) * position))
+        Duration::from_secs_f64(min + (max - min) * position)
+    }
+
+    /// Records when the next tick is due.
+    pub fn expect_tick(&mut self, at: Time) {
+        self.next_tick = Some(at);
+    }
+
+    /// Returns how long a request that is read now may have waited for it: as long as the router's own
+    /// work is late.
+    pub fn waiting_time(&self, now: Time) -> Duration {
+        let overdue = self.next_tick.map_or(Duration::ZERO, |at| now.since(at));
+        let waiting = self.lateness.max(overdue);
+        if waiting < Self::CALM_LATENESS { Duration::ZERO } else { waiting }
     }
 
     /// Returns the fraction of the requests that the router refuses.
@@ -189,6 +212,8 @@
             refusing_since: None,
             relief_until: Time::default(),
             failed_checks: 0,
+            lateness: Duration::ZERO,
+            next_tick: None,
         }
     }
 }
--- a/sapphirespur_core/tests/edge/flooded_router.rs
+++ b/sapphirespur_core/tests/edge/flooded_router.rs
@@ -215,3 +215,25 @@
     let accepted = flood(&mut guard, &mut now, ms(60), 5, &[100]);
     assert!(accepted[0] < 150, "{accepted:?}");
 }
+
+macro_rules! waiting_time_of_requests {
+    ($($name:ident: $lateness_ms:expr, $overdue_ms:expr => $expected_ms:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut guard = OverloadGuard::default();
+                guard.on_tick(START, ms($lateness_ms));
+                guard.expect_tick(START + ms(100));
+                assert_eq!(guard.waiting_time(START + ms(100 + $overdue_ms)), ms($expected_ms));
+            }
+        )*
+    };
+}
+
+// GONE: a flooded router took the time for which requests waited to be read as theirs to run.
+waiting_time_of_requests! {
+    requests_at_a_router_in_time_have_not_waited: 10, 20 => 0;
+    requests_may_have_waited_for_as_long_as_the_last_tick_was_late: 400, 0 => 400;
+    requests_may_have_waited_for_as_long_as_the_next_tick_is_overdue: 0, 600 => 600;
+    longer_one_of_both_times_counts: 300, 500 => 500;
+}
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -90,7 +90,10 @@
     let matched = table.find(host, parts.uri.path(), head.key.as_deref());
     let (route, workspace) = matched.map_err(|error| route_error_response(cx, error))?;
     let workspace_hash = workspace.map_or(0, Shares::name_hash);
-    if let Some(retry_after) = cx.overload.borrow_mut().check(workspace_hash) {
+    let client_timeout = head.remaining.unwrap_or(route.timeout);
+    let waited = cx.overload.borrow().waiting_time(arrived_at);
+    let remaining = client_timeout.min(route.timeout).saturating_sub(waited);
+    if let Some(retry_after) = check_overload(cx, workspace_hash, remaining) {
         let mut router = cx.router.borrow_mut();
         router.record_refused(arrived_at, &route.name, workspace, head.prompt.as_ref());
         cx.metrics.record_decline(SHORT_OF_TIME);
@@ -102,8 +105,6 @@
     let service =
         route.service_for(head.split_id()).ok_or(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER))?;
 
-    let client_timeout = head.remaining.unwrap_or(route.timeout);
-    let remaining = client_timeout.min(route.timeout);
     let retry_margin = route.timeout.mul_f64(RETRY_MARGIN_FRACTION);
     let mut info = CallInfo {
         route: route.name.clone(),
@@ -127,6 +128,14 @@
     Ok(Call { parts, head, body, route: route.clone(), info, identity, arrived_at, deadline })
 }
 
+/// Returns the time after which the client should retry if this router is short of processor time for
+/// its request, or read it when no time remained.
+fn check_overload(cx: &Shared, workspace: u32, remaining: Duration) -> Option<Duration> {
+    let mut overload = cx.overload.borrow_mut();
+    let refusal = overload.check(workspace);
+    refusal.or_else(|| remaining.is_zero().then(|| overload.refuse()))
+}
+
 /// Returns the error response for a request without a route.
 ///
 /// While the registry state may be stale, the router does not claim that a route or key does not
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -164,6 +164,10 @@
     if !cx.router.borrow().registry().may_send(cx.now(), &placement.request) {
         return SendResult::NotRun(SendOutcome::Withdrawn);
     }
+    // A router that is late may read the client's disconnect only after this.
+    if call.time_left(cx.now()).is_zero() {
+        return SendResult::NotRun(SendOutcome::Abandoned);
+    }
 
     let req = call.request(cx, placement, last_event_id);
     let response = match timeout(head_timeout, connection.send(req)).await {
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -61,6 +61,7 @@
     let mut overload = cx.overload.borrow_mut();
     let (was_refusing, wanted_relief) = (overload.is_refusing(), overload.wants_relief(now));
     overload.on_tick(now, lateness);
+    overload.expect_tick(now + TICK_INTERVAL);
     if (overload.is_refusing(), overload.wants_relief(now)) != (was_refusing, wanted_relief) {
         log_shortage(cx, now, &overload, lateness);
     }
