A disconnect is noticed when the request is read, also by a router that is late

Cause: the events of all sockets are read at once, and a router that is short of processor time takes half a second for them. A disconnect that arrives meanwhile is not among them, and after a read that does not fill its buffer, the stream waits for its next event: the request is sent on. Change: connections of clients are read until they are empty, which costs one more read for each request. Failing test first: with the runtime's own stream the disconnect is not noticed (None), now it is.

--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -4,6 +4,7 @@
 //! thread and back costs more than the routing decision.
 
 mod buffered;
+pub mod client_stream;
 mod connect;
 mod dialect;
 pub mod event_buffer;
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -20,6 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep_until};
 
+use super::client_stream::ClientStream;
 use super::connect::set_socket_options;
 use super::handle::handle;
 use super::shared::{Phase, Shared};
@@ -161,7 +162,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes.max(16 * 1024))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ClientStream::new(stream)), service);
 
     let mut connection = pin!(connection);
     // A connection that was just accepted may have a request that is not read yet; its response
--- a/sapphirespur_node/tests/edge/main.rs
+++ b/sapphirespur_node/tests/edge/main.rs
@@ -6,6 +6,7 @@
 #[path = "../../../sapphirespur_core/tests/common/properties.rs"]
 mod properties;
 
+mod client_stream;
 mod event_buffer;
 mod hop_headers;
 mod log;
