--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -70,7 +70,7 @@
     }
 
     fn send_reports(&self, cx: &Shared) {
-        let is_registry_fresh = cx.has_registry_answered() && !cx.is_registry_failing.get();
+        let is_registry_fresh = cx.has_registry_answered() && !cx.is_registry_failing();
         let mut router = cx.router.borrow_mut();
         router.set_registry_fresh(is_registry_fresh);
         let messages = router.exchange_messages(cx.now());
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -78,8 +78,6 @@
     pub buffered_response_bytes: Cell<usize>,
     /// Version after which the registry is watched; when absent, the registry is listed again.
     pub watch_version: Cell<Option<RegistryVersion>>,
-    /// Whether the last call to the registry failed.
-    pub is_registry_failing: Cell<bool>,
     /// Time of the last response from the registry; absent before the first one.
     pub last_registry_response: Cell<Option<Time>>,
     /// Notifies client connections to close once idle.
@@ -137,7 +135,6 @@
             buffered_bytes: Cell::new(0),
             buffered_response_bytes: Cell::new(0),
             watch_version: Cell::new(None),
-            is_registry_failing: Cell::new(false),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
             stop_accepting: Notify::new(),
@@ -213,9 +210,13 @@
         }
     }
 
+    /// Returns whether the last call to the registry failed.
+    pub fn is_registry_failing(&self) -> bool {
+        self.router.borrow().streams().is_store_failing
+    }
+
     /// Sets whether the last call to the registry failed.
     pub fn set_registry_failing(&self, is_failing: bool) {
-        self.is_registry_failing.set(is_failing);
         self.router.borrow_mut().streams_mut().is_store_failing = is_failing;
     }
 
--- a/sapphirespur_node/src/edge/stream_keeper.rs
+++ b/sapphirespur_node/src/edge/stream_keeper.rs
@@ -182,7 +182,7 @@
 
 /// Returns the calls that are due; none while the registry may be stale.
 fn due(cx: &Shared, stagger: f64) -> Vec<BaseDuty> {
-    if cx.is_registry_failing.get() || !cx.is_registry_fresh() {
+    if cx.is_registry_failing() || !cx.is_registry_fresh() {
         return Vec::new();
     }
     let now = cx.now();
--- a/sapphirespur_node/src/edge/told_changes.rs
+++ b/sapphirespur_node/src/edge/told_changes.rs
@@ -24,7 +24,7 @@
 pub(super) fn encode(cx: &Shared, path: &str) -> Option<Bytes> {
     let (era, revision) = path.strip_prefix(PREFIX)?.split_once('/')?;
     let after = RegistryVersion { era: era.parse().ok()?, revision: revision.parse().ok()? };
-    if cx.is_registry_failing.get() {
+    if cx.is_registry_failing() {
         return None;
     }
     let changes = cx.change_log.borrow().after(after)?;
--- /dev/null
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -0,0 +1,75 @@
+//! Ways in which the stand-in of a runner responds.
+
+use super::endless_part::EndlessPart;
+
+/// Way in which a runner responds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Behaviour {
+    /// Responds completely and correctly.
+    Normal,
+    /// Closes the connection within the event that follows this event number.
+    CloseAfter(u64),
+    /// Runs the request and closes the connection without a response.
+    DropResponse,
+    /// Refuses with 503 and marks the request as not executed, as a runner at capacity does.
+    Full,
+    /// Refuses with 503, marks the request as not executed and asks for a pause of this many
+    /// milliseconds.
+    PauseRequested(u64),
+    /// Responds correctly and states that it is leaving.
+    Leaving,
+    /// Responds correctly and names the limit of requests that it takes, in thousandths a second.
+    LimitNamed(u32),
+    /// Refuses as at capacity and states that it is leaving.
+    LeavingAndFull,
+    /// Refuses with 421, as if the request was meant for another runner.
+    Misdirected,
+    /// Responds with a signed 500.
+    ServerError,
+    /// Reads the request and sends no response.
+    NoResponse,
+    /// Sends a second response directly after the first one.
+    ExtraResponse,
+    /// Sends a second response this many milliseconds after the first one; streams are normal.
+    DelayedExtraResponse(u64),
+    /// Sends a refusal for the same request this many milliseconds after the response.
+    DelayedExtraRefusal(u64),
+    /// Sends three events of a stream, then one byte every this many milliseconds without ever
+    /// completing an event.
+    Trickle(u64),
+    /// Waits this many milliseconds before it responds; streams are normal.
+    DelayedResponse(u64),
+    /// Responds before it has read the body, and reads the body this many milliseconds later.
+    EarlyResponse(u64),
+    /// Sends no content length and ends the response by closing the connection; streams are normal.
+    NoContentLength,
+    /// Sends streams, too, without chunks and ends them by closing the connection.
+    UnframedStream,
+    /// Sends the head of such a stream and closes the connection before the first event.
+    UnframedEmptyStream,
+    /// Sends such a stream and closes the connection within the event that follows this event number.
+    UnframedStreamCutAfter(u64),
+    /// Responds without the server signature.
+    Unsigned,
+    /// Responds with the attempt identifier of another request.
+    WrongAttemptId,
+    /// Leaves out event 5 of a stream.
+    MissingEvent,
+    /// Waits this many milliseconds before each event.
+    SlowEvents(u64),
+    /// Crashes when it begins to respond to a request with this prompt segment before the last one,
+    /// like a process that ends: all its connections close, and its port refuses new ones.
+    CrashOn(u64),
+    /// Crashes in the same way when it begins to run a request whose path ends with
+    /// [`Runner::HARMFUL_PATH`], before it sends anything.
+    CrashOnPath,
+    /// Sends bytes without end in one part of the response.
+    Endless {
+        /// Part that does not end.
+        part: EndlessPart,
+        /// Pause between the pieces, in milliseconds; without one, they come as fast as they are read.
+        pause_ms: u64,
+    },
+    /// Sends an endless stream of events, padded by this many bytes each, without a pause.
+    LargeEvents(usize),
+}
--- a/sapphirespur_standin/src/users_platform/mod.rs
+++ b/sapphirespur_standin/src/users_platform/mod.rs
@@ -3,8 +3,14 @@
 //! They run inside the process of the test. The names of the platform's protocols are repeated here
 //! on purpose, so that the adapter is tested against their documentation and not against itself.
 
+mod behaviour;
+mod endless_part;
 mod metadata_store;
+mod received_request;
 mod runner;
 
+pub use behaviour::Behaviour;
+pub use endless_part::EndlessPart;
 pub use metadata_store::{MetadataStore, StoreCopy, StoreFault};
-pub use runner::{Behaviour, EndlessPart, ReceivedRequest, Runner};
+pub use received_request::ReceivedRequest;
+pub use runner::Runner;
