An outage of one router or of its relay alone delays no removal of an upstream

Cause, by the log of edge-bergen-a-5: short of processor time, it did not read an answer of the store within 1 s (no batch from 12.0 to 14.05 s); when the next one came it took its own failure for an outage, and kept i-00c008ed7d, which was gone from that answer, for 1.9 s more (in_ms 1899). Before, its relay was cut off from the store, and each answer that the router itself got began the 1.9 s anew. Ruled out: changes that the relay lacks (it had seen the upstream leave at 12.16 s). Change: core::edge::registry_outage decides. An own failure is no outage while the store answers the relay all along, and an outage that the relay sees counts once. Without a relay, as before.

Tests: registry_outage, nine cases; the old rule gave 1,900 ms for two of them by its code.

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -8,7 +8,7 @@
     Contact, ExchangeRole, News, OutgoingMessage, PeerMessage, ReportScope,
 };
 use crate::edge::report_store::ReportSource;
-use crate::edge::{FleetNews, PeerReport, Peers};
+use crate::edge::{FleetNews, PeerReport, Peers, RelayView};
 use crate::time::Time;
 
 /// Decides to whom a router sends its report, and which reports it adds up.
@@ -90,12 +90,17 @@
     /// Returns whether a relay tells this router of changes of the registry, so that it need not
     /// watch the registry itself.
     pub fn is_told_of_changes(&self, now: Time) -> bool {
-        self.role() == ExchangeRole::Member && self.peers.is_relay_fresh(now) == Some(true)
+        self.relay_view(now) == RelayView::Answers
     }
 
-    /// Returns whether the registry does not answer the relay that told this router of changes.
-    pub fn has_relay_lost_registry(&self, now: Time) -> bool {
-        self.role() == ExchangeRole::Member && self.peers.is_relay_fresh(now) == Some(false)
+    /// Returns whether the registry answers the relay that tells this router of changes.
+    pub fn relay_view(&self, now: Time) -> RelayView {
+        let is_member = self.role() == ExchangeRole::Member;
+        match self.peers.is_relay_fresh(now).filter(|_| is_member) {
+            None => RelayView::None,
+            Some(true) => RelayView::Answers,
+            Some(false) => RelayView::Lost,
+        }
     }
 
     /// Returns the relay whose sums this router uses, and their age; none in other roles.
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -34,6 +34,7 @@
 mod quarantine_key;
 mod recent_keys;
 mod registry_change;
+mod registry_outage;
 mod registry_state;
 mod registry_version;
 mod report;
@@ -89,6 +90,7 @@
 pub use quarantine_change::QuarantineChange;
 pub use quarantine_key::QuarantineKey;
 pub use registry_change::{RegistryChange, RegistryChanges, RegistryEntry, RevisedChange};
+pub use registry_outage::{RegistryOutage, RelayView};
 pub use registry_state::RegistryState;
 pub use registry_version::RegistryVersion;
 pub use report::{
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -5,7 +5,8 @@
 
 use sapphirespur_core::collections::HashSet;
 use sapphirespur_core::edge::{
-    RegistryChange, RegistryChanges, RegistryEntry, RegistryVersion, RevisedChange, Router,
+    RegistryChange, RegistryChanges, RegistryEntry, RegistryOutage, RegistryVersion, RelayView,
+    RevisedChange, Router,
 };
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
@@ -28,10 +29,6 @@
 /// Interval between checks whether the relay still answers.
 const RELAY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after the end of a registry outage within which upstreams rewrite entries that expired
-/// during the outage; an upstream whose entry is still missing after that is removed.
-const OUTAGE_GRACE: Duration = Duration::from_millis(1_900);
-
 /// State of the loop that applies the registry's entries and changes to the router.
 struct RegistrySync {
     cx: Rc<Shared>,
@@ -39,12 +36,10 @@
     asked_at: Time,
     /// Failed calls since the last successful one.
     failures: u32,
-    /// End of the last registry outage; absent when there was none.
-    recovered_at: Option<Time>,
+    /// Outages of the registry.
+    outage: RegistryOutage,
     /// Newest version of another router for which the registry was asked, or the relay.
     checked: RegistryVersion,
-    /// Whether the relay that told this router of changes has lost the registry since.
-    has_outage: bool,
     /// Changes by way of the relay.
     told: ToldChanges,
 }
@@ -55,9 +50,8 @@
         asked_at: cx.now(),
         cx,
         failures: 0,
-        recovered_at: None,
+        outage: RegistryOutage::default(),
         checked: RegistryVersion::default(),
-        has_outage: false,
         told: ToldChanges::default(),
     };
     loop {
@@ -81,17 +75,14 @@
     async fn wait_until_told(&mut self) {
         loop {
             let now = self.cx.now();
+            let view = self.relay_view(now);
+            self.outage.on_relay(view);
             let is_listing = self.cx.watch_version.get().is_none();
             let is_unverified = self.cx.unverified_since.get().is_some();
             if is_listing || is_unverified || self.is_call_due(now) {
                 return;
             }
-            if self.cx.router.borrow().exchange().has_relay_lost_registry(now) {
-                self.has_outage = true;
-                return;
-            }
-            let is_told = self.cx.router.borrow().exchange().is_told_of_changes(now);
-            if !is_told || self.newest_unchecked(now).is_some() {
+            if view != RelayView::Answers || self.newest_unchecked(now).is_some() {
                 return;
             }
             let check = self.cx.registry_check.notified();
@@ -100,6 +91,11 @@
         }
     }
 
+    /// Returns what the relay says of the registry.
+    fn relay_view(&self, now: Time) -> RelayView {
+        self.cx.router.borrow().exchange().relay_view(now)
+    }
+
     /// Returns the version of a change that another router has seen and for which the registry was
     /// not asked here.
     fn newest_unchecked(&self, now: Time) -> Option<RegistryVersion> {
@@ -151,7 +147,7 @@
     async fn read_at_relay(&mut self) -> Option<Duration> {
         let started = self.cx.now();
         let is_told = self.cx.router.borrow().exchange().is_told_of_changes(started);
-        let is_in_doubt = self.cx.unverified_since.get().is_some() || self.has_outage;
+        let is_in_doubt = self.cx.unverified_since.get().is_some() || self.outage.is_suspected();
         if !is_told || is_in_doubt || self.failures > 0 || self.is_call_due(started) {
             return None;
         }
@@ -195,6 +191,7 @@
                     log::warn!(error = e.to_string().as_str(); "record lost");
                 }
                 self.failures += 1;
+                self.outage.on_failure(self.relay_view(self.cx.now()));
                 self.cx.set_registry_failing(true);
             }
         }
@@ -209,11 +206,8 @@
         if self.failures > 0 {
             log::info!(failures = self.failures; "record is back");
         }
-        if self.failures > 0 || self.has_outage {
-            self.failures = 0;
-            self.has_outage = false;
-            self.recovered_at = Some(now);
-        }
+        self.failures = 0;
+        self.outage.on_contact(now, self.relay_view(now));
         self.cx.set_registry_failing(false);
         self.cx.last_registry_response.set(Some(now));
     }
@@ -238,21 +232,16 @@
                 "record restored from an older copy"
             );
             router.registry_mut().on_restored(now);
-            self.recovered_at = Some(now);
+            self.outage.on_restored(now);
         }
     }
 
-    /// Returns when to remove an upstream whose entry is missing now.
-    fn removal_time(&self, now: Time) -> Time {
-        self.recovered_at.map_or(now, |recovered_at| now.max(recovered_at + OUTAGE_GRACE))
-    }
-
     /// Applies a listing; upstreams that it lacks are scheduled for removal.
     fn apply_listing(&mut self, listing: RegistryListing) {
         self.check_restored(listing.version);
         self.cx.change_log.borrow_mut().restart(listing.version);
         let now = self.cx.now();
-        let remove_at = self.removal_time(now);
+        let remove_at = self.outage.removal_time(now);
         let mut router = self.cx.router.borrow_mut();
         let mut listed: HashSet<Name> = HashSet::default();
         let mut out: HashSet<Name> = HashSet::default();
@@ -295,7 +284,7 @@
     /// Applies changes in their order.
     fn apply_changes(&mut self, changes: RegistryChanges) {
         let now = self.cx.now();
-        let remove_at = self.removal_time(now);
+        let remove_at = self.outage.removal_time(now);
         self.cx.change_log.borrow_mut().append(now, &changes);
         let mut router = self.cx.router.borrow_mut();
         for RevisedChange { change, .. } in changes.changes {
