--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -34,9 +34,12 @@
 mod quarantine_key;
 mod recent_keys;
 mod registry_change;
+mod registry_changes;
+mod registry_entry;
 mod registry_outage;
 mod registry_state;
 mod registry_version;
+mod relay_view;
 mod report;
 mod report_store;
 mod request_identity;
@@ -89,10 +92,13 @@
 pub use quarantine::Quarantine;
 pub use quarantine_change::QuarantineChange;
 pub use quarantine_key::QuarantineKey;
-pub use registry_change::{RegistryChange, RegistryChanges, RegistryEntry, RevisedChange};
-pub use registry_outage::{RegistryOutage, RelayView};
+pub use registry_change::{RegistryChange, RevisedChange};
+pub use registry_changes::RegistryChanges;
+pub use registry_entry::RegistryEntry;
+pub use registry_outage::RegistryOutage;
 pub use registry_state::RegistryState;
 pub use registry_version::RegistryVersion;
+pub use relay_view::RelayView;
 pub use report::{
     PeerReport, PrefilledSegments, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
 };
--- /dev/null
+++ b/sapphirespur_core/src/edge/registry_entry.rs
@@ -0,0 +1,24 @@
+//! Entries of the registry.
+
+use serde::{Deserialize, Serialize};
+
+use crate::edge::{RouteTable, UpstreamEntry};
+use crate::name::Name;
+
+/// Entry of the registry, decoded by kind.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum RegistryEntry {
+    /// Routes, services and keys in force.
+    Config(RouteTable),
+    /// Upstream that registered itself.
+    Upstream(UpstreamEntry),
+    /// Data centre that is taken out of service.
+    DataCentreOut(Name),
+    /// Entry that cannot be decoded; it is logged and ignored.
+    Invalid {
+        /// Key of the entry.
+        key: String,
+        /// Reason why it cannot be decoded.
+        reason: String,
+    },
+}
--- a/sapphirespur_core/src/edge/registry_outage.rs
+++ b/sapphirespur_core/src/edge/registry_outage.rs
@@ -2,19 +2,9 @@
 
 use std::time::Duration;
 
+use crate::edge::RelayView;
 use crate::time::Time;
 
-/// Whether the registry answers the relay of a router.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RelayView {
-    /// The router has no relay, or does not hear it.
-    None,
-    /// It answers the relay.
-    Answers,
-    /// It does not answer the relay.
-    Lost,
-}
-
 /// Decides when the removal of an entry means that its upstream has left: after an outage of the
 /// registry, entries that expired meanwhile are written again.
 #[derive(Clone, Debug, Default)]
