Placement in a folder of its own

Cause: `choose_upstream` walked all upstreams of the router four or five times for each request, with comparisons of names, searched all sources of cached segments for each candidate, hashed all upstreams for the owner of a segment, sorted all candidates and built sets and vectors. Its 115 lines had seven exits. A request of a workspace far above its share cost as much as a placed one.

Change: `edge/placement/` holds the choice. `Filter` checks each upstream once (named limit, cold limit, tried, version), `Selection` collects in the same walk what is known of prompts and speeds, `Candidate` sums the terms of `Cost`, `Choice` takes the best candidate that accepts, without sorting. Buffers are kept between requests. `Upstreams` is a list with indexes by identity, key and service; owners of segments are remembered until the upstreams of the service change. `RecentChoices` keeps the pressure of the last choice by service and target latency for 100 ms: a request above its share for which that pressure exceeds the accepted one by 10% is refused without a ranking, with retry-after time, pressure and factor of that choice.

Decisions: the same, but for ties of the score, which were broken by the order of a hash map and now by the order of the upstreams' keys, and for the refusals above when the pressure falls by more than 10% in less than 100 ms.

--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -94,6 +94,12 @@
         self.members.count(now).max(self.current().covered(now))
     }
 
+    /// Returns the number of routers among which fleet-wide limits are divided: this one, its peers, and
+    /// one that may not have been discovered yet.
+    pub(super) fn assumed_routers(&self, now: Time) -> usize {
+        self.count(now) + 2
+    }
+
     /// Returns whether the registry answers the relay whose sums this router uses; none without one.
     pub(super) fn is_relay_fresh(&self, now: Time) -> Option<bool> {
         self.received.is_relay_fresh(now)
--- a/sapphirespur_core/src/edge/candidate.rs
+++ b/sapphirespur_core/src/edge/placement/candidate.rs
@@ -3,12 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::edge::prefix_sources::PrefixSources;
-use crate::edge::{
-    CallInfo, DeclineReason, Peers, Pressure, Prompt, ServiceSpec, Upstream, UpstreamLoad,
-};
-use crate::name::Name;
-use crate::time::Time;
+use crate::edge::placement::cost::Cost;
+use crate::edge::placement::selection::Selected;
+use crate::edge::placement::{ScoringContext, ShareStatus};
+use crate::edge::{CallInfo, DeclineReason, Prompt, ServiceSpec, Upstream, UpstreamLoad};
 
 /// Upper bound of one upstream's contribution to the mean pressure.
 const MAX_UPSTREAM_PRESSURE: f64 = 2.0;
@@ -16,86 +14,11 @@
 /// Lowest prefill speed used in estimates, in tokens per millisecond.
 const MIN_TOKENS_PER_MS: f64 = 0.01;
 
-/// Inputs of the score that are the same for all candidates of a request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ScoringContext<'a> {
-    /// Time of the decision.
-    pub now: Time,
-    /// Request to place.
-    pub call: &'a CallInfo,
-    /// Reports of the other routers.
-    pub peers: &'a Peers,
-    /// Data centre of this router.
-    pub data_centre: &'a Name,
-    /// Upstreams from which cached prompt segments can be fetched.
-    pub sources: &'a PrefixSources<'a>,
-    /// Specification of the service; none when it is not configured.
-    pub spec: Option<&'a ServiceSpec>,
-    /// Key of the upstream that owns the prompt's last shared segment; none without shared
-    /// segments.
-    pub prefix_owner: Option<u32>,
-    /// Expected number of events of the response.
-    pub expected_events: f64,
-    /// Longest interval between events at which long responses finish in time, in milliseconds;
-    /// zero when it cannot be estimated yet.
-    pub max_event_interval_ms: f64,
-    /// Prefill speed assumed for an upstream without an estimate of its own, in tokens per
-    /// millisecond.
-    pub mean_prefill_speed: f64,
-}
-
-impl ScoringContext<'_> {
-    /// Scores the upstreams and sorts them, best first.
-    pub fn ranked_candidates<'a>(
-        &self,
-        upstreams: impl Iterator<Item = &'a Upstream>,
-    ) -> Vec<Candidate<'a>> {
-        let mut candidates: Vec<_> =
-            upstreams.map(|upstream| Candidate::new(self, upstream)).collect();
-        candidates.sort_by(|a, b| a.score.total_cmp(&b.score));
-
-        candidates
-    }
-}
-
-/// Share usage of the request's workspace, and how busy the upstreams are.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct ShareStatus {
-    /// Usage of the workspace with this request included, as a ratio to its share.
-    pub share_usage: f64,
-    /// Multiple of its share that a workspace may use while upstreams are not busy.
-    pub over_share_factor: f64,
-    /// Fewest prompt tokens that any candidate has to prefill for the request.
-    pub min_prefill_tokens: u64,
-    /// Pressure on the upstreams: zero when idle, one when responses are just in time.
-    pub pressure: f64,
-}
-
-impl ShareStatus {
-    /// Exponent by which the accepted pressure falls with the usage above the share: at twice the
-    /// share, upstreams count as busy at about a third of the pressure.
-    const SHARE_EXPONENT: f64 = 1.5;
-
-    /// Returns the pressure above which upstreams count as busy for a workspace above its share.
-    ///
-    /// The over-share factor does not apply to an upstream that would prefill tokens that another
-    /// one has cached: that takes time and memory from workspaces within their share.
-    fn max_pressure(&self, prefill_tokens: u64) -> f64 {
-        let strict = self.share_usage.powf(-Self::SHARE_EXPONENT);
-        if prefill_tokens > self.min_prefill_tokens {
-            return strict;
-        }
-
-        let relaxed = (self.share_usage / self.over_share_factor).powf(-Self::SHARE_EXPONENT);
-        strict.max(relaxed.min(Pressure::OVER_SHARE_TARGET))
-    }
-}
-
 /// Expected consequences of placing a request on an upstream.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PlacementEstimate {
-    /// Expected time to the first event.
-    pub expected_delay: Duration,
+pub(in crate::edge) struct PlacementEstimate {
+    /// Expected time to the first event, in milliseconds.
+    pub expected_delay_ms: f64,
     /// Upstream from which cached segments are fetched; none when nothing is fetched.
     pub fetch_from: Option<SocketAddr>,
     /// Prompt tokens that the upstream has to prefill.
@@ -104,18 +27,25 @@
     pub queued_tokens: u64,
 }
 
+impl PlacementEstimate {
+    /// Returns the expected time to the first event.
+    pub fn expected_delay(&self) -> Duration {
+        from_millis(self.expected_delay_ms)
+    }
+}
+
 /// Upstream with its score for a request.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Candidate<'a> {
-    /// Upstream that is scored.
-    pub upstream: &'a Upstream,
+pub(in crate::edge) struct Candidate {
+    /// Position of the upstream that is scored.
+    pub position: usize,
     /// Expected consequences of placing the request here.
     pub estimate: PlacementEstimate,
     /// Requests of all routers that the upstream is serving.
     pub in_flight: u32,
-    /// Expected time to the first event, less the request's own prefill and the batch overhead:
-    /// mostly the wait for other requests.
-    pub wait: Duration,
+    /// Expected time to the first event, less the request's own prefill and the batch overhead, in
+    /// milliseconds: mostly the wait for other requests.
+    pub wait_ms: f64,
     /// Interval between events relative to the longest one at which long responses finish in time.
     pub event_interval_ratio: f64,
     /// Whether the connections of all routers together have reached the upstream's limit.
@@ -124,7 +54,7 @@
     pub score: f64,
 }
 
-impl<'a> Candidate<'a> {
+impl Candidate {
     /// Weight of the failure rate and of unresponsiveness in the score, in multiples of the target
     /// latency.
     const FAILURE_WEIGHT: f64 = 4.0;
@@ -156,7 +86,7 @@
     const MAX_WAIT_FRACTION: f64 = 0.5;
 
     /// Scores an upstream for a request.
-    pub fn new(cx: &ScoringContext<'_>, upstream: &'a Upstream) -> Self {
+    pub(super) fn new(cx: &ScoringContext<'_>, upstream: &Upstream, selected: Selected) -> Self {
         let peers = cx.peers.load(cx.now, upstream.key);
         let in_flight = upstream.load.in_flight + peers.in_flight;
         let speed = upstream
@@ -165,8 +95,9 @@
             .unwrap_or(cx.mean_prefill_speed)
             .max(MIN_TOKENS_PER_MS);
         let prompt = cx.call.prompt.as_ref();
+        let local = selected.cached_tokens;
         let prefix = prompt
-            .map(|prompt| cx.sources.best_prefix(upstream, prompt, speed))
+            .map(|prompt| cx.sources.best_prefix(upstream, prompt, local, speed))
             .unwrap_or_default();
         let prefill_tokens = prompt.map_or(0, |prompt| uncached_tokens(prompt, prefix.tokens));
         let queued_tokens = upstream.load.pending_tokens + peers.pending_tokens + prefill_tokens;
@@ -174,62 +105,72 @@
         let prefill_ms = prefill_tokens as f64 / speed;
         let batch_ms = f64::from(in_flight) * Self::BATCH_MS_PER_REQUEST;
         let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec);
-        let expected_delay_ms =
-            queued_tokens as f64 / speed + slot_wait_ms + batch_ms + prefix.fetch_ms;
+        let delay_ms = queued_tokens as f64 / speed + slot_wait_ms + batch_ms + prefix.fetch_ms;
         let event_interval_ms = fleet_event_interval_ms(upstream, &peers);
-        let score = expected_delay_ms
-            + cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT
-            + f64::from(in_flight) * prefill_ms * Self::BATCH_DELAY_WEIGHT
-            + Self::affinity_ms(cx, upstream, prefix.tokens, speed, in_flight)
-            + Self::avoidance_ms(cx, upstream);
+        let cost = Cost {
+            delay_ms,
+            generation_ms: cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT,
+            batch_delay_ms: f64::from(in_flight) * prefill_ms * Self::BATCH_DELAY_WEIGHT,
+            affinity_ms: Self::affinity_ms(cx, upstream, prefix.tokens, speed, in_flight),
+            avoidance_ms: Self::avoidance_ms(cx, upstream),
+        };
 
         Self {
-            upstream,
+            position: selected.position,
             estimate: PlacementEstimate {
-                expected_delay: from_millis(expected_delay_ms),
+                expected_delay_ms: delay_ms,
                 fetch_from: prefix.source,
                 prefill_tokens,
                 queued_tokens,
             },
             in_flight,
-            wait: from_millis(expected_delay_ms - prefill_ms - batch_ms),
+            wait_ms: (delay_ms - prefill_ms - batch_ms).max(0.0),
             event_interval_ratio: if cx.max_event_interval_ms > 0.0 {
                 event_interval_ms / cx.max_event_interval_ms
             } else {
                 0.0
             },
             is_full: cx.spec.is_some_and(|spec| in_flight >= spec.connection_limit),
-            score,
+            score: cost.total_ms(),
         }
     }
 
-    /// Returns the reason for not placing the request here, if there is one.
+    /// Returns the reason for not placing the request here, if there is one. `min_prefill_tokens` is
+    /// the fewest prompt tokens that any candidate has to prefill for it.
     ///
     /// The further a workspace is above its share, the less its requests may wait: it is served by
     /// upstreams that are not busy, and busy ones are left to the others. A request is not
     /// declined merely because its own prompt takes long to prefill.
-    pub fn decline_reason(&self, call: &CallInfo, status: ShareStatus) -> Option<DeclineReason> {
+    pub fn decline_reason(
+        &self,
+        call: &CallInfo,
+        status: ShareStatus,
+        min_prefill_tokens: u64,
+    ) -> Option<DeclineReason> {
         if self.is_full {
             return Some(DeclineReason::Overloaded);
         }
         call.prompt.as_ref()?;
-        let expected_delay = self.estimate.expected_delay;
+        let delay_ms = self.estimate.expected_delay_ms;
+        let remaining_ms = millis(call.remaining);
         // Most of the work of a stream that goes on is done already.
         if call.goes_on {
-            return (expected_delay > call.remaining).then_some(DeclineReason::Overloaded);
+            return (delay_ms > remaining_ms).then_some(DeclineReason::Overloaded);
         }
-        if status.share_usage > 1.0 {
-            let max_pressure = status.max_pressure(self.estimate.prefill_tokens);
-            let is_busy =
-                status.pressure > max_pressure || self.wait_ratio(call.target) > max_pressure;
+        if status.is_over_share() {
+            let is_redundant = self.estimate.prefill_tokens > min_prefill_tokens;
+            let max_pressure = status.max_pressure(is_redundant);
+            let is_busy = status.pressure > max_pressure
+                || self.wait_ratio(millis(call.target)) > max_pressure;
             return (is_busy || self.event_interval_ratio > 1.0)
                 .then_some(DeclineReason::OverShare);
         }
 
-        let max_wait = if call.is_client_retry { call.remaining / 2 } else { call.target };
+        let max_wait_ms =
+            if call.is_client_retry { remaining_ms / 2.0 } else { millis(call.target) };
         let is_late =
-            expected_delay > max_wait && self.wait > max_wait.mul_f64(Self::MAX_WAIT_FRACTION);
-        (is_late || expected_delay > call.remaining).then_some(DeclineReason::Overloaded)
+            delay_ms > max_wait_ms && self.wait_ms > max_wait_ms * Self::MAX_WAIT_FRACTION;
+        (is_late || delay_ms > remaining_ms).then_some(DeclineReason::Overloaded)
     }
 
     /// Returns the mean pressure on the candidates: zero when idle, one when responses are just in
@@ -238,15 +179,17 @@
     /// It does not depend on which upstreams have cached a workspace's prompts, so it is the same
     /// for all workspaces.
     pub fn mean_pressure(target: Duration, candidates: &[Self]) -> f64 {
+        let target_ms = millis(target);
         let pressure = |c: &Self| {
-            c.wait_ratio(target).max(c.event_interval_ratio.powi(2)).min(MAX_UPSTREAM_PRESSURE)
+            let interval_ratio = c.event_interval_ratio;
+            c.wait_ratio(target_ms).max(interval_ratio * interval_ratio).min(MAX_UPSTREAM_PRESSURE)
         };
         candidates.iter().map(pressure).sum::<f64>() / candidates.len().max(1) as f64
     }
 
     /// Returns the wait caused by other requests as a ratio to the target latency.
-    fn wait_ratio(&self, target: Duration) -> f64 {
-        self.wait.as_secs_f64() / target.as_secs_f64().max(f64::MIN_POSITIVE)
+    fn wait_ratio(&self, target_ms: f64) -> f64 {
+        self.wait_ms / target_ms.max(f64::MIN_POSITIVE)
     }
 
     /// Returns the cost of prefilling segments that other upstreams have cached, minus the future
@@ -260,7 +203,7 @@
         in_flight: u32,
     ) -> f64 {
         let Some(prompt) = &cx.call.prompt else {
-            return f64::from(in_flight) / f64::from(upstream.entry.slots.max(1)) * target_ms(cx);
+            return f64::from(in_flight) / f64::from(upstream.entry.slots.max(1)) * cx.target_ms();
         };
 
         let redundant =
@@ -283,12 +226,12 @@
         let failures = upstream.load.failure_rate + f64::from(u8::from(is_unresponsive));
         let distance = f64::from(u8::from(is_remote)) * Self::REMOTE_PENALTY_FRACTION;
 
-        (failures * Self::FAILURE_WEIGHT + distance) * target_ms(cx)
+        (failures * Self::FAILURE_WEIGHT + distance) * cx.target_ms()
     }
 }
 
-fn target_ms(cx: &ScoringContext<'_>) -> f64 {
-    cx.call.target.as_secs_f64() * 1_000.0
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
 }
 
 fn from_millis(millis: f64) -> Duration {
--- /dev/null
+++ b/sapphirespur_core/src/edge/placement/fleet_share.rs
@@ -0,0 +1,57 @@
+//! This router's share of a limit that holds for the whole fleet.
+
+use std::cell::OnceCell;
+
+use crate::edge::{Peers, Shares};
+use crate::name::Name;
+use crate::time::Time;
+
+/// Inputs of this router's share of a fleet-wide limit for one request. Few requests need it.
+#[derive(Clone, Debug)]
+pub(in crate::edge) struct FleetShare<'a> {
+    /// Reports of the other routers.
+    peers: &'a Peers,
+    /// Hash of this router's name.
+    own_hash: u64,
+    /// Requests for the service at this router.
+    own_requests: usize,
+    /// Number of routers among which the limit is divided.
+    routers: OnceCell<usize>,
+}
+
+impl<'a> FleetShare<'a> {
+    /// Creates the share of the router with hash `own_hash`, which had `own_requests` for the service.
+    pub fn new(peers: &'a Peers, own_hash: u64, own_requests: usize) -> Self {
+        Self { peers, own_hash, own_requests, routers: OnceCell::new() }
+    }
+
+    /// Returns the number of routers among which the limit is divided.
+    pub fn routers(&self, now: Time) -> usize {
+        *self.routers.get_or_init(|| self.peers.assumed_routers(now))
+    }
+
+    /// Returns whether this router is among the first `count` ones for the upstream `key`, where a
+    /// limit does not suffice for all. A router that knows less than half of the others can't tell.
+    pub fn is_among_first(&self, now: Time, key: u32, count: usize) -> bool {
+        let members = self.peers.members();
+        let known = members.count(now) + 1;
+
+        known * 2 >= self.peers.count(now) && members.rank(now, self.own_hash, key) < count
+    }
+
+    /// Returns this router's part of a limit, by its part of the requests for a service. The parts of
+    /// all routers sum to no more than one.
+    pub fn part(&self, now: Time, service: &Name) -> f64 {
+        // Each router counts as one request, so that one that has had none yet can begin.
+        let own = self.own_requests as f64;
+        let others = f64::from(self.peers.demand(now, Shares::name_hash(service)).requests);
+        (own + 1.0) / (own + others + self.routers(now) as f64)
+    }
+
+    /// Returns this router's place among all routers in the rendezvous order of the upstream `key`,
+    /// from zero to one.
+    pub fn phase(&self, now: Time, key: u32) -> f64 {
+        let members = self.peers.members();
+        members.rank(now, self.own_hash, key) as f64 / (members.count(now) + 1) as f64
+    }
+}
--- /dev/null
+++ b/sapphirespur_core/src/edge/placement/request.rs
@@ -0,0 +1,24 @@
+//! Request for which an upstream is chosen.
+
+use crate::edge::{CallInfo, QuarantineKey};
+use crate::name::Name;
+
+/// Call with what is known of it beyond its own properties.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::edge) struct PlacementRequest<'a> {
+    /// Call to place.
+    pub call: &'a CallInfo,
+    /// Upstreams that were tried for it before.
+    pub tried: &'a [Name],
+    /// Usage of its workspace with this request included, as a ratio to its share.
+    pub share_usage: f64,
+    /// What the request tries although it is quarantined.
+    pub trial: Option<QuarantineKey>,
+}
+
+impl PlacementRequest<'_> {
+    /// Returns whether the request may go to all upstreams of its service.
+    pub fn is_unrestricted(&self) -> bool {
+        self.tried.is_empty() && self.call.version.is_none()
+    }
+}
--- a/sapphirespur_core/src/edge/prefix_cache.rs
+++ b/sapphirespur_core/src/edge/prefix_cache.rs
@@ -14,6 +14,15 @@
     ready_at: Time,
 }
 
+/// Tokens of a cached prefix of a prompt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PrefixTokens {
+    /// Tokens that are cached, or will be when they have been prefilled.
+    pub cached: u64,
+    /// Tokens that have been prefilled.
+    pub prefilled: u64,
+}
+
 /// Prompt segments that an upstream is expected to have cached, evicted in least recently used
 /// order.
 #[derive(Clone, Debug, Default)]
@@ -50,14 +59,20 @@
             .sum()
     }
 
-    /// Returns the tokens of the longest prefix of `prompt` that is cached and has been prefilled
-    /// by `now`.
-    pub fn prefilled_prefix_tokens(&self, now: Time, prompt: &Prompt) -> u64 {
-        let is_ready = |segment: &&PromptSegment| {
-            self.segments.get(&segment.chain).is_some_and(|cached| cached.ready_at <= now)
-        };
-
-        prompt.segments.iter().take_while(is_ready).map(|segment| u64::from(segment.tokens)).sum()
+    /// Returns the tokens of the longest cached prefix of `prompt`, and of the longest one that has been
+    /// prefilled by `now`.
+    pub(super) fn prefix_tokens(&self, now: Time, prompt: &Prompt) -> PrefixTokens {
+        let mut tokens = PrefixTokens::default();
+        let mut is_prefilled = true;
+        for segment in &prompt.segments {
+            let Some(cached) = self.segments.get(&segment.chain) else { break };
+            is_prefilled &= cached.ready_at <= now;
+            if is_prefilled {
+                tokens.prefilled += u64::from(segment.tokens);
+            }
+            tokens.cached += u64::from(segment.tokens);
+        }
+        tokens
     }
 
     /// Inserts segments that the upstream will have prefilled at `ready_at`, and evicts others
--- a/sapphirespur_core/src/edge/pressures.rs
+++ b/sapphirespur_core/src/edge/pressures.rs
@@ -14,11 +14,14 @@
 }
 
 impl Pressures {
-    /// Records the pressure at a decision. Returns the factor that converts this router's pressure
-    /// to the mean of all routers.
-    pub fn record(&mut self, now: Time, service: &Name, sample: f64, peers: &Peers) -> f64 {
-        let pressure = self.by_service.entry(service.clone()).or_default();
-        pressure.record(now, sample);
+    /// Records the pressure at a decision.
+    pub fn record(&mut self, now: Time, service: &Name, sample: f64) {
+        self.by_service.entry(service.clone()).or_default().record(now, sample);
+    }
+
+    /// Returns the factor that converts this router's pressure to the mean of all routers.
+    pub fn correction(&self, now: Time, service: &Name, peers: &Peers) -> f64 {
+        let Some(pressure) = self.by_service.get(service) else { return 1.0 };
         pressure.fleet_correction(now, peers.pressure(now, Shares::name_hash(service)))
     }
 
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -8,7 +8,6 @@
     CallInfo, InFlightRequest, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes,
     ServiceSpec, Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
 };
-use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
@@ -267,42 +266,20 @@
     /// prefill takes about half of their time.
     pub fn expected_prefill_speed(&self, service: &Name) -> f64 {
         let capacity = self.table.as_ref().and_then(|table| table.tokens_per_s);
-        let count = self.upstreams.iter().filter(|u| u.entry.service == *service).count();
+        let count = self.upstreams.count(service);
         match capacity {
             Some(capacity) if count > 0 => 2.0 * capacity as f64 / count as f64 / 1_000.0,
             _ => Self::DEFAULT_PREFILL_TOKENS_PER_MS,
         }
     }
 
-    /// Returns the mean measured prefill speed of the service's upstreams, or the expected one
-    /// without measurements.
-    pub fn mean_prefill_speed(&self, service: &Name) -> f64 {
-        let measured: Vec<f64> = self
-            .upstreams
-            .iter()
-            .filter(|upstream| upstream.entry.service == *service)
-            .filter_map(|upstream| upstream.load.prefill_tokens_per_ms)
-            .collect();
-        if measured.is_empty() {
-            return self.expected_prefill_speed(service);
-        }
-
-        measured.iter().sum::<f64>() / measured.len() as f64
-    }
-
     /// Returns the key of the upstream that owns the last shared segment of a prompt, by rendezvous
     /// hashing.
     ///
     /// All routers compute the same owner without communication, so requests with the same segment
     /// prefer the same upstream, which then has the segment cached.
-    pub fn prefix_owner(&self, call: &CallInfo) -> Option<u32> {
+    pub fn prefix_owner(&mut self, call: &CallInfo) -> Option<u32> {
         let segment = call.prompt.as_ref()?.shared_segments().last()?;
-        let weight = |key: &u32| stable_hash(&[&segment.chain.to_le_bytes(), &key.to_le_bytes()]);
-
-        self.upstreams
-            .iter()
-            .filter(|upstream| upstream.entry.service == call.service)
-            .map(|upstream| upstream.key)
-            .max_by_key(weight)
+        self.upstreams.segment_owner(&call.service, segment.chain)
     }
 }
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
     RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins,
@@ -21,11 +22,16 @@
 #[derive(Debug)]
 pub struct Router {
     settings: RouterSettings,
+    /// Hash of this router's name.
+    name_hash: u64,
     registry: RegistryState,
     exchange: Exchange,
     shares: Shares,
     retry_budgets: HashMap<Name, RetryBudget>,
     pressures: Pressures,
+    recent_choices: RecentChoices,
+    selection: Selection,
+    choice: Choice,
     quarantine: Quarantine,
     output_lengths: OutputLengths,
     streams: StreamOrigins,
@@ -55,16 +61,20 @@
 
     /// Creates a router without a configuration, upstreams or peers.
     pub fn new(settings: RouterSettings) -> Self {
-        let seed = stable_hash(&[settings.name.as_str().as_bytes()]);
-        let shares = Shares::new(settings.share_window, seed);
+        let name_hash = stable_hash(&[settings.name.as_str().as_bytes()]);
+        let shares = Shares::new(settings.share_window, name_hash);
 
         Self {
             settings,
+            name_hash,
             registry: RegistryState::default(),
             exchange: Exchange::default(),
             shares,
             retry_budgets: HashMap::default(),
             pressures: Pressures::default(),
+            recent_choices: RecentChoices::default(),
+            selection: Selection::default(),
+            choice: Choice::default(),
             quarantine: Quarantine::default(),
             output_lengths: OutputLengths::default(),
             streams: StreamOrigins::default(),
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -2,15 +2,14 @@
 
 use std::time::Duration;
 
-use crate::collections::HashMap;
-use crate::edge::candidate::{Candidate, PlacementEstimate, ScoringContext, ShareStatus};
-use crate::edge::cold_limit::ColdLimit;
-use crate::edge::fleet_share::FleetShare;
-use crate::edge::prefix_sources::PrefixSources;
+use crate::edge::placement::{
+    Candidate, Choice, ColdLimit, Filter, FleetShare, PlacementEstimate, PlacementRequest,
+    PrefixSources, RecentChoice, ScoringContext, Selection, ShareStatus,
+};
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
     Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, QuarantineKey,
-    Router, Shares, Upstream, Upstreams, UsageKey,
+    Router, Shares, UsageKey,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -28,7 +27,8 @@
             let (usage, lag) = (self.exchange.peers().usage(), self.exchange.report_lag());
             self.shares.share_usage(now, key, tokens, capacity, usage, lag)
         });
-        let decision = self.choose_upstream(now, call, &[], share_usage, trial);
+        let request = PlacementRequest { call, tried: &[], share_usage, trial };
+        let decision = self.choose_upstream(now, request);
         if let Some((key, tokens, _)) = charge {
             self.shares.charge(now, key, tokens, decision.is_ok());
         }
@@ -52,7 +52,8 @@
             return Err(self.backoff.decline(call, DeclineReason::RetryBudget, None));
         }
 
-        let admission = self.choose_upstream(now, call, tried, 0.0, trial);
+        let request = PlacementRequest { call, tried, share_usage: 0.0, trial };
+        let admission = self.choose_upstream(now, request);
         if reached_upstream
             && admission.is_err()
             && let Some(budget) = self.retry_budgets.get_mut(&call.service)
@@ -125,143 +126,205 @@
     /// Returns the number of routers among which fleet-wide limits are divided: this one, its
     /// peers, and one that may not have been discovered yet.
     pub(super) fn assumed_routers(&self, now: Time) -> usize {
-        self.peers().count(now) + 2
+        self.peers().assumed_routers(now)
     }
 
-    /// Places the request on the upstream with the lowest score among those without a reason to
-    /// decline it. A request that tries `trial`, which is quarantined, goes to the one with the
-    /// fewest requests, which it may cut.
-    fn choose_upstream(
-        &mut self,
-        now: Time,
-        call: &CallInfo,
-        tried: &[Name],
-        share_usage: f64,
-        trial: Option<QuarantineKey>,
-    ) -> Admission {
-        let spec = self.registry.service_spec(&call.service).copied();
-        let share = FleetShare {
-            peers: self.exchange.peers(),
-            own_hash: self.name_hash(),
-            routers: self.assumed_routers(now),
+    /// Places a request on the upstream with the lowest score among those without a reason to decline
+    /// it. A request that tries something that is quarantined goes to the one with the fewest requests,
+    /// which it may cut.
+    fn choose_upstream(&mut self, now: Time, request: PlacementRequest<'_>) -> Admission {
+        if let Some(decline) = self.refuse_over_share(now, request) {
+            return Err(decline);
+        }
+        let mut selection = std::mem::take(&mut self.selection);
+        let mut choice = std::mem::take(&mut self.choice);
+        self.select(now, request, &mut selection);
+        self.score(now, request, &selection, &mut choice);
+        let admission = match choice.best() {
+            Some(best) => self.place(now, request, &choice, best),
+            None => Err(self.decline_unselected(now, request.call, &selection)),
+        };
+        self.selection = selection;
+        self.choice = choice;
+        admission
+    }
+
+    /// Refuses a request of a workspace above its share if the pressure at the last choice was too high
+    /// for it at any upstream.
+    fn refuse_over_share(&mut self, now: Time, request: PlacementRequest<'_>) -> Option<Decline> {
+        let (call, share_usage) = (request.call, request.share_usage);
+        let is_ordinary = request.is_unrestricted() && request.trial.is_none() && !call.goes_on;
+        if share_usage <= 1.0 || !is_ordinary {
+            return None;
+        }
+        let recent = self.recent_choices.get(now, &call.service, call.target)?;
+        let correction = self.pressures.correction(now, &call.service, self.exchange.peers());
+        let status = ShareStatus {
+            share_usage,
+            over_share_factor: self.pressures.over_share_factor(&call.service),
+            pressure: recent.own_pressure * correction,
         };
-        let cold_limit =
-            ColdLimit { settings: &self.settings, share, is_settled: self.settled_at <= now };
+        if !recent.rules_out_all(correction, status.max_pressure(false)) {
+            return None;
+        }
+        let reason = DeclineReason::OverShare;
+        Some(self.decline_busy(now, call, reason, status, recent.expected_delay))
+    }
+
+    /// Selects the upstreams that may get a request.
+    fn select(&mut self, now: Time, request: PlacementRequest<'_>, selection: &mut Selection) {
+        let service = &request.call.service;
         let limits = self.settings.retries;
-        let requests = self
-            .retry_budgets
-            .get_mut(&call.service)
-            .map_or(0, |budget| budget.requests(now, limits));
-        let upstreams = self.registry.upstreams_mut();
-        let mut saturated = cold_limit.saturated(now, &call.service, spec.as_ref(), upstreams);
-        let limited = limited_upstreams(now, &call.service, share, requests, upstreams);
-        saturated.extend(limited.keys());
-        let engine = spec.and_then(|spec| spec.engine);
-        let upstreams = self.registry.upstreams();
-        let routes = self.registry.routes(&call.service);
+        let budget = self.retry_budgets.get_mut(service);
+        let own_requests = budget.map_or(0, |budget| budget.requests(now, limits));
+        let spec = self.registry.service_spec(service).copied();
+        let cold_limit = ColdLimit {
+            settings: &self.settings,
+            spec: spec.as_ref(),
+            share: FleetShare::new(self.exchange.peers(), self.name_hash, own_requests),
+            is_settled: self.settled_at <= now,
+        };
+        let filter = Filter { now, request, cold_limit };
+        selection.fill(&filter, self.registry.upstreams_mut());
+    }
+
+    /// Scores the selected upstreams.
+    fn score(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+        selection: &Selection,
+        choice: &mut Choice,
+    ) {
+        let call = request.call;
         let prefix_owner = self.registry.prefix_owner(call);
+        let (registry, peers) = (&self.registry, self.exchange.peers());
+        let spec = registry.service_spec(&call.service);
+        let routes = registry.routes(&call.service);
         let sources = PrefixSources::new(
             now,
             call.prompt.as_ref(),
-            &call.service,
-            upstreams,
-            prefix_owner.filter(|key| self.peers().load(now, *key).in_flight > 0),
-            engine,
+            selection,
+            registry.upstreams(),
+            prefix_owner.filter(|key| peers.load(now, *key).in_flight > 0),
+            spec.and_then(|spec| spec.engine),
         );
+        let measured_speed = selection.mean_prefill_speed();
         let cx = ScoringContext {
             now,
             call,
-            peers: self.exchange.peers(),
+            peers,
             data_centre: &self.settings.data_centre,
-            sources: &sources,
-            spec: spec.as_ref(),
+            sources,
+            spec,
             prefix_owner,
-            expected_events: self.output_lengths.expected_events(call, spec.as_ref()),
-            max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec.as_ref()),
-            mean_prefill_speed: self.registry.mean_prefill_speed(&call.service),
+            expected_events: self.output_lengths.expected_events(call, spec),
+            max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec),
+            mean_prefill_speed: measured_speed
+                .unwrap_or_else(|| registry.expected_prefill_speed(&call.service)),
         };
-        let is_allowed = |upstream: &&Upstream| {
-            !saturated.contains(&upstream.key)
-                && !tried.contains(&upstream.entry.id)
-                && call.fits_version(&upstream.entry)
+        choice.fill(&cx, selection, registry.upstreams(), request.trial.is_some());
+    }
+
+    /// Places a request on the best candidate that accepts it; `best` is the best one of all.
+    fn place(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+        choice: &Choice,
+        best: &Candidate,
+    ) -> Admission {
+        let call = request.call;
+        let status = self.share_status(now, request, choice, best);
+        let Some(chosen) = choice.best_accepting(call, status) else {
+            let reason = best.decline_reason(call, status, choice.min_prefill_tokens());
+            let reason = reason.unwrap_or(DeclineReason::Overloaded);
+            let delay = best.estimate.expected_delay();
+            return Err(self.decline_busy(now, call, reason, status, delay));
         };
-        let mut candidates =
-            cx.ranked_candidates(upstreams.available(now, &call.service).filter(is_allowed));
-        if trial.is_some() {
-            candidates.sort_by_key(|candidate| candidate.in_flight);
+        if let Some(key) = request.trial {
+            self.quarantine.on_tried(now, key);
         }
-        let Some(best) = candidates.first() else {
-            if call.goes_on && !self.registry.upstreams().may_serve_version(call) {
-                return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
-            }
-            let is_any_available = self
-                .registry
-                .upstreams()
-                .available(now, &call.service)
-                .any(|upstream| call.fits_version(&upstream.entry));
-            if let Some(wait) = limited.values().min() {
-                return Err(self.backoff.decline(call, DeclineReason::Limited, Some(*wait)));
-            }
-            if is_any_available {
-                return Err(self.backoff.decline(call, DeclineReason::Cold, None));
-            }
-            return Err(match self.registry.upstreams().shortest_pause(now, &call.service) {
-                Some(pause) => self.backoff.decline_for_pause(call, pause),
-                None => self.backoff.decline(call, DeclineReason::NoUpstream, None),
-            });
-        };
-        let own_pressure = Candidate::mean_pressure(call.target, &candidates);
+        Ok(self.commit(now, call, chosen))
+    }
+
+    /// Measures the pressure on the candidates, and records it.
+    fn share_status(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+        choice: &Choice,
+        best: &Candidate,
+    ) -> ShareStatus {
+        let (call, candidates) = (request.call, choice.candidates());
+        let own_pressure = Candidate::mean_pressure(call.target, candidates);
+        let routes = self.registry.routes(&call.service);
         let mean_target = routes.map_or(call.target, |routes| routes.mean_target);
-        let mean_pressure = Candidate::mean_pressure(mean_target, &candidates);
-        let pressure = own_pressure
-            * self.pressures.record(now, &call.service, mean_pressure, self.exchange.peers());
-        let status = ShareStatus {
-            share_usage,
+        let mean_pressure = Candidate::mean_pressure(mean_target, candidates);
+        self.pressures.record(now, &call.service, mean_pressure);
+        if request.is_unrestricted() {
+            let recent = RecentChoice {
+                at: now,
+                target: call.target,
+                own_pressure,
+                expected_delay: best.estimate.expected_delay(),
+                is_any_full: candidates.iter().any(|candidate| candidate.is_full),
+            };
+            self.recent_choices.record(&call.service, recent);
+        }
+
+        let correction = self.pressures.correction(now, &call.service, self.exchange.peers());
+        ShareStatus {
+            share_usage: request.share_usage,
             over_share_factor: self.pressures.over_share_factor(&call.service),
-            min_prefill_tokens: candidates
-                .iter()
-                .map(|c| c.estimate.prefill_tokens)
-                .min()
-                .unwrap_or_default(),
-            pressure,
-        };
-        // Falls back to lower-ranked candidates: prefilling the prompt elsewhere is better than
-        // declining the request.
-        let chosen =
-            candidates.iter().find(|candidate| candidate.decline_reason(call, status).is_none());
-        let Some(chosen) = chosen else {
-            let expected_delay = Some(best.estimate.expected_delay);
-            let reason = best.decline_reason(call, status);
-            let reason = reason.unwrap_or(DeclineReason::Overloaded);
-            if reason == DeclineReason::OverShare {
-                self.pressures.record_decline(now, &call.service);
-            }
-            let decline = self.backoff.decline(call, reason, expected_delay);
-            let over_share_factor = status.over_share_factor;
-            return Err(Decline { share_usage, pressure, over_share_factor, ..decline });
-        };
-        let (id, estimate) = (chosen.upstream.entry.id.clone(), chosen.estimate);
-        if let Some(key) = trial {
-            self.quarantine.on_tried(now, key);
+            pressure: own_pressure * correction,
         }
-        self.commit(now, call, id, estimate)
     }
 
-    /// Records the request at the chosen upstream.
-    fn commit(
+    /// Declines a request that no upstream may get.
+    fn decline_unselected(&mut self, now: Time, call: &CallInfo, selection: &Selection) -> Decline {
+        let upstreams = self.registry.upstreams();
+        if call.goes_on && !upstreams.may_serve_version(call) {
+            return self.backoff.decline(call, DeclineReason::VersionGone, None);
+        }
+        if let Some(wait) = selection.shortest_wait {
+            return self.backoff.decline(call, DeclineReason::Limited, Some(wait));
+        }
+        let mut available = upstreams.available(now, &call.service);
+        if available.any(|upstream| call.fits_version(&upstream.entry)) {
+            return self.backoff.decline(call, DeclineReason::Cold, None);
+        }
+        match upstreams.shortest_pause(now, &call.service) {
+            Some(pause) => self.backoff.decline_for_pause(call, pause),
+            None => self.backoff.decline(call, DeclineReason::NoUpstream, None),
+        }
+    }
+
+    /// Declines a request for which each upstream is too busy.
+    fn decline_busy(
         &mut self,
         now: Time,
         call: &CallInfo,
-        id: Name,
-        estimate: PlacementEstimate,
-    ) -> Admission {
-        let PlacementEstimate { expected_delay, fetch_from, prefill_tokens, queued_tokens } =
-            estimate;
+        reason: DeclineReason,
+        status: ShareStatus,
+        expected_delay: Duration,
+    ) -> Decline {
+        if reason == DeclineReason::OverShare {
+            self.pressures.record_decline(now, &call.service);
+        }
+        let ShareStatus { share_usage, over_share_factor, pressure } = status;
+        let decline = self.backoff.decline(call, reason, Some(expected_delay));
+        Decline { share_usage, over_share_factor, pressure, ..decline }
+    }
+
+    /// Records the request at the chosen upstream.
+    fn commit(&mut self, now: Time, call: &CallInfo, chosen: &Candidate) -> Placement {
+        let estimate = &chosen.estimate;
+        let expected_delay = estimate.expected_delay();
+        let PlacementEstimate { fetch_from, prefill_tokens, queued_tokens, .. } = *estimate;
         let engine = self.registry.service_spec(&call.service).and_then(|spec| spec.engine);
         let capacity = engine.map_or(0, |engine| engine.cache_tokens);
-        let Some(upstream) = self.registry.upstreams_mut().get_mut(id.as_str()) else {
-            return Err(self.backoff.decline(call, DeclineReason::NoUpstream, None));
-        };
+        let upstream = self.registry.upstreams_mut().at_mut(chosen.position);
         upstream.load.on_sent(now, prefill_tokens);
         upstream.send_limiter.record(now);
         if let Some(limit) = &mut upstream.limit {
@@ -276,7 +339,8 @@
                 self.prefilled.entry(upstream.key).or_default().extend_from_slice(shared);
             }
         }
-        Ok(Placement {
+        let id = &upstream.entry.id;
+        Placement {
             request: InFlightRequest {
                 upstream: id.clone(),
                 started_ms: upstream.entry.started_ms,
@@ -298,32 +362,9 @@
                 last_event_at: now,
             },
             address: upstream.entry.address,
-            instance: id,
+            instance: id.clone(),
             fetch_from,
             expected_delay,
-        })
+        }
     }
 }
-
-/// Returns the upstreams of a service that have named a limit of which this router's part is used up,
-/// with the time until it may send the next request.
-fn limited_upstreams(
-    now: Time,
-    service: &Name,
-    share: FleetShare<'_>,
-    requests: usize,
-    upstreams: &mut Upstreams,
-) -> HashMap<u32, Duration> {
-    let available = upstreams.available(now, service);
-    let keys: Vec<u32> = available
-        .filter(|upstream| upstream.limit.is_some())
-        .map(|upstream| upstream.key)
-        .collect();
-    let part = share.part(now, Shares::name_hash(service), requests);
-    let wait = |key: u32| {
-        let limit = upstreams.get_by_key_mut(key)?.limit.as_mut()?;
-        let wait = limit.wait(now, part, share.routers, || share.phase(now, key));
-        (!wait.is_zero()).then_some((key, wait))
-    };
-    keys.into_iter().filter_map(wait).collect()
-}
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -6,7 +6,6 @@
     Contact, Exchange, FleetNews, OutgoingMessage, PeerMessage, PeerReport, Peers,
     PrefilledSegments, RetryBudget, Router, ServiceDemand, Shares, Upstream,
 };
-use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
@@ -117,6 +116,6 @@
 
     /// Returns the hash of the router's name, which identifies it in reports.
     pub(super) fn name_hash(&self) -> u64 {
-        stable_hash(&[self.settings.name.as_str().as_bytes()])
+        self.name_hash
     }
 }
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -32,6 +32,11 @@
 }
 
 impl Condition {
+    /// Returns whether an upstream in this condition accepts requests.
+    pub fn accepts_requests(self) -> bool {
+        matches!(self, Self::Cold | Self::Warm)
+    }
+
     /// Returns a short name for logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashSet;
 use crate::edge::departed::Departed;
 use crate::edge::exchange::take_in_turn;
+use crate::edge::upstream_index::UpstreamIndex;
 use crate::edge::{
     CallInfo, Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry,
     UpstreamState,
@@ -12,12 +13,11 @@
 use crate::name::Name;
 use crate::time::Time;
 
-/// Upstreams by identity, and the data centres that are out.
+/// Upstreams with indexes, and the data centres that are out.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
-    by_id: HashMap<Name, Upstream>,
-    /// Identities by their hashes in reports.
-    ids_by_key: HashMap<u32, Name>,
+    all: Vec<Upstream>,
+    index: UpstreamIndex,
     data_centres_out: HashSet<Name>,
     departed: Departed,
     /// Number of reports of limits so far.
@@ -47,7 +47,7 @@
             return false;
         }
         let cold_until = now + cold_time(&entry, spec);
-        if let Some(existing) = self.by_id.get_mut(&entry.id)
+        if let Some(existing) = self.get_mut(entry.id.as_str())
             && existing.entry.is_same_instance(&entry)
         {
             if entry.precedes(&existing.entry) {
@@ -55,28 +55,47 @@
             }
             existing.gone_at = None;
             existing.cold_until = existing.cold_until.max(cold_until);
-            existing.entry = entry;
+            let previous = std::mem::replace(&mut existing.entry, entry);
+            if previous.service != existing.entry.service {
+                self.index = UpstreamIndex::new(&self.all);
+            }
             return false;
         }
 
-        if is_from_copy
-            && self.by_id.get(&entry.id).is_some_and(|known| is_later(&known.entry, &entry))
-        {
+        let known = self.get(entry.id.as_str());
+        if is_from_copy && known.is_some_and(|known| is_later(&known.entry, &entry)) {
             return false;
         }
 
+        self.departed.forget(&entry.id);
+        self.remove_replaced(now, &entry);
+        let upstream = Upstream::new(entry, Load::new(), cold_until);
+        self.index.insert(self.all.len(), &upstream);
+        self.all.push(upstream);
+        true
+    }
+
+    /// Removes the upstreams with the identity or the address of `entry`.
+    fn remove_replaced(&mut self, now: Time, entry: &UpstreamEntry) {
+        self.remove_if(now, |other| {
+            other.entry.id == entry.id || other.entry.address == entry.address
+        });
+    }
+
+    /// Removes the upstreams for which `is_removed` returns `true`, and records that they departed.
+    fn remove_if(&mut self, now: Time, is_removed: impl Fn(&Upstream) -> bool) {
+        let count = self.all.len();
         let departed = &mut self.departed;
-        departed.forget(&entry.id);
-        self.by_id.retain(|id, other| {
-            let is_replaced = *id == entry.id || other.entry.address == entry.address;
-            if is_replaced {
-                departed.record(now, other.entry.clone());
+        self.all.retain(|upstream| {
+            let is_removed = is_removed(upstream);
+            if is_removed {
+                departed.record(now, upstream.entry.clone());
             }
-            !is_replaced
+            !is_removed
         });
-        self.ids_by_key.insert(Upstream::hash_id(&entry.id), entry.id.clone());
-        self.by_id.insert(entry.id.clone(), Upstream::new(entry, Load::new(), cold_until));
-        true
+        if self.all.len() != count {
+            self.index = UpstreamIndex::new(&self.all);
+        }
     }
 
     /// Returns the last entries of the instances that have left recently.
@@ -86,7 +105,7 @@
 
     /// Marks the instance of `last` as gone, unless a newer entry of it is known.
     pub fn mark_departed(&mut self, now: Time, last: UpstreamEntry) {
-        if let Some(existing) = self.by_id.get_mut(&last.id) {
+        if let Some(existing) = self.get_mut(last.id.as_str()) {
             if existing.entry.is_same_instance(&last) && !last.precedes(&existing.entry) {
                 existing.set_gone_at(now);
             }
@@ -97,15 +116,15 @@
 
     /// Marks an upstream as gone from `at`, because its entry is missing.
     pub fn remove_at(&mut self, id: &str, at: Time) {
-        if let Some(upstream) = self.by_id.get_mut(id) {
+        if let Some(upstream) = self.get_mut(id) {
             upstream.set_gone_at(at);
         }
     }
 
     /// Marks all upstreams that `listed` does not contain as gone from `at`.
     pub fn remove_unlisted_at(&mut self, listed: &HashSet<Name>, at: Time) {
-        for (id, upstream) in &mut self.by_id {
-            if !listed.contains(id) {
+        for upstream in &mut self.all {
+            if !listed.contains(&upstream.entry.id) {
                 upstream.set_gone_at(at);
             }
         }
@@ -113,17 +132,10 @@
 
     /// Removes upstreams that are gone and have no requests left.
     pub fn remove_gone(&mut self, now: Time) {
-        let departed = &mut self.departed;
-        self.by_id.retain(|_, upstream| {
-            let is_gone = upstream.gone_at.is_some_and(|at| at <= now);
-            if is_gone && upstream.load.in_flight == 0 {
-                departed.record(now, upstream.entry.clone());
-                return false;
-            }
-            true
+        self.remove_if(now, |upstream| {
+            upstream.gone_at.is_some_and(|at| at <= now) && upstream.load.in_flight == 0
         });
-        departed.expire(now);
-        self.ids_by_key.retain(|_, id| self.by_id.contains_key(id));
+        self.departed.expire(now);
     }
 
     /// Marks a data centre as out, so that its upstreams get no requests.
@@ -142,7 +154,7 @@
         if !self.data_centres_out.remove(data_centre) {
             return;
         }
-        for upstream in self.by_id.values_mut() {
+        for upstream in &mut self.all {
             if upstream.entry.data_centre.as_str() == data_centre {
                 let until = now + cold(&upstream.entry.service);
                 upstream.cold_until = upstream.cold_until.max(until);
@@ -157,39 +169,76 @@
 
     /// Returns the upstream with this identity; `None` when it is unknown.
     pub fn get(&self, id: &str) -> Option<&Upstream> {
-        self.by_id.get(id)
+        self.index.by_id(id).map(|position| &self.all[position])
     }
 
     /// Returns the upstream with this identity for modification; `None` when it is unknown.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
-        self.by_id.get_mut(id)
+        self.index.by_id(id).map(|position| &mut self.all[position])
     }
 
     /// Returns the upstream with a hash from reports.
     pub fn get_by_key(&self, key: u32) -> Option<&Upstream> {
-        self.by_id.get(self.ids_by_key.get(&key)?)
+        self.index.by_key(key).map(|position| &self.all[position])
     }
 
     /// Returns the upstream with a hash from reports, for modification.
     pub fn get_by_key_mut(&mut self, key: u32) -> Option<&mut Upstream> {
-        self.by_id.get_mut(self.ids_by_key.get(&key)?)
+        self.index.by_key(key).map(|position| &mut self.all[position])
     }
 
     /// Returns all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
-        self.by_id.values()
+        self.all.iter()
     }
 
-    /// Returns all upstreams for modification.
+    /// Returns all upstreams for modification of what does not identify them.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
-        self.by_id.values_mut()
+        self.all.iter_mut()
+    }
+
+    /// Returns the upstream at a position, as [`visit_mut`](Self::visit_mut) passes them on.
+    pub(super) fn at(&self, position: usize) -> &Upstream {
+        &self.all[position]
+    }
+
+    /// Returns the upstream at a position for modification.
+    pub(super) fn at_mut(&mut self, position: usize) -> &mut Upstream {
+        &mut self.all[position]
+    }
+
+    /// Calls `visit` with the position of each upstream of a service, the upstream and its condition.
+    pub(super) fn visit_mut(
+        &mut self,
+        now: Time,
+        service: &Name,
+        mut visit: impl FnMut(usize, &mut Upstream, Condition),
+    ) {
+        for (_, position) in self.index.of_service(service) {
+            let upstream = &mut self.all[*position];
+            let condition = condition(now, upstream, &self.data_centres_out);
+            visit(*position, upstream, condition);
+        }
+    }
+
+    /// Returns all known upstreams of a service, ordered by key.
+    pub fn of_service(&self, service: &Name) -> impl Iterator<Item = &Upstream> {
+        self.index.of_service(service).iter().map(|(_, position)| &self.all[*position])
+    }
+
+    /// Returns the number of known upstreams of a service.
+    pub fn count(&self, service: &Name) -> usize {
+        self.index.of_service(service).len()
+    }
+
+    /// Returns the key of the upstream of a service that owns the prompt segment with hash `chain`.
+    pub(super) fn segment_owner(&mut self, service: &Name, chain: u64) -> Option<u32> {
+        self.index.owner(service, chain)
     }
 
     /// Returns the upstreams of a service that have a registry entry.
     pub fn present<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = &'a Upstream> + 'a {
-        self.by_id.values().filter(move |upstream| {
-            upstream.entry.service == *service && upstream.gone_at.is_none()
-        })
+        self.of_service(service).filter(|upstream| upstream.gone_at.is_none())
     }
 
     /// Returns the upstreams of a service that may receive requests.
@@ -198,15 +247,14 @@
         now: Time,
         service: &'a Name,
     ) -> impl Iterator<Item = &'a Upstream> + 'a {
-        self.by_id.values().filter(move |upstream| {
-            upstream.entry.service == *service && self.accepts_requests(now, upstream)
-        })
+        self.of_service(service).filter(move |upstream| self.accepts_requests(now, upstream))
     }
 
     /// Returns whether an upstream of the version that a call needs serves, or may again: it is known
     /// and stays, or has left without having said that it would, as after a crash.
     pub fn may_serve_version(&self, call: &CallInfo) -> bool {
-        let present = self.by_id.values().filter(|upstream| !upstream.is_leaving);
+        let known = self.of_service(&call.service);
+        let present = known.filter(|upstream| !upstream.is_leaving);
         let departed = self.departed.entries();
         present.map(|upstream| &upstream.entry).chain(departed).any(|entry| {
             entry.service == call.service
@@ -224,8 +272,8 @@
                 && now.since(upstream.limit_changed_at) < FleetNews::CHANGE_TIME
         };
         let (mut news, mut others): (Vec<_>, Vec<_>) = self
-            .by_id
-            .values()
+            .all
+            .iter()
             .filter(|upstream| upstream.limit.is_some() || is_new(upstream))
             .partition(|upstream| is_new(upstream));
         news.sort_unstable_by_key(|upstream| std::cmp::Reverse(upstream.limit_changed_at));
@@ -250,22 +298,31 @@
 
     /// Returns whether an upstream may receive requests.
     pub fn accepts_requests(&self, now: Time, upstream: &Upstream) -> bool {
-        !self.data_centres_out.contains(&upstream.entry.data_centre)
-            && matches!(upstream.condition(now), Condition::Cold | Condition::Warm)
+        self.condition(now, upstream).accepts_requests()
+    }
+
+    /// Returns the condition of an upstream; it is closed while its data centre is out.
+    pub(super) fn condition(&self, now: Time, upstream: &Upstream) -> Condition {
+        condition(now, upstream, &self.data_centres_out)
     }
 
     /// Returns the time until the first paused upstream of a service accepts requests again; none
     /// when no upstream is paused.
     pub fn shortest_pause(&self, now: Time, service: &Name) -> Option<Duration> {
-        self.by_id
-            .values()
-            .filter(|upstream| upstream.entry.service == *service)
+        self.of_service(service)
             .filter(|upstream| upstream.condition(now) == Condition::Paused)
             .map(|upstream| upstream.paused_until.since(now))
             .min()
     }
 }
 
+fn condition(now: Time, upstream: &Upstream, data_centres_out: &HashSet<Name>) -> Condition {
+    if data_centres_out.contains(&upstream.entry.data_centre) {
+        return Condition::Closed;
+    }
+    upstream.condition(now)
+}
+
 /// Returns whether `entry` is of a process that started after that of `other`.
 fn is_later(entry: &UpstreamEntry, other: &UpstreamEntry) -> bool {
     entry.started_ms.zip(other.started_ms).is_some_and(|(own, others)| own > others)
