Shares and caches without work for each request

Cause: each request of a workspace let the usage of all workspaces decay, added the reports of the other routers in a map and sorted all demands. The model of a prefix cache kept the order of its uses in a tree, which had two changes for each segment of a request or report.

Change: `ShareTotals` keeps the usage of all workspaces sorted. This router's requests are added at once, and the workspace of a request is decayed to the moment; what the others use and the decay of other workspaces are renewed each tick of 100 ms, where they were renewed for each request. The cache keeps its uses in a queue, whose outdated entries are dropped in bulk. Both give the same results otherwise.

All tests of sapphirespur_core::edge pass.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -46,6 +46,7 @@
 mod router;
 mod router_settings;
 mod service;
+mod share_totals;
 mod shares;
 mod snapshot;
 mod stream_bases;
--- a/sapphirespur_core/src/edge/prefix_cache.rs
+++ b/sapphirespur_core/src/edge/prefix_cache.rs
@@ -1,6 +1,6 @@
 //! Model of an upstream's prefix cache.
 
-use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use crate::collections::HashMap;
 use crate::edge::{Prompt, PromptSegment};
@@ -28,12 +28,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrefixCache {
     segments: HashMap<u64, CachedSegment>,
-    by_last_use: BTreeMap<u64, u64>,
+    /// Uses in order, with the hashes of their segments. All but the last use of a segment are outdated.
+    uses: VecDeque<(u64, u64)>,
     tokens: u64,
     use_count: u64,
 }
 
 impl PrefixCache {
+    /// Number of uses up to which outdated ones are kept.
+    const MIN_USES: usize = 64;
+
     /// Returns the number of cached segments.
     pub fn len(&self) -> usize {
         self.segments.len()
@@ -95,8 +99,10 @@
 
     fn evict_to(&mut self, capacity: u64) {
         while self.tokens > capacity {
-            let Some((_, chain)) = self.by_last_use.pop_first() else { break };
-            if let Some(cached) = self.segments.remove(&chain) {
+            let Some((last_use, chain)) = self.uses.pop_front() else { break };
+            if is_last_use(&self.segments, last_use, chain)
+                && let Some(cached) = self.segments.remove(&chain)
+            {
                 self.tokens -= u64::from(cached.tokens);
             }
         }
@@ -104,14 +110,28 @@
 
     fn touch(&mut self, ready_at: Time, segment: PromptSegment) {
         self.use_count += 1;
-        let existing = self.segments.get(&segment.chain);
-        let ready_at = existing.map_or(ready_at, |existing| existing.ready_at.min(ready_at));
-        let cached = CachedSegment { tokens: segment.tokens, last_use: self.use_count, ready_at };
-        if let Some(previous) = self.segments.insert(segment.chain, cached) {
-            self.by_last_use.remove(&previous.last_use);
-            self.tokens -= u64::from(previous.tokens);
+        let cached = self.segments.entry(segment.chain).or_insert(CachedSegment {
+            tokens: 0,
+            last_use: 0,
+            ready_at,
+        });
+        self.tokens = self.tokens + u64::from(segment.tokens) - u64::from(cached.tokens);
+        cached.tokens = segment.tokens;
+        cached.last_use = self.use_count;
+        cached.ready_at = cached.ready_at.min(ready_at);
+        self.uses.push_back((self.use_count, segment.chain));
+        self.drop_outdated_uses();
+    }
+
+    /// Drops outdated uses when they are more than the others.
+    fn drop_outdated_uses(&mut self) {
+        if self.uses.len() > Self::MIN_USES + 2 * self.segments.len() {
+            let segments = &self.segments;
+            self.uses.retain(|(last_use, chain)| is_last_use(segments, *last_use, *chain));
         }
-        self.by_last_use.insert(self.use_count, segment.chain);
-        self.tokens += u64::from(segment.tokens);
     }
 }
+
+fn is_last_use(segments: &HashMap<u64, CachedSegment>, last_use: u64, chain: u64) -> bool {
+    segments.get(&chain).is_some_and(|cached| cached.last_use == last_use)
+}
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -25,7 +25,7 @@
         let charge = self.charge_for(&call.route, call.workspace.as_ref(), call.prompt.as_ref());
         let share_usage = charge.map_or(0.0, |(key, tokens, capacity)| {
             let (usage, lag) = (self.exchange.peers().usage(), self.exchange.report_lag());
-            self.shares.share_usage(now, key, tokens, capacity, usage, lag)
+            self.shares.recent_share_usage(now, key, tokens, capacity, usage, lag)
         });
         let request = PlacementRequest { call, tried: &[], share_usage, trial };
         let decision = self.choose_upstream(now, request);
--- a/sapphirespur_core/src/edge/shares.rs
+++ b/sapphirespur_core/src/edge/shares.rs
@@ -6,6 +6,7 @@
 use crate::edge::WorkspaceUsage;
 use crate::edge::others_admitted::OthersAdmitted;
 use crate::edge::others_demand::OthersDemand;
+use crate::edge::share_totals::{ShareTotals, WorkspaceTotal};
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
@@ -49,6 +50,8 @@
     others_demand: HashMap<u32, OthersDemand>,
     /// What the other routers admitted, by workspace.
     others_admitted: HashMap<u32, OthersAdmitted>,
+    /// Usage at all routers.
+    totals: ShareTotals,
     /// Share of each workspace that asks for more, in admitted tokens; none before it is known.
     share: Option<f64>,
 }
@@ -77,6 +80,7 @@
             by_route: HashMap::default(),
             others_demand: HashMap::default(),
             others_admitted: HashMap::default(),
+            totals: ShareTotals::default(),
             share: None,
         }
     }
@@ -98,6 +102,7 @@
             usage.add(tokens, is_admitted);
             usage.admitted_shares += if is_admitted { shares } else { 0.0 };
         }
+        self.totals.charge(key.workspace, tokens, is_admitted);
     }
 
     /// Returns the usage of each workspace now.
@@ -128,23 +133,26 @@
         tokens_per_s: u64,
         others: impl Iterator<Item = WorkspaceUsage>,
     ) {
-        let mut by_others: HashMap<u32, (u64, u64)> = HashMap::default();
-        add_usage(&mut by_others, others);
-        let mut totals = by_others.clone();
-        add_usage(&mut totals, self.usage(now).into_iter());
-        let share = self.update_share(&totals, tokens_per_s).1;
-        for (workspace, (_, admitted)) in by_others {
-            let known = self.others_admitted.entry(workspace).or_default();
-            known.sample(now, admitted as f64, share, self.admission_window);
+        self.renew_totals(now, others);
+        let highest = self.totals.iter().last().copied().unwrap_or_default();
+        let share = self.update_share(highest.workspace, highest.asked, tokens_per_s).1;
+        for total in self.totals.iter().filter(|total| total.is_known_by_others) {
+            let known = self.others_admitted.entry(total.workspace).or_default();
+            known.sample(now, total.others_admitted as f64, share, self.admission_window);
         }
     }
 
-    /// Updates the share with the usage of all workspaces. Returns the level up to which demands are
-    /// covered, and the share.
-    fn update_share(&mut self, totals: &HashMap<u32, (u64, u64)>, tokens_per_s: u64) -> (u64, f64) {
+    /// Takes over the usage of this router and of the others.
+    fn renew_totals(&mut self, now: Time, others: impl Iterator<Item = WorkspaceUsage>) {
+        let own = self.usage(now);
+        self.totals.renew(now, own.into_iter(), others);
+    }
+
+    /// Updates the share, where `workspace` asks for `asked` tokens. Returns the level up to which
+    /// demands are covered, and the share.
+    fn update_share(&mut self, workspace: u32, asked: u64, tokens_per_s: u64) -> (u64, f64) {
         let capacity = (tokens_per_s as f64 * self.window.as_secs_f64()) as u64;
-        let demands: Vec<u64> = totals.values().map(|(asked, _)| *asked).collect();
-        let level = water_fill(&demands, capacity).max(1);
+        let level = self.totals.level(workspace, asked, capacity).max(1);
         let share = (level.min(capacity) / u64::from(Self::ADMISSION_WINDOWS)).max(1) as f64;
         if self.share.is_none() {
             for usage in self.by_workspace.values_mut() {
@@ -162,6 +170,23 @@
     /// Part of what a workspace asked for below which it counts as unserved.
     const UNSERVED_FRACTION: f64 = 0.7;
 
+    /// Returns the usage of a workspace as [`share_usage`](Self::share_usage) does, where the usage of the
+    /// others is at most a tick old.
+    pub fn recent_share_usage(
+        &mut self,
+        now: Time,
+        key: UsageKey,
+        tokens: u64,
+        tokens_per_s: u64,
+        others: impl Iterator<Item = WorkspaceUsage>,
+        report_lag: Duration,
+    ) -> f64 {
+        if self.totals.is_outdated(now) {
+            self.renew_totals(now, others);
+        }
+        self.usage_by_totals(now, key, tokens, tokens_per_s, report_lag)
+    }
+
     /// Returns the usage of a workspace with `tokens` more, as a ratio to its share of
     /// `tokens_per_s`; it is above one when the share is exceeded. It is infinite for a workspace
     /// beyond its share that is far ahead of one that asks for its share and does not get it.
@@ -177,13 +202,24 @@
         others: impl Iterator<Item = WorkspaceUsage>,
         report_lag: Duration,
     ) -> f64 {
-        let mut totals: HashMap<u32, (u64, u64)> = HashMap::default();
-        add_usage(&mut totals, self.usage(now).into_iter().chain(others));
-        let total = totals.entry(key.workspace).or_default();
-        let (left, since) = self.admitted_by_others(now, key.workspace, *total, report_lag);
-        total.0 += tokens;
-        let asked = total.0;
-        let (level, share) = self.update_share(&totals, tokens_per_s);
+        self.renew_totals(now, others);
+        self.usage_by_totals(now, key, tokens, tokens_per_s, report_lag)
+    }
+
+    fn usage_by_totals(
+        &mut self,
+        now: Time,
+        key: UsageKey,
+        tokens: u64,
+        tokens_per_s: u64,
+        report_lag: Duration,
+    ) -> f64 {
+        self.decay(now, key);
+        let total = self.totals.get(key.workspace);
+        let (left, since) = self.admitted_by_others(now, key.workspace, total, report_lag);
+        let own = self.by_workspace.get(&key.workspace).copied().unwrap_or_default();
+        let asked = total.others_asked + own.requested_tokens as u64 + tokens;
+        let (level, share) = self.update_share(key.workspace, asked, tokens_per_s);
         let own = self.by_workspace.get(&key.workspace).copied().unwrap_or_default();
         let admitted = own.admitted_tokens + left + since + tokens as f64;
         if asked <= level {
@@ -194,16 +230,26 @@
         let share_usage = own.admitted_shares
             + left * others.shares_per_token(share)
             + (since + tokens as f64) / share;
-        totals.remove(&key.workspace);
-        if share_usage > 1.0 && admitted > max_usage(level, totals.values()) {
+        let others = self.totals.iter().filter(|total| total.workspace != key.workspace);
+        if share_usage > 1.0 && admitted > max_usage(level, others) {
             return f64::INFINITY;
         }
         share_usage * self.route_advantage(key, tokens)
     }
 
-    /// Returns the tokens that other routers have probably admitted of a workspace, of which `totals`
-    /// were asked for and admitted here and in their reports: what is left of those, and apart from
-    /// that a part, drawn by this router, of what was asked for there since.
+    /// Lets the usage of a workspace and of one of its routes decay until now.
+    fn decay(&mut self, now: Time, key: UsageKey) {
+        let (window, admission_window) = (self.window, self.admission_window);
+        let workspace = self.by_workspace.get_mut(&key.workspace);
+        let route = self.by_route.get_mut(&(key.workspace, key.route));
+        for usage in workspace.into_iter().chain(route) {
+            usage.decay(now, window, admission_window);
+        }
+    }
+
+    /// Returns the tokens that other routers have probably admitted of a workspace: what is left of those
+    /// in their reports, and apart from that a part, drawn by this router, of what was asked for there
+    /// since.
     ///
     /// Without the draw, all routers would admit a hot workspace at the same time whenever its usage
     /// has decayed. With it, the part of the routers that admits it is what is left of its share, as a
@@ -212,12 +258,11 @@
         &mut self,
         now: Time,
         workspace: u32,
-        totals: (u64, u64),
+        total: WorkspaceTotal,
         lag: Duration,
     ) -> (f64, f64) {
         let own = self.by_workspace.get(&workspace).copied().unwrap_or_default();
-        let asked = (totals.0 as f64 - own.requested_tokens).max(0.0);
-        let admitted = (totals.1 as f64 - own.admitted_tokens).max(0.0);
+        let (asked, admitted) = (total.others_asked as f64, total.others_admitted as f64);
         let lag_s = lag.as_secs_f64();
         let left = admitted * (-lag_s / self.admission_window.as_secs_f64()).exp();
 
@@ -285,27 +330,18 @@
     }
 }
 
-/// Adds the tokens that workspaces asked for, and were admitted, to the sums of each.
-fn add_usage(sums: &mut HashMap<u32, (u64, u64)>, usage: impl Iterator<Item = WorkspaceUsage>) {
-    for used in usage {
-        let sum = sums.entry(used.workspace).or_default();
-        sum.0 += used.asked;
-        sum.1 += used.admitted;
-    }
-}
-
 /// Returns the tokens that a workspace may use beyond its share at the `level` of all workspaces,
-/// where `others` are the tokens that the other ones asked for and were admitted.
+/// where `others` are the totals of the other ones.
 ///
 /// A workspace whose clients all use one flooded router gets less than its share for lack of that
 /// router's time, and not of upstreams; the others must not run away from it.
-fn max_usage<'a>(level: u64, others: impl Iterator<Item = &'a (u64, u64)>) -> f64 {
+fn max_usage<'a>(level: u64, others: impl Iterator<Item = &'a WorkspaceTotal>) -> f64 {
     let windows = u64::from(Shares::ADMISSION_WINDOWS);
-    let is_unserved = |(asked, admitted): &&(u64, u64)| {
-        let served = (*admitted * windows) as f64;
-        *asked > level && served < *asked as f64 * Shares::UNSERVED_FRACTION
+    let is_unserved = |total: &&WorkspaceTotal| {
+        let served = (total.admitted * windows) as f64;
+        total.asked > level && served < total.asked as f64 * Shares::UNSERVED_FRACTION
     };
-    let least_served = others.filter(is_unserved).map(|(_, admitted)| *admitted).min();
+    let least_served = others.filter(is_unserved).map(|total| total.admitted).min();
     let share = (level / windows) as f64;
     least_served.map_or(f64::INFINITY, |least| (least as f64 * Shares::MAX_LEAD).max(share))
 }
