--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -84,7 +84,7 @@
 pub use overload::OverloadGuard;
 pub use pause_detector::PauseDetector;
 pub use peers::Peers;
-pub use prefix_cache::PrefixCache;
+pub use prefix_cache::{PrefixCache, PrefixTokens};
 pub use pressure::Pressure;
 pub use pressures::Pressures;
 pub use prompt::{Prompt, PromptSegment};
--- a/sapphirespur_core/src/edge/placement/selection.rs
+++ b/sapphirespur_core/src/edge/placement/selection.rs
@@ -4,8 +4,7 @@
 
 use crate::edge::placement::Filter;
 use crate::edge::placement::filter::Exclusion;
-use crate::edge::prefix_cache::PrefixTokens;
-use crate::edge::{Condition, Load, Upstreams};
+use crate::edge::{Condition, Load, PrefixTokens, Upstreams};
 use crate::time::Time;
 
 /// Upstream that may get a request.
--- a/sapphirespur_core/src/edge/prefix_cache.rs
+++ b/sapphirespur_core/src/edge/prefix_cache.rs
@@ -16,7 +16,7 @@
 
 /// Tokens of a cached prefix of a prompt.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct PrefixTokens {
+pub struct PrefixTokens {
     /// Tokens that are cached, or will be when they have been prefilled.
     pub cached: u64,
     /// Tokens that have been prefilled.
@@ -65,7 +65,7 @@
 
     /// Returns the tokens of the longest cached prefix of `prompt`, and of the longest one that has been
     /// prefilled by `now`.
-    pub(super) fn prefix_tokens(&self, now: Time, prompt: &Prompt) -> PrefixTokens {
+    pub fn prefix_tokens(&self, now: Time, prompt: &Prompt) -> PrefixTokens {
         let mut tokens = PrefixTokens::default();
         let mut is_prefilled = true;
         for segment in &prompt.segments {
--- a/sapphirespur_core/tests/edge/hot_tenant.rs
+++ b/sapphirespur_core/tests/edge/hot_tenant.rs
@@ -254,3 +254,29 @@
     let usage = shares.share_usage(START, within, 1_000, 4_000, others.into_iter(), ms(750));
     assert!(usage <= 1.0, "{usage}");
 }
+
+// Guards against requests that are refused by the pressure at an earlier choice without saying why, or
+// for longer than that pressure lasts.
+#[test]
+fn request_refused_without_a_choice_says_why_until_the_pressure_is_gone() {
+    let mut router = router("r", 1);
+    router.registry_mut().apply_table(crate::support::table(2, 1_000));
+    let admissions: Vec<_> =
+        (0..40).map(|_| router.admit(START, &call("flood", 1, 10, 3_000))).collect();
+    let declines: Vec<_> =
+        admissions.iter().filter_map(|admission| admission.as_ref().err()).collect();
+    assert!(declines.len() > 10, "{declines:?}");
+    for decline in declines {
+        assert_eq!(decline.reason, DeclineReason::OverShare);
+        assert!(decline.pressure > 0.0 && decline.share_usage > 1.0 && decline.retry_after > ms(0));
+        assert!(decline.expected_delay.is_some_and(|delay| delay > ms(0)));
+    }
+
+    for placement in admissions.into_iter().flatten() {
+        answer(&mut router, &placement, ms(50));
+    }
+    let other = router.admit(START + ms(150), &call("calm", 1, 10, 10));
+    assert!(other.is_ok(), "{other:?}");
+    let back = router.admit(START + ms(160), &call("flood", 1, 10, 10));
+    assert!(back.is_ok(), "{back:?}");
+}
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -26,6 +26,7 @@
 mod membership;
 mod named_limit;
 mod over_share;
+mod placement_reference;
 mod prefix_fetch;
 mod registry_outage;
 mod restored_registry;
