Load that upstreams report: kept, shared and used by placement (core)

Cause: routers that read the same old counts of requests all choose the same upstream of a plain service, and a VM that is slowed for half a second gets work as before.

Change: edge/load/ keeps the newest figures of each upstream with their age and what this router has sent since. Rows of at most 32 upstreams are part of the news; relays pass them on, other routers tell their own. A plain service whose upstreams report places by the power of two choices; full upstreams are avoided, and a call that finds all full is refused with the time in which half of a queue drains. The pace scales prefill time, waits and the interval between events; it decays over the learned time of unusual paces. Speeds are learned as at the usual pace, and only where the pace was steady.

--- a/sapphirespur_core/src/edge/admission.rs
+++ b/sapphirespur_core/src/edge/admission.rs
@@ -36,6 +36,8 @@
     /// Each available upstream has named a limit of which this router's part is used up, or was
     /// already tried for the request.
     Limited,
+    /// Each upstream of a plain service that the request may go to is known to be full.
+    Full,
     /// The response would be too late, or all connections of the upstreams are in use.
     Overloaded,
     /// The workspace has used its share and the upstreams are busy.
@@ -55,6 +57,7 @@
             Self::Paused => "paused",
             Self::Cold => "cold",
             Self::Limited => "limited",
+            Self::Full => "full",
             Self::Overloaded => "overloaded",
             Self::OverShare => "over_share",
             Self::Quarantined => "quarantined",
--- a/sapphirespur_core/src/edge/candidate.rs
+++ b/sapphirespur_core/src/edge/candidate.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::edge::load::PlainOption;
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::{
-    CallInfo, DeclineReason, Peers, Pressure, Prompt, ServiceSpec, Upstream, UpstreamLoad,
+    CallInfo, DeclineReason, Peers, Pressure, Prompt, ServiceLoad, ServiceSpec, Upstream,
+    UpstreamLoad,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -42,6 +44,8 @@
     /// Prefill speed assumed for an upstream without an estimate of its own, in tokens per
     /// millisecond.
     pub mean_prefill_speed: f64,
+    /// What was learned of the loads that the upstreams of the service report.
+    pub service_load: ServiceLoad,
 }
 
 impl ScoringContext<'_> {
@@ -159,11 +163,13 @@
     pub fn new(cx: &ScoringContext<'_>, upstream: &'a Upstream) -> Self {
         let peers = cx.peers.load(cx.now, upstream.key);
         let in_flight = upstream.load.in_flight + peers.in_flight;
+        let pace = upstream.known.pace(cx.now, &cx.service_load);
         let speed = upstream
             .load
             .prefill_tokens_per_ms
             .unwrap_or(cx.mean_prefill_speed)
-            .max(MIN_TOKENS_PER_MS);
+            .max(MIN_TOKENS_PER_MS)
+            / pace;
         let prompt = cx.call.prompt.as_ref();
         let prefix = prompt
             .map(|prompt| cx.sources.best_prefix(upstream, prompt, speed))
@@ -173,10 +179,10 @@
 
         let prefill_ms = prefill_tokens as f64 / speed;
         let batch_ms = f64::from(in_flight) * Self::BATCH_MS_PER_REQUEST;
-        let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec);
+        let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec) * pace;
         let expected_delay_ms =
             queued_tokens as f64 / speed + slot_wait_ms + batch_ms + prefix.fetch_ms;
-        let event_interval_ms = fleet_event_interval_ms(upstream, &peers);
+        let event_interval_ms = fleet_event_interval_ms(upstream, &peers) * pace;
         let score = expected_delay_ms
             + cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT
             + f64::from(in_flight) * prefill_ms * Self::BATCH_DELAY_WEIGHT
@@ -203,6 +209,23 @@
         }
     }
 
+    /// Returns what the choice among the upstreams of a plain service depends on.
+    pub fn plain_option(&self, cx: &ScoringContext<'_>) -> PlainOption {
+        let (known, load) = (&self.upstream.known, &self.upstream.load);
+        let told = known.estimate(cx.now, &cx.service_load);
+        let slots = told.map_or(self.upstream.entry.slots, |told| told.slots).max(1);
+        PlainOption {
+            told,
+            confidence: known.confidence(cx.now),
+            in_flight: f64::from(self.in_flight),
+            slots: f64::from(slots),
+            places: f64::from(known.places(cx.now).unwrap_or(slots)),
+            is_full: known.is_full(cx.now),
+            failure_rate: load.failure_rate,
+            avoidance_ms: Self::avoidance_ms(cx, self.upstream),
+        }
+    }
+
     /// Returns the reason for not placing the request here, if there is one.
     ///
     /// The further a workspace is above its share, the less its requests may wait: it is served by
--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -23,6 +23,8 @@
     own_report: PeerReport,
     /// News for the next messages.
     news: FleetNews,
+    /// When these news were current.
+    news_at: Time,
     /// Relay whose sums are in use, and when they arrived.
     sums_from: Option<(u64, Time)>,
     /// Number of routers that these sums cover.
@@ -138,6 +140,7 @@
         self.rotate_news(&report);
         self.own_report = report;
         self.news = news;
+        self.news_at = now;
 
         let mut out = match self.role() {
             ExchangeRole::Mesh => self.mesh_messages(now, &own),
@@ -430,7 +433,7 @@
             wants_sums: false,
             seen: self.seen,
             report,
-            news: self.news.clone(),
+            news: self.news.aged(now.since(self.news_at)),
         }
     }
 }
--- a/sapphirespur_core/src/edge/exchange/fleet_news.rs
+++ b/sapphirespur_core/src/edge/exchange/fleet_news.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{LimitReport, SuspectReport};
+use crate::edge::{LimitReport, LoadReport, SuspectReport};
 
 /// What a router knows of requests, prompt segments and upstreams that every router has to know.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -17,9 +17,19 @@
     /// them.
     #[serde(skip)]
     pub requests: Vec<SuspectReport>,
+    /// Loads that upstreams have reported; encoded after the rest, as builds before don't know them.
+    #[serde(skip)]
+    pub loads: Vec<LoadReport>,
 }
 
 impl FleetNews {
+    /// Returns the news as they are `elapsed` later.
+    pub(super) fn aged(&self, elapsed: Duration) -> Self {
+        // Loads change too fast for the time between a tick and a message to be left out.
+        let loads = self.loads.iter().map(|load| load.aged(elapsed)).collect();
+        Self { loads, ..self.clone() }
+    }
+
     /// Time for which a change is part of every message; several messages may be lost.
     pub(crate) const CHANGE_TIME: Duration = Duration::from_secs(2);
 
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::edge::{LossEvidence, QuarantineKey, RequestIdentity};
+use crate::edge::{LoadUse, LossEvidence, QuarantineKey, RequestIdentity};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -28,6 +28,8 @@
     pub prefill_tokens: u64,
     /// Prompt tokens in the upstream's prefill queue at placement, including this request.
     pub queued_tokens: u64,
+    /// Reported load on which the placement was based; none when the upstream reports none.
+    pub load: Option<LoadUse>,
     /// When the request was placed.
     pub placed_at: Time,
     /// Whether the response says where it ends; otherwise it ends with its connection.
--- a/sapphirespur_core/src/edge/load.rs
+++ b/sapphirespur_core/src/edge/load/load.rs
@@ -82,16 +82,17 @@
 
     /// Records the first event of a request, received `delay` after its placement. Its prefill
     /// queue held `queued_tokens`, and `expected_speed` is the expected prefill speed in tokens per
-    /// millisecond.
+    /// millisecond; none when the delay says nothing of the upstream's speed.
     pub fn on_first_event(
         &mut self,
         tokens: u64,
         queued_tokens: u64,
         delay: Duration,
-        expected_speed: f64,
+        expected_speed: Option<f64>,
     ) {
         self.on_received();
         self.pending_tokens = self.pending_tokens.saturating_sub(tokens);
+        let Some(expected_speed) = expected_speed else { return };
         if queued_tokens < Self::MIN_SPEED_SAMPLE_TOKENS {
             return;
         }
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -78,7 +78,7 @@
 };
 pub use in_flight_request::{InFlightRequest, SendOutcome};
 pub use limit_report::LimitReport;
-pub use load::Load;
+pub use load::{KnownLoad, Load, LoadReport, LoadUse, PaceTime, ServiceLoad, ToldLoad};
 pub use loss_evidence::LossEvidence;
 pub use named_limit::NamedLimit;
 pub use output_lengths::OutputLengths;
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -48,6 +48,11 @@
         self.index.resumable_services()
     }
 
+    /// Returns whether a service is configured and its upstreams run no model engine.
+    pub fn is_plain(&self, service: &Name) -> bool {
+        self.service_spec(service).is_some_and(|spec| spec.engine.is_none())
+    }
+
     /// Returns the registered upstreams and the data centres that are out.
     pub fn upstreams(&self) -> &Upstreams {
         &self.upstreams
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::edge::load::Draw;
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
     RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins,
@@ -34,6 +35,8 @@
     sequence: u64,
     is_registry_fresh: bool,
     backoff: Backoff,
+    /// Draws of upstreams of plain services.
+    draw: Draw,
     last_tick: Time,
     /// When the settle time after the start is over.
     settled_at: Time,
@@ -72,6 +75,7 @@
             sequence: 0,
             is_registry_fresh: false,
             backoff: Backoff::default(),
+            draw: Draw::new(seed),
             last_tick: Time::default(),
             settled_at: Time::default(),
             retries_settled_at: Time::default(),
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -6,6 +6,7 @@
 use crate::edge::candidate::{Candidate, PlacementEstimate, ScoringContext, ShareStatus};
 use crate::edge::cold_limit::ColdLimit;
 use crate::edge::fleet_share::FleetShare;
+use crate::edge::load::choose_plain;
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
@@ -179,6 +180,7 @@
             expected_events: self.output_lengths.expected_events(call, spec.as_ref()),
             max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec.as_ref()),
             mean_prefill_speed: self.registry.mean_prefill_speed(&call.service),
+            service_load: upstreams.service_load(&call.service),
         };
         let is_allowed = |upstream: &&Upstream| {
             !saturated.contains(&upstream.key)
@@ -190,7 +192,23 @@
         if trial.is_some() {
             candidates.sort_by_key(|candidate| candidate.in_flight);
         }
+        let is_plain = self.registry.is_plain(&call.service);
+        let options: Vec<_> = candidates.iter().map(|c| c.plain_option(&cx)).collect();
+        if is_plain && trial.is_none() && options.iter().any(|option| option.told.is_some()) {
+            match choose_plain(&options, cx.service_load.work_ms, &mut self.draw) {
+                Some(index) => candidates[..=index].rotate_right(1),
+                None => {
+                    let drain_time =
+                        |c: &Candidate<'_>| c.upstream.known.drain_time(now, &cx.service_load);
+                    let wait = candidates.iter().map(drain_time).min();
+                    return Err(self.backoff.decline(call, DeclineReason::Full, wait));
+                }
+            }
+        }
         let Some(best) = candidates.first() else {
+            if let Some(drain_time) = upstreams.drain_time(now, call).filter(|_| is_plain) {
+                return Err(self.backoff.decline(call, DeclineReason::Full, Some(drain_time)));
+            }
             if call.goes_on && !self.registry.upstreams().may_serve_version(call) {
                 return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
             }
@@ -259,10 +277,13 @@
             estimate;
         let engine = self.registry.service_spec(&call.service).and_then(|spec| spec.engine);
         let capacity = engine.map_or(0, |engine| engine.cache_tokens);
+        let service_load = self.registry.upstreams().service_load(&call.service);
         let Some(upstream) = self.registry.upstreams_mut().get_mut(id.as_str()) else {
             return Err(self.backoff.decline(call, DeclineReason::NoUpstream, None));
         };
+        let load = upstream.known.estimate(now, &service_load);
         upstream.load.on_sent(now, prefill_tokens);
+        upstream.known.on_sent(now);
         upstream.send_limiter.record(now);
         if let Some(limit) = &mut upstream.limit {
             limit.spend();
@@ -291,6 +312,7 @@
                 identity: call.identity,
                 prefill_tokens,
                 queued_tokens,
+                load,
                 placed_at: now,
                 is_framed: false,
                 first_event_at: None,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -37,7 +37,10 @@
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
         let limits = self.registry.upstreams_mut().limit_reports(now);
-        let mut news = FleetNews { limits, ..FleetNews::default() };
+        let passes_on = self.exchange.role().adds_up();
+        let is_plain = |service: &Name| self.registry.is_plain(service);
+        let loads = self.registry.upstreams().load_reports(now, passes_on, is_plain);
+        let mut news = FleetNews { limits, loads, ..FleetNews::default() };
         self.quarantine.write_news(now, &mut news);
         self.exchange.tick(now, report, news)
     }
@@ -51,6 +54,7 @@
     ) -> Option<OutgoingMessage> {
         self.quarantine.merge(now, &message.news);
         self.registry.upstreams_mut().merge_limits(now, &message.news.limits);
+        self.registry.upstreams_mut().merge_loads(now, &message.news.loads);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
             self.record_prefills(now, &report);
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use crate::edge::{InFlightRequest, Router, SendOutcome, Upstream};
+use crate::edge::{InFlightRequest, Router, SendOutcome, ToldLoad, Upstream};
 use crate::time::Time;
 
 impl Router {
+    /// Difference of paces, as a fraction, up to which a request ran at the same pace all the time.
+    const STEADY_PACE: f64 = 0.1;
+
     /// Records that an upstream has sent `count` complete events of a stream.
     pub fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
-        let gap = now.since(request.last_event_at);
+        let pace = self.pace_of(now, request);
+        let gap = now.since(request.last_event_at).div_f64(pace);
         let is_first = request.events == 0;
         request.events += count;
         request.last_event_at = now;
@@ -27,14 +31,17 @@
             return;
         }
         request.first_event_at = Some(now);
-        let delay = now.since(request.placed_at);
+        let pace = self.pace_of(now, request);
+        let delay = now.since(request.placed_at).div_f64(pace);
+        let is_pace_steady =
+            request.load.is_none_or(|load| (pace / load.pace - 1.0).abs() <= Self::STEADY_PACE);
         let expected_speed = self.registry.expected_prefill_speed(&request.service);
         if let Some(upstream) = self.find_upstream(request) {
             upstream.load.on_first_event(
                 request.prefill_tokens,
                 request.queued_tokens,
                 delay,
-                expected_speed,
+                is_pace_steady.then_some(expected_speed),
             );
         }
     }
@@ -52,6 +59,13 @@
         self.find_upstream(request).is_some_and(|upstream| upstream.set_limit(now, now, per_s))
     }
 
+    /// Records the load that the instance which responded to a request reports.
+    pub fn on_load(&mut self, now: Time, request: &InFlightRequest, told: ToldLoad) {
+        if self.find_upstream(request).is_some() {
+            self.registry.upstreams_mut().on_told(now, request.upstream.as_str(), told);
+        }
+    }
+
     /// Records that the instance which responded to a request wants no requests from this router
     /// for a while.
     pub fn on_pause_requested(&mut self, now: Time, request: &InFlightRequest, pause: Duration) {
@@ -72,8 +86,20 @@
         if outcome == SendOutcome::Answered && request.proves_survival() {
             self.quarantine.on_answered(now, request.quarantine_keys());
         }
+        let is_plain = self.registry.is_plain(&request.service);
+        if outcome == SendOutcome::Answered && is_plain {
+            self.registry.upstreams_mut().record_call(now, request);
+        }
         let Some(upstream) = self.find_upstream(request) else { return };
-        upstream.on_end(now, request, outcome);
+        upstream.on_end(now, request, outcome, is_plain);
+    }
+
+    /// Returns the pace by which times that are measured at the upstream of a request are divided, so
+    /// that estimates of its speed hold at the usual pace.
+    fn pace_of(&self, now: Time, request: &InFlightRequest) -> f64 {
+        let upstreams = self.registry.upstreams();
+        let upstream = upstreams.get(request.upstream.as_str());
+        upstream.map_or(1.0, |upstream| upstreams.pace(now, upstream))
     }
 
     /// Records that the upstream of a request that had just begun was lost at `lost_at`, together
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::edge::{
-    InFlightRequest, LimitReport, Load, NamedLimit, PrefixCache, SendOutcome, UpstreamEntry,
-    UpstreamLoad, UpstreamState, WindowLimiter,
+    InFlightRequest, KnownLoad, LimitReport, Load, NamedLimit, PrefixCache, SendOutcome,
+    UpstreamEntry, UpstreamLoad, UpstreamState, WindowLimiter,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -52,6 +52,8 @@
     pub key: u32,
     /// Work of this router at the upstream, and its speed.
     pub load: Load,
+    /// Load that the upstream reports of itself.
+    pub known: KnownLoad,
     /// Prompt segments that the upstream is expected to have cached.
     pub cache: PrefixCache,
     /// Recent requests of this router, counted while the upstream is cold.
@@ -80,12 +82,13 @@
 }
 
 impl Upstream {
-    /// Creates an upstream from its registry entry.
-    pub fn new(entry: UpstreamEntry, load: Load, cold_until: Time) -> Self {
+    /// Creates an upstream from its registry entry, which this router learned of at `now`.
+    pub fn new(now: Time, entry: UpstreamEntry, load: Load, cold_until: Time) -> Self {
         Self {
             key: Self::hash_id(&entry.id),
             entry,
             load,
+            known: KnownLoad::new(now),
             cache: PrefixCache::default(),
             send_limiter: WindowLimiter::new(COLD_WINDOW),
             cold_until,
@@ -148,14 +151,22 @@
         }
     }
 
-    /// Records the end of a request.
-    pub fn on_end(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
+    /// Records the end of a request. A refusal of a full upstream of a plain service does not count as
+    /// a failure.
+    pub fn on_end(
+        &mut self,
+        now: Time,
+        request: &InFlightRequest,
+        outcome: SendOutcome,
+        is_plain: bool,
+    ) {
         let pending = if request.first_event_at.is_some() { 0 } else { request.prefill_tokens };
         let started_at = request.first_event_at.unwrap_or(request.placed_at);
         let service_time = (outcome == SendOutcome::Answered).then(|| now.since(started_at));
         self.load.on_end(pending, service_time);
         match outcome {
             SendOutcome::Answered => self.load.record_outcome(false),
+            SendOutcome::Rejected if is_plain && self.known.on_refused(now) => {}
             SendOutcome::Failed | SendOutcome::Rejected | SendOutcome::NoResponse => {
                 self.load.record_outcome(true);
             }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -6,8 +6,8 @@
 use crate::edge::departed::Departed;
 use crate::edge::exchange::take_in_turn;
 use crate::edge::{
-    CallInfo, Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry,
-    UpstreamState,
+    CallInfo, Condition, FleetNews, LimitReport, Load, ServiceLoad, ServiceSpec, Upstream,
+    UpstreamEntry, UpstreamState,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -22,6 +22,8 @@
     departed: Departed,
     /// Number of reports of limits so far.
     limit_reports: u32,
+    /// What was learned of services whose upstreams report their load.
+    pub(super) service_loads: HashMap<Name, ServiceLoad>,
 }
 
 impl Upstreams {
@@ -75,7 +77,7 @@
             !is_replaced
         });
         self.ids_by_key.insert(Upstream::hash_id(&entry.id), entry.id.clone());
-        self.by_id.insert(entry.id.clone(), Upstream::new(entry, Load::new(), cold_until));
+        self.by_id.insert(entry.id.clone(), Upstream::new(now, entry, Load::new(), cold_until));
         true
     }
 
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -28,6 +28,7 @@
 mod over_share;
 mod prefix_fetch;
 mod registry_outage;
+mod reported_load;
 mod restored_registry;
 mod retries;
 mod routes;
