Reported load: header, datagrams, metrics, status and log lines

Cause: the core keeps reported loads; nothing gave it any.

Rows travel after the quarantined requests at the end of a datagram, where builds before end their reading. New metrics, a column of `sapphirespur router`, and the field `load` of `call completed`, `stream completed` and `send failed`: the load and pace that the placement used, and their age.

--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -4,7 +4,7 @@
 
 use awc::Client;
 use sapphirespur_core::edge::BaseVersion;
-use sapphirespur_node::edge::{EdgeStatus, STATUS_PATH, UpstreamStatus};
+use sapphirespur_node::edge::{EdgeStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
 
 use crate::args::RouterArgs;
 use crate::error::CommandError;
@@ -74,6 +74,7 @@
         "event ms",
         "failing",
         "limit/s",
+        "reported load",
     ];
 
     format!("{}\n{}", format_table(&["fact", "value"], &rows), format_table(&header, &upstreams))
@@ -103,5 +104,13 @@
         format!("{:.0}", upstream.event_ms),
         format!("{:.2}", upstream.failure_rate),
         upstream.limit_per_s.map_or("-".to_owned(), |limit| format!("{limit:.1}")),
+        upstream.reported_load.as_ref().map_or("-".to_owned(), reported_load),
     ]
 }
+
+/// Returns running, waiting and slots, the pace and the age of a reported load.
+fn reported_load(load: &ReportedLoad) -> String {
+    let ReportedLoad { running, waiting, slots, pace_percent, age_ms, .. } = load;
+    let full = if load.is_full { " full" } else { "" };
+    format!("{running}+{waiting}/{slots} {pace_percent:.0}% {age_ms} ms{full}")
+}
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -102,6 +102,7 @@
                 segments = segment_ids(call).as_str(),
                 identity = identity.as_str(),
                 upstream = reservation.upstream(),
+                load = reservation.load().as_str(),
                 events = reservation.events(),
                 outcome = outcome.as_str(),
                 may_have_run = may_have_run,
@@ -163,6 +164,7 @@
                         (SendOutcome::Failed, true)
                     }
                     Ok(response) => {
+                        let load = reservation.load();
                         reservation.finish(SendOutcome::Answered);
                         let workspace = call.info.workspace.as_ref().map(Name::as_str);
                         let total = cx.now().since(call.arrived_at);
@@ -172,6 +174,7 @@
                                 request = id.as_str(),
                                 route = call.route.name.as_str(),
                                 upstream = placement.instance.as_str(),
+                                load = load.as_str(),
                                 status = response.status().as_u16(),
                                 sends = sends.tried.len() + 1,
                                 total_ms = total.as_millis() as u64;
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyper::HeaderMap;
-use sapphirespur_core::edge::Prompt;
+use sapphirespur_core::edge::{Prompt, ToldLoad};
 use sapphirespur_core::name::Name;
 use thiserror::Error;
 
@@ -85,6 +85,10 @@
     /// Requests per second that the upstream takes from all routers together; absent when it names no
     /// limit.
     pub limit_per_s: Option<f64>,
+    /// Load that the upstream reports of itself; absent when it reports none, or a malformed one.
+    pub load: Option<ToldLoad>,
+    /// Whether it reports a load that is malformed or absurd.
+    pub is_load_malformed: bool,
 }
 
 /// HTTP conventions of a platform; implemented by its adapter.
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -61,6 +61,12 @@
         &self.request.version
     }
 
+    /// Returns the reported load on which the placement was based, as the log shows it; empty when the
+    /// upstream reported none.
+    pub fn load(&self) -> String {
+        self.request.load.map(|load| load.to_string()).unwrap_or_default()
+    }
+
     /// Returns the number of complete events that the upstream has sent.
     pub fn events(&self) -> u32 {
         self.request.events
@@ -71,7 +77,17 @@
     pub fn on_head(&mut self, head: &ResponseHead, is_framed: bool) {
         let now = self.cx.now();
         self.request.is_framed = is_framed;
+        if head.is_load_malformed {
+            self.cx.metrics.record_malformed_load();
+        }
         let mut router = self.cx.router.borrow_mut();
+        // The pace tells how the time to the first event compares with the usual one.
+        if head.matches_attempt
+            && !head.is_misdirected
+            && let Some(load) = head.load
+        {
+            router.on_load(now, &self.request, load);
+        }
         router.on_first_event(now, &mut self.request);
         // A different instance has responded; nothing is known of the one that was meant.
         if head.is_misdirected {
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -89,6 +89,9 @@
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
     limited_upstreams: Gauge,
+    reporting_upstreams: Gauge,
+    full_upstreams: Gauge,
+    malformed_loads: Counter,
 }
 
 impl Metrics {
@@ -122,6 +125,9 @@
             quarantined_segments: Gauge::default(),
             quarantined_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            reporting_upstreams: Gauge::default(),
+            full_upstreams: Gauge::default(),
+            malformed_loads: Counter::default(),
             registry: Registry::default(),
         };
 
@@ -167,6 +173,21 @@
             "Upstreams that name a limit",
             metrics.limited_upstreams.clone(),
         );
+        r.register(
+            "reporting_upstreams",
+            "Upstreams whose load is known",
+            metrics.reporting_upstreams.clone(),
+        );
+        r.register(
+            "full_upstreams",
+            "Upstreams that are known to be full",
+            metrics.full_upstreams.clone(),
+        );
+        r.register(
+            "malformed_loads",
+            "Reported loads that were ignored",
+            metrics.malformed_loads.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -206,6 +227,11 @@
         self.declines.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a reported load that is malformed.
+    pub fn record_malformed_load(&self) {
+        self.malformed_loads.inc();
+    }
+
     /// Counts a failed send, by outcome.
     pub fn record_failed_send(&self, kind: &'static str) {
         self.failed_sends.get_or_create(&KindLabel { kind }).inc();
@@ -288,6 +314,9 @@
         self.cached_segments.set(cached.sum::<usize>() as i64);
         let limited = router.registry().upstreams().iter().filter(|u| u.limit.is_some()).count();
         self.limited_upstreams.set(limited as i64);
+        let known = || router.registry().upstreams().iter().map(|upstream| &upstream.known);
+        self.reporting_upstreams.set(known().filter(|k| k.told(now).is_some()).count() as i64);
+        self.full_upstreams.set(known().filter(|known| known.is_full(now)).count() as i64);
         let quarantined = router.quarantine().quarantined();
         let requests = quarantined.iter().filter(|key| key.is_request()).count();
         self.quarantined_requests.set(requests as i64);
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -146,7 +146,8 @@
 pub fn encode_datagram(message: &PeerMessage) -> Result<Vec<u8>, DatagramError> {
     let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
     let bytes = postcard::to_extend(&message.extension(), bytes)?;
-    Ok(postcard::to_extend(&message.news.requests, bytes)?)
+    let bytes = postcard::to_extend(&message.news.requests, bytes)?;
+    Ok(postcard::to_extend(&message.news.loads, bytes)?)
 }
 
 /// Decodes a datagram of another router.
@@ -157,12 +158,17 @@
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
     let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
     let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
-    // Builds that know nothing of the extension, or of requests in the news, end the datagram before.
+    // Builds that know nothing of the extension, or of requests or loads in the news, end the datagram
+    // before.
     if !rest.is_empty() {
         let (extension, rest) = postcard::take_from_bytes(rest)?;
         message.apply_extension(extension);
         if !rest.is_empty() {
-            message.news.requests = postcard::from_bytes(rest)?;
+            let (requests, rest) = postcard::take_from_bytes(rest)?;
+            message.news.requests = requests;
+            if !rest.is_empty() {
+                message.news.loads = postcard::from_bytes(rest)?;
+            }
         }
     }
 
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{BaseVersion, QuarantineKey, Upstream};
+use sapphirespur_core::edge::{BaseVersion, KnownLoad, QuarantineKey, ToldLoad, Upstream};
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
@@ -84,6 +84,28 @@
     /// Requests per second that it takes from all routers together; absent without a limit.
     #[serde(default)]
     pub limit_per_s: Option<f64>,
+    /// Load that it reported last; absent without a recent report.
+    #[serde(default)]
+    pub reported_load: Option<ReportedLoad>,
+}
+
+/// Load that an upstream reported, to this router or another.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ReportedLoad {
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that waited.
+    pub waiting: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Pace with which the router reckons now, in percent of the usual time.
+    pub pace_percent: f64,
+    /// Time since the response that reported it, in milliseconds.
+    pub age_ms: u64,
+    /// Whether another router received that response.
+    pub is_from_other: bool,
+    /// Whether the upstream is known to be full.
+    pub is_full: bool,
 }
 
 /// Returns the current state of the router.
@@ -96,7 +118,8 @@
         .iter()
         .map(|upstream| {
             let peers_in_flight = router.peers().load(now, upstream.key).in_flight;
-            upstream_status(now, upstream, peers_in_flight)
+            let pace = registry.upstreams().pace(now, upstream);
+            upstream_status(now, upstream, peers_in_flight, pace)
         })
         .collect();
     upstreams.sort_by(|a, b| a.id.cmp(&b.id));
@@ -131,7 +154,12 @@
     }
 }
 
-fn upstream_status(now: Time, upstream: &Upstream, peers_in_flight: u32) -> UpstreamStatus {
+fn upstream_status(
+    now: Time,
+    upstream: &Upstream,
+    peers_in_flight: u32,
+    pace: f64,
+) -> UpstreamStatus {
     UpstreamStatus {
         id: upstream.entry.id.to_string(),
         service: upstream.entry.service.to_string(),
@@ -145,9 +173,23 @@
         event_ms: upstream.load.event_interval_ms,
         failure_rate: upstream.load.failure_rate,
         limit_per_s: upstream.limit.as_ref().map(|limit| limit.per_s),
+        reported_load: reported_load(now, &upstream.known, pace),
     }
 }
 
+fn reported_load(now: Time, known: &KnownLoad, pace: f64) -> Option<ReportedLoad> {
+    let (ToldLoad { running, waiting, slots, .. }, age) = known.told(now)?;
+    Some(ReportedLoad {
+        running,
+        waiting,
+        slots,
+        pace_percent: pace * 100.0,
+        age_ms: millis(age),
+        is_from_other: known.is_from_other(),
+        is_full: known.is_full(now),
+    })
+}
+
 fn millis(span: Duration) -> u64 {
     span.as_millis() as u64
 }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -443,6 +443,7 @@
                 request = self.call.head.attempt_id.as_str(),
                 route = self.call.route.name.as_str(),
                 upstream = self.reservation.as_ref().map_or("", UpstreamReservation::upstream),
+                load = self.reservation.as_ref().map(UpstreamReservation::load).unwrap_or_default().as_str(),
                 sends = self.sends.tried.len() + 1,
                 last_event = self.last_id.unwrap_or_default(),
                 max_output_tokens = self.call.info.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens),
