--- a/sapphirespur_core/src/edge/placement/candidate.rs
+++ b/sapphirespur_core/src/edge/placement/candidate.rs
@@ -3,10 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::edge::load::PlainOption;
 use crate::edge::placement::cost::Cost;
 use crate::edge::placement::selection::Selected;
 use crate::edge::placement::{ScoringContext, ShareStatus};
-use crate::edge::{CallInfo, DeclineReason, Prompt, ServiceSpec, Upstream, UpstreamLoad};
+use crate::edge::{
+    CallInfo, DeclineReason, Prompt, ServiceLoad, ServiceSpec, Upstream, UpstreamLoad,
+};
+use crate::time::Time;
 
 /// Upper bound of one upstream's contribution to the mean pressure.
 const MAX_UPSTREAM_PRESSURE: f64 = 2.0;
@@ -50,6 +54,8 @@
     pub event_interval_ratio: f64,
     /// Whether the connections of all routers together have reached the upstream's limit.
     pub is_full: bool,
+    /// Cost of failures, unresponsiveness and distance, in milliseconds.
+    pub avoidance_ms: f64,
     /// Cost of placing the request here, in milliseconds; lower is better.
     pub score: f64,
 }
@@ -89,11 +95,13 @@
     pub(super) fn new(cx: &ScoringContext<'_>, upstream: &Upstream, selected: Selected) -> Self {
         let peers = cx.peers.load(cx.now, upstream.key);
         let in_flight = upstream.load.in_flight + peers.in_flight;
+        let pace = upstream.known.pace(cx.now, &cx.service_load);
         let speed = upstream
             .load
             .prefill_tokens_per_ms
             .unwrap_or(cx.mean_prefill_speed)
-            .max(MIN_TOKENS_PER_MS);
+            .max(MIN_TOKENS_PER_MS)
+            / pace;
         let prompt = cx.call.prompt.as_ref();
         let local = selected.cached_tokens;
         let prefix = prompt
@@ -104,9 +112,9 @@
 
         let prefill_ms = prefill_tokens as f64 / speed;
         let batch_ms = f64::from(in_flight) * Self::BATCH_MS_PER_REQUEST;
-        let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec);
+        let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec) * pace;
         let delay_ms = queued_tokens as f64 / speed + slot_wait_ms + batch_ms + prefix.fetch_ms;
-        let event_interval_ms = fleet_event_interval_ms(upstream, &peers);
+        let event_interval_ms = fleet_event_interval_ms(upstream, &peers) * pace;
         let cost = Cost {
             delay_ms,
             generation_ms: cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT,
@@ -131,10 +139,33 @@
                 0.0
             },
             is_full: cx.spec.is_some_and(|spec| in_flight >= spec.connection_limit),
+            avoidance_ms: cost.avoidance_ms,
             score: cost.total_ms(),
         }
     }
 
+    /// Returns what the choice among the upstreams of a plain service depends on.
+    pub(super) fn plain_option(
+        &self,
+        now: Time,
+        upstream: &Upstream,
+        service_load: &ServiceLoad,
+    ) -> PlainOption {
+        let known = &upstream.known;
+        let told = known.estimate(now, service_load);
+        let slots = told.map_or(upstream.entry.slots, |told| told.slots).max(1);
+        PlainOption {
+            told,
+            confidence: known.confidence(now),
+            in_flight: f64::from(self.in_flight),
+            slots: f64::from(slots),
+            places: f64::from(known.places(now).unwrap_or(slots)),
+            is_full: known.is_full(now),
+            failure_rate: upstream.load.failure_rate,
+            avoidance_ms: self.avoidance_ms,
+        }
+    }
+
     /// Returns the reason for not placing the request here, if there is one. `min_prefill_tokens` is
     /// the fewest prompt tokens that any candidate has to prefill for it.
     ///
--- a/sapphirespur_core/src/edge/placement/scoring_context.rs
+++ b/sapphirespur_core/src/edge/placement/scoring_context.rs
@@ -1,7 +1,7 @@
 //! Inputs of the score that are the same for all candidates of a request.
 
 use crate::edge::placement::prefix_sources::PrefixSources;
-use crate::edge::{CallInfo, Peers, ServiceSpec};
+use crate::edge::{CallInfo, Peers, ServiceLoad, ServiceSpec};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -31,6 +31,8 @@
     /// Prefill speed assumed for an upstream without an estimate of its own, in tokens per
     /// millisecond.
     pub mean_prefill_speed: f64,
+    /// What was learned of the loads that the upstreams of the service report.
+    pub service_load: ServiceLoad,
 }
 
 impl ScoringContext<'_> {
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -140,9 +140,11 @@
         let mut choice = std::mem::take(&mut self.choice);
         self.select(now, request, &mut selection);
         self.score(now, request, &selection, &mut choice);
-        let admission = match choice.best() {
-            Some(best) => self.place(now, request, &choice, best),
-            None => Err(self.decline_unselected(now, request.call, &selection)),
+        let drawn = self.draw_plain(now, request, &mut choice);
+        let admission = match (drawn, choice.best()) {
+            (Err(decline), _) => Err(decline),
+            (Ok(()), Some(best)) => self.place(now, request, &choice, best),
+            (Ok(()), None) => Err(self.decline_unselected(now, request.call, &selection)),
         };
         self.selection = selection;
         self.choice = choice;
@@ -222,10 +224,33 @@
             max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec),
             mean_prefill_speed: measured_speed
                 .unwrap_or_else(|| registry.expected_prefill_speed(&call.service)),
+            service_load: registry.upstreams().service_load(&call.service),
         };
         choice.fill(&cx, selection, registry.upstreams(), request.trial.is_some());
     }
 
+    /// Draws the upstream of a plain service that gets a request, if they report their load.
+    ///
+    /// # Errors
+    ///
+    /// Declines the request when all are known to be full.
+    fn draw_plain(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+        choice: &mut Choice,
+    ) -> Result<(), Decline> {
+        let call = request.call;
+        if request.trial.is_some() || !self.registry.is_plain(&call.service) {
+            return Ok(());
+        }
+        let upstreams = self.registry.upstreams();
+        let service_load = upstreams.service_load(&call.service);
+        let drawn = choice.draw_plain(now, upstreams, &service_load, &mut self.draw);
+        let decline = |wait| self.backoff.decline(call, DeclineReason::Full, Some(wait));
+        drawn.map_err(decline)
+    }
+
     /// Places a request on the best candidate that accepts it; `best` is the best one of all.
     fn place(
         &mut self,
@@ -287,6 +312,10 @@
         if call.goes_on && !upstreams.may_serve_version(call) {
             return self.backoff.decline(call, DeclineReason::VersionGone, None);
         }
+        let is_plain = self.registry.is_plain(&call.service);
+        if let Some(wait) = upstreams.drain_time(now, call).filter(|_| is_plain) {
+            return self.backoff.decline(call, DeclineReason::Full, Some(wait));
+        }
         if let Some(wait) = selection.shortest_wait {
             return self.backoff.decline(call, DeclineReason::Limited, Some(wait));
         }
@@ -324,7 +353,10 @@
         let PlacementEstimate { fetch_from, prefill_tokens, queued_tokens, .. } = *estimate;
         let engine = self.registry.service_spec(&call.service).and_then(|spec| spec.engine);
         let capacity = engine.map_or(0, |engine| engine.cache_tokens);
+        let service_load = self.registry.upstreams().service_load(&call.service);
         let upstream = self.registry.upstreams_mut().at_mut(chosen.position);
+        let load = upstream.known.estimate(now, &service_load);
+        upstream.known.on_sent(now);
         upstream.load.on_sent(now, prefill_tokens);
         upstream.send_limiter.record(now);
         if let Some(limit) = &mut upstream.limit {
@@ -355,6 +387,7 @@
                 identity: call.identity,
                 prefill_tokens,
                 queued_tokens,
+                load,
                 placed_at: now,
                 is_framed: false,
                 first_event_at: None,
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -29,6 +29,7 @@
 mod placement_reference;
 mod prefix_fetch;
 mod registry_outage;
+mod reported_load;
 mod restored_registry;
 mod retries;
 mod routes;
