Reported load: nothing is kept or looked up for upstreams that tell none

Cause: sends were remembered for every upstream, and each event looked up its service.

Change: both only where figures are known.

--- a/sapphirespur_core/src/edge/load/known_load.rs
+++ b/sapphirespur_core/src/edge/load/known_load.rs
@@ -122,8 +122,11 @@
         Duration::from_secs_f64(millis / 1_000.0)
     }
 
-    /// Records a request of this router.
+    /// Records a request of this router, unless the upstream has told nothing.
     pub(in crate::edge) fn on_sent(&mut self, now: Time) {
+        if self.figures.is_none() {
+            return;
+        }
         while self.sent.front().is_some_and(|at| now.since(*at) > Self::SENT_TIME)
             || self.sent.len() >= Self::MAX_SENT
         {
--- a/sapphirespur_core/src/edge/load/upstream_loads.rs
+++ b/sapphirespur_core/src/edge/load/upstream_loads.rs
@@ -28,6 +28,9 @@
     /// Returns the expected time of work at an upstream as a multiple of the usual time; one where
     /// nothing is known.
     pub fn pace(&self, now: Time, upstream: &Upstream) -> f64 {
+        if upstream.known.told(now).is_none() {
+            return 1.0;
+        }
         upstream.known.pace(now, &self.service_load(&upstream.entry.service))
     }
 
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -11,9 +11,9 @@
 
     /// Records that an upstream has sent `count` complete events of a stream.
     pub fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
-        let pace = self.pace_of(now, request);
-        let gap = now.since(request.last_event_at).div_f64(pace);
         let is_first = request.events == 0;
+        let pace = if is_first { 1.0 } else { self.pace_of(now, request) };
+        let gap = now.since(request.last_event_at).div_f64(pace);
         request.events += count;
         request.last_event_at = now;
         if let Some(upstream) = self.find_upstream(request) {
--- a/sapphirespur_core/tests/edge/reported_load.rs
+++ b/sapphirespur_core/tests/edge/reported_load.rs
@@ -265,8 +265,6 @@
     router.on_load(restarted + ms(100), &first, told);
     assert_eq!(told_of(&router, restarted + ms(200)), None);
 
-    let mut sender = self::router("s", 0);
-    add_service(&mut sender, 1);
     for (age_ms, is_taken) in [(700, false), (20, true)] {
         let upstream = router.registry().upstreams().get("a0").expect("known").key;
         let load = LoadReport { upstream, running: 2, slots: 6, age_ms, ..LoadReport::default() };
