--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -21,7 +21,7 @@
 mod record_store;
 mod registry;
 mod registry_sync;
-mod response;
+pub mod response;
 mod send;
 mod server;
 mod shared;
--- a/sapphirespur_node/src/edge/response.rs
+++ b/sapphirespur_node/src/edge/response.rs
@@ -15,7 +15,7 @@
 
 /// Reason why a response body is aborted; the client connection is closed.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-pub(super) enum AbortReason {
+pub enum AbortReason {
     /// The upstream failed and no other upstream could resume the stream.
     #[error("upstream connection lost")]
     UpstreamLost,
@@ -25,14 +25,14 @@
 }
 
 /// Response body, complete or streamed.
-pub(super) type ResponseBody = Pin<Box<dyn Body<Data = Bytes, Error = AbortReason>>>;
+pub type ResponseBody = Pin<Box<dyn Body<Data = Bytes, Error = AbortReason>>>;
 
 /// Response to a client, from an upstream or from the router itself.
-pub(super) type ClientResponse = Response<ResponseBody>;
+pub type ClientResponse = Response<ResponseBody>;
 
 /// Error that the router reports to the client itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ErrorResponse {
+pub enum ErrorResponse {
     /// The request is malformed.
     BadRequest,
     /// The API key is missing or belongs to no workspace.
@@ -141,6 +141,6 @@
 }
 
 /// Returns a complete body of the given bytes.
-pub(super) fn full_body(body: Bytes) -> ResponseBody {
+pub fn full_body(body: Bytes) -> ResponseBody {
     Box::pin(Full::new(body).map_err(|never| match never {}))
 }
--- a/sapphirespur_node/src/logging.rs
+++ b/sapphirespur_node/src/logging.rs
@@ -66,7 +66,7 @@
 }
 
 /// Returns a dispatch that formats each log record as a JSON object on one line.
-fn json_lines(settings: &LogSettings, node: &str) -> Dispatch {
+pub fn json_lines(settings: &LogSettings, node: &str) -> Dispatch {
     let node = node.to_owned();
     Dispatch::new().level(settings.level).format(move |out, message, record| {
         let mut fields = Fields::default();
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -57,6 +57,13 @@
     MissingEvent,
     /// Waits this many milliseconds before each event.
     SlowEvents(u64),
+    /// Sends streams of `events` events with a pause before each.
+    Paced {
+        /// Number of events.
+        events: u64,
+        /// Pause before each event, in milliseconds.
+        pause_ms: u64,
+    },
     /// Crashes when it begins to respond to a request with this prompt segment before the last one,
     /// like a process that ends: all its connections close, and its port refuses new ones.
     CrashOn(u64),
@@ -70,6 +77,10 @@
         /// Pause between the pieces, in milliseconds; without one, they come as fast as they are read.
         pause_ms: u64,
     },
+    /// Responds with a body of this many bytes; streams are normal.
+    LargeBody(usize),
+    /// Reads request bodies at 1 KB for each this many milliseconds.
+    SlowBody(u64),
     /// Sends an endless stream of events, padded by this many bytes each, without a pause.
     LargeEvents(usize),
 }
--- a/sapphirespur_standin/src/users_platform/received_request.rs
+++ b/sapphirespur_standin/src/users_platform/received_request.rs
@@ -19,6 +19,11 @@
         self.headers.iter().find(|(header, _)| header == name).map(|(_, value)| value.as_str())
     }
 
+    /// Returns the length of the body that the head names, in bytes.
+    pub fn body_length(&self) -> usize {
+        self.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns whether the path ends with [`Runner::HARMFUL_PATH`].
     pub fn is_harmful(&self) -> bool {
         let path = self.line.split(' ').nth(1).unwrap_or_default();
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -168,6 +168,10 @@
             read_body(&mut stream, &mut buf, &mut request).await?;
             continue;
         }
+        if let Behaviour::SlowBody(millis) = state.behaviour.get() {
+            let pause = Duration::from_millis(millis);
+            read_body_slowly(&mut stream, &mut buf, &request, pause).await?;
+        }
         if !read_body(&mut stream, &mut buf, &mut request).await? {
             return Ok(());
         }
@@ -218,8 +222,7 @@
     buf: &mut Vec<u8>,
     request: &mut ReceivedRequest,
 ) -> io::Result<bool> {
-    let length: usize =
-        request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = request.body_length();
     while buf.len() < length {
         if stream.read_buf(buf).await? == 0 {
             return Ok(false);
@@ -229,6 +232,24 @@
     Ok(true)
 }
 
+/// Buffers a request body at 1 KB for each `pause`, up to the end of the connection.
+async fn read_body_slowly(
+    stream: &mut TcpStream,
+    buf: &mut Vec<u8>,
+    request: &ReceivedRequest,
+    pause: Duration,
+) -> io::Result<()> {
+    const BYTES_PER_READ: u64 = 1_024;
+
+    while buf.len() < request.body_length() {
+        tokio::time::sleep(pause).await;
+        if stream.take(BYTES_PER_READ).read_buf(buf).await? == 0 {
+            break;
+        }
+    }
+    Ok(())
+}
+
 /// Responds to a request; returns whether the connection stays open.
 async fn respond(
     state: &State,
@@ -325,6 +346,10 @@
             let pieces = part.pieces(&id_header, &signed);
             write_without_end(stream, pieces, Duration::from_millis(pause_ms)).await
         }
+        Behaviour::LargeBody(bytes) if !is_stream => {
+            write_response(stream, "200 OK", &signed, &"x".repeat(bytes)).await?;
+            Ok(true)
+        }
         Behaviour::NoContentLength if !is_stream => {
             let text = format!("HTTP/1.1 200 OK\r\n{signed}\r\nanswer to {id}");
             stream.write_all(text.as_bytes()).await?;
@@ -395,6 +420,7 @@
         request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     let last_event = match state.behaviour.get() {
         Behaviour::LargeEvents(_) | Behaviour::Trickle(_) => u64::MAX,
+        Behaviour::Paced { events, .. } => events,
         _ => Runner::EVENTS_PER_STREAM,
     };
     for id in last_received + 1..=last_event {
@@ -414,7 +440,7 @@
                 write_chunk(stream, ":").await?;
                 continue;
             }
-            Behaviour::SlowEvents(millis) => {
+            Behaviour::Paced { pause_ms: millis, .. } | Behaviour::SlowEvents(millis) => {
                 tokio::time::sleep(Duration::from_millis(millis)).await
             }
             _ => {}
