Slow readers: bounds, detection and the end of responses that are not read

Cause: bytes of complete responses that wait for their clients were counted nowhere, a plain response of 8 MB for each slow client. A client that read nothing was cut by the system only (TCP_USER_TIMEOUT, 2 s), without a line in the log, and so was one that read steadily with a small window, since the system counts the whole time of a small window. A stream whose client paused for two seconds counted as stalled at its upstream. Change: bytes handed to a client's connection are counted until they are written, at most half of the limit on buffered bytes; beyond it the response that holds most for a client that takes nothing is ended. A response of which nothing can be written for 2.5 s is ended. The system keeps 4 KB unsent for a client. The body of a request counts until an upstream that answers early has read it. Waits of the client don't count against the upstream.

--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -27,6 +27,7 @@
 mod named_limit;
 mod over_share;
 mod prefix_fetch;
+mod reader_watch;
 mod registry_outage;
 mod restored_registry;
 mod retries;
--- a/sapphirespur_node/src/edge/client_stream.rs
+++ b/sapphirespur_node/src/edge/client_stream.rs
@@ -19,6 +19,11 @@
     pub fn new(stream: TcpStream) -> Self {
         Self(stream)
     }
+
+    /// Returns the socket.
+    pub fn socket(&self) -> &TcpStream {
+        &self.0
+    }
 }
 
 impl AsyncRead for ClientStream {
--- /dev/null
+++ b/sapphirespur_node/src/edge/delivered_body.rs
@@ -0,0 +1,57 @@
+//! Response body whose bytes are counted until they are written.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::delivery::Delivery;
+use super::response::{AbortReason, ResponseBody};
+
+/// Body of a response on a connection that counts what waits to be written.
+pub(super) struct DeliveredBody {
+    body: ResponseBody,
+    delivery: Rc<Delivery>,
+}
+
+impl DeliveredBody {
+    /// Wraps the body of a response.
+    pub fn new(body: ResponseBody, delivery: Rc<Delivery>) -> Self {
+        delivery.set_responding(true);
+        Self { body, delivery }
+    }
+}
+
+impl Drop for DeliveredBody {
+    fn drop(&mut self) {
+        self.delivery.set_responding(false);
+    }
+}
+
+impl Body for DeliveredBody {
+    type Data = Bytes;
+    type Error = AbortReason;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortReason>>> {
+        let frame = ready!(self.body.as_mut().poll_frame(cx));
+        if let Some(Ok(frame)) = &frame
+            && let Some(data) = frame.data_ref()
+        {
+            self.delivery.add(data.len());
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/sapphirespur_node/src/edge/delivery_stream.rs
@@ -0,0 +1,158 @@
+//! Connection of a client whose writes are watched.
+
+use std::future::Future;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use sapphirespur_core::edge::ReaderWatch;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+use super::client_stream::ClientStream;
+use super::delivery::Delivery;
+
+/// Time that sent data may stay unacknowledged once a write was blocked. The system counts the whole time
+/// for which a slow reader has hardly any room, also if it reads steadily; from then on the router watches
+/// the client by itself.
+const BLOCKED_ACK_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Bytes that the system keeps unsent for a client; they count toward no limit of the process. Few, so that
+/// a write is blocked, and watched, before the system gives a slow reader up.
+const MAX_UNSENT_BYTES: u32 = 4 * 1024;
+
+/// Stream that fails when its client does not read what waits for it.
+pub(super) struct DeliveryStream {
+    stream: ClientStream,
+    delivery: Rc<Delivery>,
+    /// Next check of a blocked write.
+    check: Option<Pin<Box<Sleep>>>,
+    /// Whether a write was ever blocked.
+    was_blocked: bool,
+}
+
+impl DeliveryStream {
+    /// Wraps the connection of a client.
+    pub fn new(stream: ClientStream, delivery: Rc<Delivery>) -> Self {
+        Self { stream, delivery, check: None, was_blocked: false }
+    }
+
+    /// Records the result of a write, and watches a blocked one; `buf` is what waits.
+    fn on_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        match result {
+            Poll::Ready(Ok(bytes)) => {
+                self.on_written(bytes);
+                Poll::Ready(Ok(bytes))
+            }
+            Poll::Ready(Err(e)) => Poll::Ready(Err(self.on_error(e))),
+            Poll::Pending => self.poll_blocked(cx, buf),
+        }
+    }
+
+    /// Waits for the checks of a blocked write, and tries it again at each.
+    ///
+    /// The system reports a connection as writable only when a good part of its buffer is free, which
+    /// takes a slow reader long.
+    fn poll_blocked(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.delivery.on_blocked(cx.waker());
+        if !std::mem::replace(&mut self.was_blocked, true) {
+            let socket = SockRef::from(self.stream.socket());
+            if let Err(e) = socket.set_tcp_user_timeout(Some(BLOCKED_ACK_TIMEOUT)) {
+                log::debug!(error = e.to_string().as_str(); "failed to set socket options");
+            }
+        }
+        loop {
+            if let Some(reason) = self.delivery.unread_reason() {
+                return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)));
+            }
+            let check =
+                self.check.get_or_insert_with(|| Box::pin(sleep(ReaderWatch::CHECK_INTERVAL)));
+            ready!(check.as_mut().poll(cx));
+            self.check = None;
+            match SockRef::from(self.stream.socket()).send(buf) {
+                Ok(bytes) => {
+                    self.on_written(bytes);
+                    return Poll::Ready(Ok(bytes));
+                }
+                // Only now, so that a pause of the process is not taken for one of the client.
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.delivery.check(),
+                Err(e) => return Poll::Ready(Err(self.on_error(e))),
+            }
+        }
+    }
+
+    fn on_written(&mut self, bytes: usize) {
+        self.delivery.on_written(bytes);
+        self.check = None;
+    }
+
+    /// Records an error if it says that the system has given the connection up.
+    fn on_error(&self, e: io::Error) -> io::Error {
+        if e.kind() == io::ErrorKind::TimedOut {
+            self.delivery.on_unacknowledged();
+        }
+        e
+    }
+}
+
+/// Limits the bytes that the system keeps unsent for a client.
+///
+/// # Errors
+///
+/// Returns an error when the system rejects the option.
+pub(super) fn limit_unsent(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
+impl AsyncRead for DeliveryStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        Poll::Ready(result.map_err(|e| self.on_error(e)))
+    }
+}
+
+impl AsyncWrite for DeliveryStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.on_write(cx, result, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let first = bufs.iter().find(|buf| !buf.is_empty()).map_or(&[][..], |buf| &buf[..]);
+        self.on_write(cx, result, first)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -99,6 +99,12 @@
         !self.request.is_framed && self.request.events == 0
     }
 
+    /// Records that nothing was read of the response for `span`, since its client took nothing: the time
+    /// says nothing of the upstream.
+    pub fn on_client_wait(&mut self, span: Duration) {
+        self.request.last_event_at = self.request.last_event_at + span;
+    }
+
     /// Records `count` complete events of a stream.
     pub fn on_events(&mut self, count: u32) {
         let now = self.cx.now();
@@ -216,7 +222,7 @@
 
 impl BufferGuard {
     /// Counts the body of a request.
-    fn for_request(cx: &Rc<Shared>) -> Self {
+    pub fn for_request(cx: &Rc<Shared>) -> Self {
         Self { cx: Rc::clone(cx), kind: BufferKind::Request, bytes: 0 }
     }
 
@@ -230,7 +236,7 @@
     /// Requests and responses have a limit each, so that neither keeps out the other.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
         let total = self.total().get() + bytes;
-        if total > self.cx.settings().limits.max_buffered_bytes {
+        if total + self.undelivered() > self.cx.settings().limits.max_buffered_bytes {
             return false;
         }
         self.total().set(total);
@@ -246,6 +252,14 @@
         self.try_grow(bytes - self.bytes)
     }
 
+    /// Returns the bytes of complete messages that count toward the same limit.
+    fn undelivered(&self) -> usize {
+        match self.kind {
+            BufferKind::Request => 0,
+            BufferKind::Response => self.cx.deliveries.bytes(),
+        }
+    }
+
     fn total(&self) -> &Cell<usize> {
         match self.kind {
             BufferKind::Request => &self.cx.buffered_bytes,
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -84,6 +84,8 @@
     in_flight: Gauge,
     connections: Gauge,
     buffered_bytes: Gauge,
+    unread_bytes: Gauge,
+    unread_responses: Family<KindLabel, Counter>,
     retries_left: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
@@ -117,6 +119,8 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             buffered_bytes: Gauge::default(),
+            unread_bytes: Gauge::default(),
+            unread_responses: Family::default(),
             retries_left: Family::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
@@ -150,6 +154,8 @@
         r.register("in_flight", "Requests being served", metrics.in_flight.clone());
         r.register("connections", "Connections of clients", metrics.connections.clone());
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered_bytes.clone());
+        r.register("unread_bytes", "Bytes that wait for clients", metrics.unread_bytes.clone());
+        r.register("unread", "Answers that were not read", metrics.unread_responses.clone());
         r.register("repeats_left", "Repeats this router has left", metrics.retries_left.clone());
         r.register("kept_parts", "Prompt parts taken for kept", metrics.cached_segments.clone());
         r.register(
@@ -226,6 +232,11 @@
         self.resumed_streams.inc();
     }
 
+    /// Counts a response that was ended since its client did not read it, by reason.
+    pub fn record_unread_response(&self, kind: &'static str) {
+        self.unread_responses.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts suppressed log lines.
     pub fn record_suppressed_log_lines(&self, lines: u64) {
         self.suppressed_log_lines.inc_by(lines);
@@ -305,6 +316,7 @@
         self.in_flight.set(cx.in_flight.get() as i64);
         self.connections.set(cx.connections.get() as i64);
         self.buffered_bytes.set(cx.buffered_bytes.get() as i64);
+        self.unread_bytes.set(cx.deliveries.bytes() as i64);
     }
 }
 
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -6,6 +6,9 @@
 mod buffered;
 pub mod client_stream;
 mod connect;
+mod delivered_body;
+mod delivery;
+mod delivery_stream;
 mod dialect;
 pub mod event_buffer;
 mod guards;
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -33,6 +33,10 @@
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Largest body of a request that counts toward no limit while an upstream that has answered still reads
+/// it, in bytes.
+const MAX_UNCOUNTED_BYTES: usize = 16 * 1024;
+
 /// Request of a client with its route and body, ready to be sent.
 pub(super) struct Call {
     /// Head as the client sent it, without hop-by-hop headers.
@@ -71,13 +75,32 @@
     key: PoolKey,
     idle_timeout: Option<Duration>,
     is_closing: bool,
+    /// Length of the body of the request.
+    body_bytes: usize,
 }
 
 impl PooledConnection {
     /// Returns the connection to the pool after the end of its response, unless the upstream closes
     /// it.
-    pub fn return_to_pool(self, cx: &Shared) {
-        if !self.is_closing {
+    pub fn return_to_pool(self, cx: &Rc<Shared>) {
+        if self.is_closing {
+            return;
+        }
+        if self.body_bytes > MAX_UNCOUNTED_BYTES {
+            actix_rt::spawn(self.return_when_sent(Rc::clone(cx)));
+            return;
+        }
+        cx.pool.borrow_mut().put(cx.now(), self.key, self.connection, self.idle_timeout);
+    }
+
+    /// Returns the connection to the pool when the upstream has read the request, which it may answer
+    /// before; closes the connection if that is not soon or the memory for bodies is full.
+    async fn return_when_sent(mut self, cx: Rc<Shared>) {
+        let mut guard = BufferGuard::for_request(&cx);
+        if !guard.try_grow(self.body_bytes) {
+            return;
+        }
+        if let Ok(Ok(())) = timeout(DRAIN_TIMEOUT, self.connection.ready()).await {
             cx.pool.borrow_mut().put(cx.now(), self.key, self.connection, self.idle_timeout);
         }
     }
@@ -194,6 +217,7 @@
         key,
         idle_timeout: hop_headers::keep_alive_timeout(&parts.headers),
         is_closing: hop_headers::closes_connection(&parts.headers),
+        body_bytes: call.body.len(),
     };
     classify_response(cx, UpstreamResponse { parts, head, body, connection }).await
 }
--- a/sapphirespur_node/src/edge/server.rs
+++ b/sapphirespur_node/src/edge/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -22,6 +23,9 @@
 
 use super::client_stream::ClientStream;
 use super::connect::set_socket_options;
+use super::delivered_body::DeliveredBody;
+use super::delivery::Delivery;
+use super::delivery_stream::{DeliveryStream, limit_unsent};
 use super::handle::handle;
 use super::shared::{Phase, Shared};
 use super::snapshot;
@@ -83,7 +87,7 @@
 fn spawn_client(stream: TcpStream, cx: &Rc<Shared>) {
     // In a flood, most connections close after a refusal and need no options.
     if !cx.overload.borrow().is_refusing()
-        && let Err(e) = set_socket_options(&stream)
+        && let Err(e) = set_socket_options(&stream).and_then(|()| limit_unsent(&stream))
     {
         log::debug!(error = e.to_string().as_str(); "failed to set socket options");
     }
@@ -140,8 +144,11 @@
     let limits =
         cx.router.borrow().registry().table().map(|table| table.limits).unwrap_or_default();
     let has_request = Cell::new(false);
+    let delivery = Delivery::new(cx);
+    let peer = stream.peer_addr();
     let service = service_fn(|req| {
         let cx = Rc::clone(cx);
+        let delivery = Rc::clone(&delivery);
         let is_first = !has_request.replace(true);
         async move {
             // A client that waited to be accepted may have left; its request is dropped when that is read.
@@ -155,14 +162,15 @@
             if is_closing || is_refusal && cx.closes_refused_client() {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| DeliveredBody::new(body, delivery)))
         }
     });
+    let stream = DeliveryStream::new(ClientStream::new(stream), Rc::clone(&delivery));
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * IDLE_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes.max(16 * 1024))
-        .serve_connection(TokioIo::new(ClientStream::new(stream)), service);
+        .serve_connection(TokioIo::new(stream), service);
 
     let mut connection = pin!(connection);
     // A connection that was just accepted may have a request that is not read yet; its response
@@ -175,6 +183,7 @@
                 if let Err(e) = result {
                     log::debug!(error = e.to_string().as_str(); "client connection closed with an error");
                 }
+                log_unread(cx, &delivery, peer);
                 return;
             }
             () = cx.closing.notified(), if !is_closing => {
@@ -190,6 +199,21 @@
     }
 }
 
+/// Counts and logs a response that was ended since its client did not read it.
+fn log_unread(cx: &Shared, delivery: &Delivery, peer: io::Result<SocketAddr>) {
+    let Some(reason) = delivery.unread_reason() else { return };
+    cx.metrics.record_unread_response(reason.as_str());
+    if cx.may_log_failure() {
+        log::warn!(
+            client = peer.map(|peer| peer.to_string()).unwrap_or_default().as_str(),
+            reason = reason.as_str(),
+            blocked_ms = delivery.blocked_for().as_millis() as u64,
+            bytes = delivery.bytes();
+            "response not read"
+        );
+    }
+}
+
 /// Serves the load balancer's readiness checks.
 pub(super) async fn serve_readiness(listener: TcpListener, cx: Rc<Shared>) {
     serve_simple(listener, move |req| {
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -10,6 +10,7 @@
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
 
+use super::delivery::Deliveries;
 use super::dialect::Dialect;
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
@@ -76,6 +77,8 @@
     pub buffered_bytes: Cell<usize>,
     /// Bytes of response bodies and incomplete events held in memory.
     pub buffered_response_bytes: Cell<usize>,
+    /// Response bytes that wait to be written to their clients.
+    pub deliveries: Deliveries,
     /// Version after which the registry is watched; when absent, the registry is listed again.
     pub watch_version: Cell<Option<RegistryVersion>>,
     /// Time of the last response from the registry; absent before the first one.
@@ -134,6 +137,7 @@
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
             buffered_response_bytes: Cell::new(0),
+            deliveries: Deliveries::default(),
             watch_version: Cell::new(None),
             last_registry_response: Cell::new(None),
             closing: Notify::new(),
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -43,6 +43,8 @@
     last_id: Option<u64>,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
     last_received: Time,
+    /// Time at which events were last passed on; absent while the client waits for the next ones.
+    passed_on_at: Option<Time>,
     /// Time of the last complete event of the current upstream, or when it was last decided to go on
     /// waiting for one. Bytes that complete no event don't count.
     last_progress: Time,
@@ -73,6 +75,7 @@
 ) -> ClientResponse {
     let mut relay = StreamRelay {
         last_received: call.arrived_at,
+        passed_on_at: None,
         last_progress: call.arrived_at,
         last_id: call.head.last_event_id,
         buffer: BufferGuard::for_response(&cx),
@@ -250,9 +253,13 @@
     ///
     /// Returns an error when the stream can be neither completed nor resumed.
     async fn next_bytes(&mut self) -> Result<Option<Bytes>, AbortReason> {
+        self.skip_client_wait();
         loop {
             match self.take_events() {
-                Ok(Some(bytes)) => return Ok(Some(bytes)),
+                Ok(Some(bytes)) => {
+                    self.passed_on_at = Some(self.last_progress);
+                    return Ok(Some(bytes));
+                }
                 Ok(None) => {}
                 Err(outcome) => {
                     self.resume(outcome).await?;
@@ -276,6 +283,17 @@
         }
     }
 
+    /// Leaves out the time for which the client took nothing: nothing was read of the upstream meanwhile.
+    fn skip_client_wait(&mut self) {
+        let Some(passed_on_at) = self.passed_on_at.take() else { return };
+        let wait = self.cx.now().since(passed_on_at);
+        self.last_progress = self.last_progress + wait;
+        self.last_received = self.last_received + wait;
+        if let Some(reservation) = &mut self.reservation {
+            reservation.on_client_wait(wait);
+        }
+    }
+
     /// Takes the buffered complete events as one chunk, without those that were passed on before.
     ///
     /// # Errors
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -63,6 +63,8 @@
         events: u64,
         /// Pause before each event, in milliseconds.
         pause_ms: u64,
+        /// Bytes that are added to each event.
+        padding: usize,
     },
     /// Crashes when it begins to respond to a request with this prompt segment before the last one,
     /// like a process that ends: all its connections close, and its port refuses new ones.
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -446,7 +446,9 @@
             _ => {}
         }
         let padding = match state.behaviour.get() {
-            Behaviour::LargeEvents(bytes) => "x".repeat(bytes),
+            Behaviour::LargeEvents(bytes) | Behaviour::Paced { padding: bytes, .. } => {
+                "x".repeat(bytes)
+            }
             _ => String::new(),
         };
         let event = format!("id: {id}\ndata: token {id}{padding}\n\n");
