Roll-outs: types and interface

Cause: the I/O half builds on the public types of roll-outs.

Change: folder `edge/rollout/` with orders, records, states, evidence rows, duties and their callbacks, notices and summaries. Bodies of `Rollouts` only store orders and records yet. New variants stand at the end of their enums. `Router::may_send` replaces the registry's check before a send, so that a withdrawn version gets nothing that was placed before.

--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -161,6 +161,7 @@
             cold_overshoot: 1.5,
             cold_allowance: 5.0,
             share_window: Duration::from_secs(4),
+            rollouts: None,
         }
     }
 }
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -39,9 +39,13 @@
 impl PeerMessage {
     /// Returns what is encoded after the message.
     pub fn extension(&self) -> MessageExtension {
-        let demands = self.report.as_ref().map(|(_, report)| report.demands.clone());
+        let report = self.report.as_ref().map(|(_, report)| report);
 
-        MessageExtension { news: self.news.clone(), demands: demands.unwrap_or_default() }
+        MessageExtension {
+            news: self.news.clone(),
+            demands: report.map(|report| report.demands.clone()).unwrap_or_default(),
+            rollouts: report.map(|report| report.rollouts.clone()).unwrap_or_default(),
+        }
     }
 
     /// Adds what was encoded after the message.
@@ -49,6 +53,7 @@
         self.news = extension.news;
         if let Some((_, report)) = &mut self.report {
             report.demands = extension.demands;
+            report.rollouts = extension.rollouts;
         }
     }
 }
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -1,7 +1,10 @@
 //! Sums over the reports of other routers, updated incrementally with each report.
 
 use crate::collections::HashMap;
-use crate::edge::{PeerReport, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage};
+use crate::edge::{
+    EvidenceKey, PeerReport, RolloutEvidence, ServiceDemand, ServicePressure, UpstreamLoad,
+    WorkspaceUsage,
+};
 
 /// Work of several routers at one upstream.
 #[derive(Clone, Copy, Debug, Default)]
@@ -15,6 +18,13 @@
     weighted_interval_ms: u64,
 }
 
+/// Responses on one route at several routers.
+#[derive(Clone, Copy, Debug)]
+struct EvidenceSum {
+    reports: u32,
+    row: RolloutEvidence,
+}
+
 /// Token usage of one workspace at several routers.
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkspaceSum {
@@ -30,6 +40,7 @@
     workspaces: HashMap<u32, WorkspaceSum>,
     pressures: HashMap<u32, ServicePressure>,
     demands: HashMap<u32, ServiceDemand>,
+    rollouts: HashMap<EvidenceKey, EvidenceSum>,
 }
 
 impl FleetSums {
@@ -73,6 +84,13 @@
             sum.requests += demand.requests;
             sum.retries += demand.retries;
         }
+        for row in &report.rollouts {
+            let empty = RolloutEvidence::empty(row.rollout, row.route, row.role, row.upstream);
+            let sum =
+                self.rollouts.entry(row.key()).or_insert(EvidenceSum { reports: 0, row: empty });
+            sum.reports += 1;
+            sum.row.add(row);
+        }
     }
 
     /// Subtracts a report that was added before.
@@ -116,6 +134,14 @@
                 self.demands.remove(&demand.service);
             }
         }
+        for row in &report.rollouts {
+            let Some(sum) = self.rollouts.get_mut(&row.key()) else { continue };
+            sum.reports -= 1;
+            sum.row.subtract(row);
+            if sum.reports == 0 {
+                self.rollouts.remove(&row.key());
+            }
+        }
     }
 
     /// Returns the total work at an upstream, with the mean event interval weighted by requests.
@@ -152,6 +178,11 @@
         self.demands.get(&service).copied().unwrap_or_default()
     }
 
+    /// Returns the summed responses by version.
+    pub fn rollouts(&self) -> impl Iterator<Item = RolloutEvidence> {
+        self.rollouts.values().map(|sum| sum.row)
+    }
+
     /// Returns the sums as a report of the router that sends `own`; `summed` are the reports that
     /// they contain.
     pub fn to_report<'a>(
@@ -183,6 +214,7 @@
             pressures: self.pressures.values().copied().collect(),
             reads: Vec::new(),
             demands: self.demands.values().copied().collect(),
+            rollouts: self.rollouts().collect(),
         }
     }
 }
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -44,6 +44,7 @@
 mod report_store;
 mod request_identity;
 mod retry_budget;
+mod rollout;
 mod route;
 mod route_table;
 mod router;
@@ -104,6 +105,12 @@
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub(crate) use rollout::EvidenceKey;
+pub use rollout::{
+    RolloutDuty, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder, RolloutPhase,
+    RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot, RolloutState,
+    RolloutSummary, RolloutVerdict, Rollouts,
+};
 pub use route::{Route, RouteKind, Split};
 pub use route_table::{ClientLimits, RouteError, RouteTable, WorkspaceKeys};
 pub use router::Router;
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -3,7 +3,8 @@
 use crate::edge::exchange::Members;
 use crate::edge::report_store::{ReportSource, ReportStore};
 use crate::edge::{
-    PeerReport, RegistryVersion, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+    PeerReport, RegistryVersion, RolloutEvidence, ServiceDemand, ServicePressure, UpstreamLoad,
+    WorkspaceUsage,
 };
 use crate::time::Time;
 
@@ -135,6 +136,12 @@
         self.current().demand(now, service)
     }
 
+    /// Returns the responses by version at the other routers, as of the last call of
+    /// [`expire`](Self::expire).
+    pub fn rollouts(&self) -> impl Iterator<Item = RolloutEvidence> {
+        self.current().rollouts()
+    }
+
     /// Clears all reported work, because it is outdated after this process was paused. The routers
     /// themselves still count as peers.
     pub fn clear_reports(&mut self) {
--- a/sapphirespur_core/src/edge/registry_change.rs
+++ b/sapphirespur_core/src/edge/registry_change.rs
@@ -14,6 +14,8 @@
     UpstreamRemoved(Name),
     /// A data centre was put back into service.
     DataCentreRestored(Name),
+    /// The order to roll out a version of a service was deleted, or cannot be decoded any more.
+    RolloutOrderRemoved(Name),
 }
 
 /// Change with the revision at which it was made.
--- a/sapphirespur_core/src/edge/registry_entry.rs
+++ b/sapphirespur_core/src/edge/registry_entry.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{RouteTable, UpstreamEntry};
+use crate::edge::{RolloutOrder, RolloutRecord, RouteTable, UpstreamEntry};
 use crate::name::Name;
 
 /// Entry of the registry, decoded by kind.
@@ -21,4 +21,13 @@
         /// Reason why it cannot be decoded.
         reason: String,
     },
+    /// Order to roll out a version.
+    RolloutOrder(RolloutOrder),
+    /// Durable state of a roll-out, with the revision of its item.
+    RolloutRecord {
+        /// Record.
+        record: RolloutRecord,
+        /// Revision of the record's item.
+        revision: u64,
+    },
 }
--- a/sapphirespur_core/src/edge/registry_state.rs
+++ b/sapphirespur_core/src/edge/registry_state.rs
@@ -5,8 +5,9 @@
 
 use crate::collections::HashSet;
 use crate::edge::{
-    CallInfo, InFlightRequest, PrefilledSegments, RegistryVersion, RouteTable, ServiceRoutes,
-    ServiceSpec, Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState, Upstreams,
+    CallInfo, InFlightRequest, PrefilledSegments, RegistryVersion, RolloutSnapshot, RouteTable,
+    ServiceRoutes, ServiceSpec, Snapshot, TableIndex, Upstream, UpstreamEntry, UpstreamState,
+    Upstreams,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -167,7 +168,7 @@
         self.version != RegistryVersion::default() && version.era > self.version.era
     }
 
-    /// Returns a copy of the state for other routers, without base versions; none without a
+    /// Returns a copy of the state for other routers, without base versions and roll-outs; none without a
     /// configuration.
     pub fn snapshot(&self, now: Time) -> Option<Snapshot> {
         let table = self.table.as_ref()?.as_ref().clone();
@@ -188,8 +189,15 @@
 
         let out = self.upstreams.data_centres_out().iter().cloned().collect();
         let departed = self.upstreams.departed().cloned().collect();
-        let bases = Vec::new();
-        Some(Snapshot { version: self.version, table, upstreams, departed, out, bases })
+        Some(Snapshot {
+            version: self.version,
+            table,
+            upstreams,
+            departed,
+            out,
+            bases: Vec::new(),
+            rollouts: RolloutSnapshot::default(),
+        })
     }
 
     /// Applies the state of another router if its version is newer. Returns whether it was.
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{PromptSegment, RegistryVersion};
+use crate::edge::{PromptSegment, RegistryVersion, RolloutEvidence};
 
 /// Work of one router at one upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -100,6 +100,9 @@
     /// Requests by service; part of the message's extension.
     #[serde(skip)]
     pub demands: Vec<ServiceDemand>,
+    /// Responses by version, for services with a roll-out; part of the message's extension.
+    #[serde(skip)]
+    pub rollouts: Vec<RolloutEvidence>,
 }
 
 impl PeerReport {
@@ -129,6 +132,7 @@
         self.routers <= Self::MAX_COUNT
             && self.upstreams.iter().all(is_load_plausible)
             && self.demands.iter().all(is_demand_plausible)
+            && self.rollouts.iter().all(RolloutEvidence::is_plausible)
             && self.workspaces.iter().all(is_usage_plausible)
             && self.pressures.iter().all(is_pressure_plausible)
     }
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -5,7 +5,8 @@
 use crate::collections::HashMap;
 use crate::edge::fleet_sums::FleetSums;
 use crate::edge::{
-    PeerReport, RegistryVersion, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+    PeerReport, RegistryVersion, RolloutEvidence, ServiceDemand, ServicePressure, UpstreamLoad,
+    WorkspaceUsage,
 };
 use crate::time::Time;
 
@@ -176,6 +177,12 @@
         FleetSums::from_reports(self.fresh_reports(now)).demand(service)
     }
 
+    /// Returns the responses by version at the other routers, as of the last call of
+    /// [`expire`](Self::expire).
+    pub fn rollouts(&self) -> impl Iterator<Item = RolloutEvidence> {
+        self.sums.rollouts()
+    }
+
     /// Returns the sums over `own` and the reports of single routers.
     pub fn sum_of_routers(&self, own: &PeerReport) -> PeerReport {
         let is_single = |source: &ReportSource| matches!(source, ReportSource::Router(_));
@@ -212,6 +219,7 @@
             peer.report.workspaces.clear();
             peer.report.pressures.clear();
             peer.report.demands.clear();
+            peer.report.rollouts.clear();
         }
     }
 
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -3,6 +3,7 @@
 mod placement;
 mod reports;
 mod responses;
+mod rollouts;
 mod streams;
 
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use crate::collections::HashMap;
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins,
+    RetryBudget, RetryLimits, Rollouts, RouterSettings, Shares, StreamOrigins,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -29,6 +30,7 @@
     quarantine: Quarantine,
     output_lengths: OutputLengths,
     streams: StreamOrigins,
+    rollouts: Rollouts,
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
     sequence: u64,
@@ -58,6 +60,8 @@
         let seed = stable_hash(&[settings.name.as_str().as_bytes()]);
         let shares = Shares::new(settings.share_window, seed);
 
+        let rollouts = Rollouts::new(settings.rollouts);
+
         Self {
             settings,
             registry: RegistryState::default(),
@@ -68,6 +72,7 @@
             quarantine: Quarantine::default(),
             output_lengths: OutputLengths::default(),
             streams: StreamOrigins::default(),
+            rollouts,
             prefilled: HashMap::default(),
             sequence: 0,
             is_registry_fresh: false,
--- a/sapphirespur_core/src/edge/router/streams.rs
+++ b/sapphirespur_core/src/edge/router/streams.rs
@@ -76,11 +76,12 @@
         is_sole.then(|| first.clone())
     }
 
-    /// Returns a copy of the registry state for other routers, with the base versions; none without a
+    /// Returns a copy of the registry state for other routers, with base versions and roll-outs; none without a
     /// configuration.
     pub fn snapshot(&self, now: Time) -> Option<Snapshot> {
         let bases = self.streams.bases.iter().cloned().collect();
-        Some(Snapshot { bases, ..self.registry.snapshot(now)? })
+        let rollouts = self.rollouts.snapshot();
+        Some(Snapshot { bases, rollouts, ..self.registry.snapshot(now)? })
     }
 
     /// Begins to record the version of the upstream to which a stream is sent, unless other routers infer
--- a/sapphirespur_core/src/edge/router_settings.rs
+++ b/sapphirespur_core/src/edge/router_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::RetryLimits;
+use crate::edge::{RetryLimits, RolloutSettings};
 use crate::name::Name;
 
 /// Settings of a router and the fleet-wide limits that it enforces.
@@ -22,4 +22,6 @@
     pub cold_allowance: f64,
     /// Window over which the usage of workspaces is compared with their shares.
     pub share_window: Duration,
+    /// Bounds of roll-outs; none where there are no roll-outs.
+    pub rollouts: Option<RolloutSettings>,
 }
--- a/sapphirespur_core/src/edge/snapshot.rs
+++ b/sapphirespur_core/src/edge/snapshot.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::edge::{BaseVersion, RegistryVersion, RouteTable, UpstreamEntry};
+use crate::edge::{BaseVersion, RegistryVersion, RolloutSnapshot, RouteTable, UpstreamEntry};
 use crate::name::Name;
 
 /// Registry state as of a version.
@@ -21,4 +21,7 @@
     pub out: Vec<Name>,
     /// Versions at which streams without a record began.
     pub bases: Vec<BaseVersion>,
+    /// Orders and records of roll-outs.
+    #[serde(deserialize_with = "RolloutSnapshot::read_if_present")]
+    pub rollouts: RolloutSnapshot,
 }
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -30,6 +30,7 @@
         cold_overshoot: OVERSHOOT,
         cold_allowance: ALLOWANCE,
         share_window: Duration::from_secs(4),
+        rollouts: None,
     }
 }
 
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use sapphirespur_core::edge::{ExchangeRole, OutgoingMessage, PeerMessage};
+use sapphirespur_core::edge::{ExchangeRole, MessageExtension, OutgoingMessage, PeerMessage};
+use serde::Deserialize;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
@@ -145,8 +146,13 @@
 /// Returns an error when the message cannot be encoded.
 pub fn encode_datagram(message: &PeerMessage) -> Result<Vec<u8>, DatagramError> {
     let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
-    let bytes = postcard::to_extend(&message.extension(), bytes)?;
-    Ok(postcard::to_extend(&message.news.requests, bytes)?)
+    let extension = message.extension();
+    let bytes = postcard::to_extend(&extension, bytes)?;
+    let bytes = postcard::to_extend(&message.news.requests, bytes)?;
+    if extension.rollouts.is_empty() {
+        return Ok(bytes);
+    }
+    Ok(postcard::to_extend(&extension.rollouts, bytes)?)
 }
 
 /// Decodes a datagram of another router.
@@ -157,14 +163,24 @@
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
     let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
     let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
-    // Builds that know nothing of the extension, or of requests in the news, end the datagram before.
+    // Builds that know nothing of the extension, or of its later parts, end the datagram before.
     if !rest.is_empty() {
-        let (extension, rest) = postcard::take_from_bytes(rest)?;
+        let (mut extension, rest) = postcard::take_from_bytes::<MessageExtension>(rest)?;
+        let (requests, rest) = take_list(rest)?;
+        (extension.rollouts, _) = take_list(rest)?;
         message.apply_extension(extension);
-        if !rest.is_empty() {
-            message.news.requests = postcard::from_bytes(rest)?;
-        }
+        message.news.requests = requests;
     }
 
     Ok(message)
 }
+
+/// Reads a list that may be missing at the end of a datagram. Returns it with the bytes after it.
+fn take_list<'a, T: Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(Vec<T>, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
+}
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -298,6 +298,10 @@
                     log::info!(data_centre = data_centre.as_str(); "data centre back");
                     router.registry_mut().mark_data_centre_back(now, data_centre.as_str());
                 }
+                RegistryChange::RolloutOrderRemoved(service) => {
+                    log::info!(service = service.as_str(); "roll-out order removed");
+                    router.rollouts_mut().remove_order(now, &service);
+                }
             }
         }
         let known = router.registry().version();
@@ -329,6 +333,10 @@
             log::info!(data_centre = data_centre.as_str(); "data centre out");
             router.registry_mut().mark_data_centre_out(data_centre);
         }
+        RegistryEntry::RolloutOrder(order) => router.rollouts_mut().apply_order(now, order),
+        RegistryEntry::RolloutRecord { record, revision } => {
+            router.rollouts_mut().apply_record(now, record, revision);
+        }
         RegistryEntry::Invalid { key, reason } => {
             log::warn!(key = key.as_str(), reason = reason.as_str(); "entry of the record ignored");
         }
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -161,7 +161,7 @@
     }
 
     // Opening a connection takes time in which the upstream may have begun to leave.
-    if !cx.router.borrow().registry().may_send(cx.now(), &placement.request) {
+    if !cx.router.borrow().may_send(cx.now(), &placement.request) {
         return SendResult::NotRun(SendOutcome::Withdrawn);
     }
     // A router that is late may read the client's disconnect only after this.
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -131,6 +131,7 @@
     for base in std::mem::take(&mut snapshot.bases) {
         router.streams_mut().bases.adopt(base);
     }
+    let rollouts = std::mem::take(&mut snapshot.rollouts);
     if matches!(source, Source::NewerConfig(_)) {
         if router.registry_mut().merge_snapshot(now, snapshot) {
             log::info!(peer = peer.to_string().as_str(), version = version; "configuration taken from peer");
@@ -140,6 +141,7 @@
     if router.registry_mut().apply_snapshot(now, snapshot) {
         // The old watch version no longer matches the state, so the registry is listed again.
         cx.watch_version.set(None);
+        router.rollouts_mut().apply_snapshot(now, rollouts);
         log::info!(peer = peer.to_string().as_str(), revision = revision, version = version; "snapshot taken from peer");
     }
 }
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -164,6 +164,7 @@
                     SPAN_RANGE_S,
                     Duration::from_secs(4),
                 )?,
+                rollouts: None,
             },
             node,
             listen,
