Roll-outs: settings, store calls, keeper, status and stand-ins

Cause: the decisions of roll-outs need orders and records from the platform's store, and someone who performs their calls.

Change: section `[rollouts]` of the settings. `RecordStore` renews and ends leases, and transactions have leases by item, removals and states. `rollout_keeper` performs the duties; a lease whose item may have been created in vain is ended, so a late execution of that write is refused. `sapphirespur router`, metrics and log lines show roll-outs. The stand-in of the store expires leases, refuses foreign keys, executes a transaction at one revision as the client already assumes, and can lose the responses of writes; runners have a pace, faults of a bad version and stop at once.

The end-to-end tests of roll-outs wait for the decisions.

--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -4,7 +4,7 @@
 
 use awc::Client;
 use sapphirespur_core::edge::BaseVersion;
-use sapphirespur_node::edge::{EdgeStatus, STATUS_PATH, UpstreamStatus};
+use sapphirespur_node::edge::{EdgeStatus, RolloutStatus, STATUS_PATH, UpstreamStatus};
 
 use crate::args::RouterArgs;
 use crate::error::CommandError;
@@ -76,7 +76,52 @@
         "limit/s",
     ];
 
-    format!("{}\n{}", format_table(&["fact", "value"], &rows), format_table(&header, &upstreams))
+    let facts = format_table(&["fact", "value"], &rows);
+    format!("{facts}\n{}{}", format_rollouts(&status.rollouts), format_table(&header, &upstreams))
+}
+
+/// Returns the roll-outs as a table, with an empty line after it; empty when there are none.
+fn format_rollouts(rollouts: &[RolloutStatus]) -> String {
+    if rollouts.is_empty() {
+        return String::new();
+    }
+    let header = [
+        "roll-out",
+        "target",
+        "phase",
+        "state",
+        "reason",
+        "verdict",
+        "elapsed ms",
+        "leader",
+        "sent",
+        "from here",
+        "bad",
+        "old bad",
+        "old requests",
+    ];
+    let rows: Vec<Vec<String>> = rollouts.iter().map(rollout_row).collect();
+    format!("{}\n", format_table(&header, &rows))
+}
+
+/// Returns the table row of a roll-out.
+fn rollout_row(rollout: &RolloutStatus) -> Vec<String> {
+    let or_none = |value: &Option<String>| value.clone().unwrap_or_else(|| "none".to_owned());
+    vec![
+        rollout.service.clone(),
+        rollout.target.clone(),
+        or_none(&rollout.phase),
+        or_none(&rollout.state),
+        rollout.reason.clone(),
+        rollout.verdict.clone(),
+        rollout.elapsed_ms.to_string(),
+        or_none(&rollout.leader),
+        rollout.sent.to_string(),
+        rollout.own_sent.to_string(),
+        format!("{} of {}", rollout.bad, rollout.answered),
+        format!("{} of {}", rollout.old_bad, rollout.old_answered),
+        rollout.old_in_flight.to_string(),
+    ]
 }
 
 /// Returns the versions at which streams without a record began.
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -18,6 +18,7 @@
 
 use sapphirespur_core::collections::HashSet;
 
+use super::rollout_metrics::RolloutMetrics;
 use super::shared::Shared;
 
 /// Workspaces with histograms of their own; all others share one, which bounds the label values.
@@ -68,6 +69,7 @@
     failed_sends: Family<KindLabel, Counter>,
     registry_calls: Family<KindLabel, Counter>,
     relay_calls: Family<KindLabel, Counter>,
+    rollouts: RolloutMetrics,
     resumed_streams: Counter,
     taken_up_streams: Family<KindLabel, Counter>,
     unrecorded_streams: Counter,
@@ -101,6 +103,7 @@
             failed_sends: Family::default(),
             registry_calls: Family::default(),
             relay_calls: Family::default(),
+            rollouts: RolloutMetrics::default(),
             resumed_streams: Counter::default(),
             taken_up_streams: Family::default(),
             unrecorded_streams: Counter::default(),
@@ -135,6 +138,7 @@
             "Changes read at the relay, by result",
             metrics.relay_calls.clone(),
         );
+        metrics.rollouts.register(r);
         r.register("resumed", "Streams that went on elsewhere", metrics.resumed_streams.clone());
         r.register("taken_up", "Streams taken up, by source", metrics.taken_up_streams.clone());
         r.register("unrecorded", "Streams without a record", metrics.unrecorded_streams.clone());
@@ -221,6 +225,11 @@
         self.relay_calls.get_or_create(&KindLabel::result(is_success)).inc();
     }
 
+    /// Counts a call to the platform's store for roll-outs.
+    pub fn record_rollout_call(&self, is_success: bool) {
+        self.rollouts.record_call(is_success);
+    }
+
     /// Counts a stream that was resumed at another upstream.
     pub fn record_resumed_stream(&self) {
         self.resumed_streams.inc();
@@ -292,6 +301,7 @@
         let requests = quarantined.iter().filter(|key| key.is_request()).count();
         self.quarantined_requests.set(requests as i64);
         self.quarantined_segments.set((quarantined.len() - requests) as i64);
+        self.rollouts.update(&router.rollouts().summaries(now));
         for (service, left) in router.retries_left(now) {
             let service = service.to_string();
             self.retries_left.get_or_create(&ServiceLabel { service }).set(left as i64);
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -22,6 +22,11 @@
 mod registry;
 mod registry_sync;
 mod response;
+mod rollout_keeper;
+mod rollout_keys;
+mod rollout_log;
+mod rollout_metrics;
+mod rollout_status;
 mod send;
 mod server;
 mod shared;
@@ -43,8 +48,13 @@
 
 pub use connect::{ConnectError, HttpConnection, connect};
 pub use dialect::{Dialect, RequestHead, RequestHeadError, ResponseHead, UpstreamRequestHead};
-pub use record_store::{RecordStore, Stored, StoredItem, Transaction, WriteOutcome};
+pub use record_store::{
+    ExpectedItem, ItemWrite, LeaseState, RecordStore, StateWrite, Stored, StoredItem, Transaction,
+    WriteOutcome,
+};
 pub use registry::{Registry, RegistryError, RegistryListing};
+pub use rollout_keys::{ROLLOUT_LEADER, ROLLOUTS_PREFIX};
+pub use rollout_status::RolloutStatus;
 use shared::Shared;
 pub use status::{EdgeStatus, STATUS_PATH, UpstreamStatus};
 pub use stream_keys::RECORDS_PREFIX;
@@ -95,6 +105,9 @@
     actix_rt::spawn(registry_sync::run(Rc::clone(&cx), registry));
     actix_rt::spawn(stream_keeper::write_records(Rc::clone(&cx), records()));
     actix_rt::spawn(stream_keeper::keep_bases(Rc::clone(&cx), records()));
+    if cx.router.borrow().rollouts().is_on() {
+        actix_rt::spawn(rollout_keeper::run(Rc::clone(&cx), records()));
+    }
     actix_rt::spawn(stream_lookups::run(lookup_requests, records));
     actix_rt::spawn(snapshot::run(Rc::clone(&cx)));
     actix_rt::spawn(ticker::run(Rc::clone(&cx)));
--- a/sapphirespur_node/src/edge/record_store.rs
+++ b/sapphirespur_node/src/edge/record_store.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use sapphirespur_core::edge::RolloutState;
+use sapphirespur_core::name::Name;
+
 use super::registry::RegistryError;
 
 /// Response of the store with its era: the number of times it was restored from an older copy.
@@ -22,15 +25,58 @@
     pub revision: u64,
 }
 
-/// Items that are written together, or not at all.
+/// Revision that an item must have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ExpectedItem {
+    /// Key of the item.
+    pub key: String,
+    /// Revision of the item; zero when there must be no such item.
+    pub revision: u64,
+}
+
+/// New value of an item.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ItemWrite {
+    /// Key of the item.
+    pub key: String,
+    /// Bytes of the item.
+    pub value: Vec<u8>,
+    /// Lease that removes the item when it ends; none for items that stay.
+    pub lease: Option<u64>,
+}
+
+/// New state of a roll-out for the operator who ordered it. The adapter of the platform knows its key and its
+/// form.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StateWrite {
+    /// Service whose traffic is moved.
+    pub service: Name,
+    /// How far the roll-out is.
+    pub state: RolloutState,
+    /// Version to which the traffic is moved.
+    pub target: Name,
+}
+
+/// Items that are changed together, or not at all.
 #[derive(Clone, Debug, Default)]
 pub struct Transaction {
-    /// Keys with the revisions that they must have; zero when there must be no such item.
-    pub expected: Vec<(String, u64)>,
-    /// Keys with their new values.
-    pub writes: Vec<(String, Vec<u8>)>,
-    /// Lease that removes the items when it ends; none for items that stay.
-    pub lease: Option<u64>,
+    /// Revisions that items must have.
+    pub expected: Vec<ExpectedItem>,
+    /// Items that are written.
+    pub writes: Vec<ItemWrite>,
+    /// Keys of items that are deleted.
+    pub removals: Vec<String>,
+    /// States of roll-outs that are written.
+    pub states: Vec<StateWrite>,
+}
+
+/// State of a lease, as the store tells it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaseState {
+    /// It holds, for its whole time from now on.
+    Holds,
+    /// It has ended, with the items that are attached to it.
+    Ended,
 }
 
 /// Result of a transaction.
@@ -76,6 +122,23 @@
         transaction: &Transaction,
     ) -> impl Future<Output = Result<Stored<WriteOutcome>, RegistryError>>;
 
+    /// Renews a lease for its whole time.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer.
+    fn renew_lease(
+        &mut self,
+        lease: u64,
+    ) -> impl Future<Output = Result<Stored<LeaseState>, RegistryError>>;
+
+    /// Ends a lease, which deletes its items; one that has ended already is left as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer.
+    fn end_lease(&mut self, lease: u64) -> impl Future<Output = Result<Stored<()>, RegistryError>>;
+
     /// Grants a lease of about `ttl`.
     ///
     /// # Errors
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -12,6 +12,7 @@
 use sapphirespur_core::time::Time;
 
 use super::registry::{Registry, RegistryError, RegistryListing};
+use super::rollout_log;
 use super::shared::Shared;
 use super::told_changes::ToldChanges;
 
@@ -245,6 +246,8 @@
         let mut router = self.cx.router.borrow_mut();
         let mut listed: HashSet<Name> = HashSet::default();
         let mut out: HashSet<Name> = HashSet::default();
+        let mut orders: HashSet<Name> = HashSet::default();
+        let mut records: HashSet<Name> = HashSet::default();
         // The configuration comes first: its services define what the entries of upstreams mean.
         let (configs, others): (Vec<RegistryEntry>, Vec<RegistryEntry>) = listing
             .entries
@@ -259,12 +262,19 @@
                     out.insert(data_centre.clone());
                     continue;
                 }
+                RegistryEntry::RolloutOrder(order) => {
+                    orders.insert(order.service.clone());
+                }
+                RegistryEntry::RolloutRecord { record, .. } => {
+                    records.insert(record.service.clone());
+                }
                 _ => {}
             }
             apply_entry(&mut router, now, entry);
         }
         router.registry_mut().set_data_centres_out(now, &out);
         router.registry_mut().remove_unlisted_at(&listed, remove_at);
+        router.rollouts_mut().on_listed(now, &orders, &records);
         log::info!(
             era = listing.version.era,
             revision = listing.version.revision,
@@ -287,7 +297,7 @@
         let remove_at = self.outage.removal_time(now);
         self.cx.change_log.borrow_mut().append(now, &changes);
         let mut router = self.cx.router.borrow_mut();
-        for RevisedChange { change, .. } in changes.changes {
+        for RevisedChange { revision, change } in changes.changes {
             match change {
                 RegistryChange::Written(entry) => apply_entry(&mut router, now, entry),
                 RegistryChange::UpstreamRemoved(id) => {
@@ -299,7 +309,7 @@
                     router.registry_mut().mark_data_centre_back(now, data_centre.as_str());
                 }
                 RegistryChange::RolloutOrderRemoved(service) => {
-                    log::info!(service = service.as_str(); "roll-out order removed");
+                    rollout_log::log_order_removed(&service, revision);
                     router.rollouts_mut().remove_order(now, &service);
                 }
             }
@@ -333,7 +343,10 @@
             log::info!(data_centre = data_centre.as_str(); "data centre out");
             router.registry_mut().mark_data_centre_out(data_centre);
         }
-        RegistryEntry::RolloutOrder(order) => router.rollouts_mut().apply_order(now, order),
+        RegistryEntry::RolloutOrder(order) => {
+            rollout_log::log_order(&order);
+            router.rollouts_mut().apply_order(now, order);
+        }
         RegistryEntry::RolloutRecord { record, revision } => {
             router.rollouts_mut().apply_record(now, record, revision);
         }
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -6,6 +6,7 @@
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use super::rollout_status::RolloutStatus;
 use super::shared::Shared;
 
 /// Path on which a router serves its state.
@@ -51,6 +52,9 @@
     /// Streams of which this router knows the version that began them.
     #[serde(default)]
     pub known_streams: usize,
+    /// Roll-outs, sorted by service.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutStatus>,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -110,6 +114,9 @@
     let relay = router.exchange().sums_source(now);
     let mut base_versions: Vec<_> = router.streams().bases.iter().cloned().collect();
     base_versions.sort_by(|a, b| a.service.cmp(&b.service));
+    let summaries = router.rollouts().summaries(now);
+    let mut rollouts: Vec<RolloutStatus> = summaries.iter().map(RolloutStatus::new).collect();
+    rollouts.sort_by(|a, b| a.service.cmp(&b.service));
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
         version: registry.table().map(|table| table.version),
@@ -127,6 +134,7 @@
         quarantined_requests: to_text(requests),
         base_versions,
         known_streams: router.streams().memory.len(),
+        rollouts,
         upstreams,
     }
 }
--- a/sapphirespur_node/src/edge/stream_keeper.rs
+++ b/sapphirespur_node/src/edge/stream_keeper.rs
@@ -9,7 +9,9 @@
 use sapphirespur_core::time::Time;
 use tokio::time::timeout;
 
-use super::record_store::{RecordStore, Stored, Transaction, WriteOutcome};
+use super::record_store::{
+    ExpectedItem, ItemWrite, RecordStore, Stored, Transaction, WriteOutcome,
+};
 use super::registry::RegistryError;
 use super::shared::Shared;
 use super::stream_keys::{base_key, record_key};
@@ -150,13 +152,15 @@
 /// Builds the transaction that writes a batch.
 fn records_transaction(cx: &Shared, batch: &RecordBatch) -> Result<Transaction, RegistryError> {
     let router = cx.settings().node.name.clone();
-    let mut transaction = Transaction { lease: Some(batch.lease), ..Transaction::default() };
+    let lease = Some(batch.lease);
+    let mut transaction = Transaction::default();
     for write in &batch.writes {
         let key = record_key(write, &router, cx.started_ms);
         let value = postcard::to_stdvec(&write.record);
         let value = value.map_err(|e| RegistryError::Malformed(e.to_string()))?;
-        transaction.expected.push((key.clone(), write.expected_revision));
-        transaction.writes.push((key, value));
+        let revision = write.expected_revision;
+        transaction.expected.push(ExpectedItem { key: key.clone(), revision });
+        transaction.writes.push(ItemWrite { key, value, lease });
     }
     Ok(transaction)
 }
@@ -208,9 +212,9 @@
             let value =
                 serde_json::to_vec(base).map_err(|e| RegistryError::Malformed(e.to_string()))?;
             let transaction = Transaction {
-                expected: vec![(key.clone(), *expected_revision)],
-                writes: vec![(key, value)],
-                lease: None,
+                expected: vec![ExpectedItem { key: key.clone(), revision: *expected_revision }],
+                writes: vec![ItemWrite { key, value, lease: None }],
+                ..Transaction::default()
             };
             let Stored { era, value } = store.write(&transaction).await?;
             cx.check_record_era(era);
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -7,6 +7,7 @@
 
 use sapphirespur_core::edge::{RetryLimits, RouterSettings};
 
+use super::rollouts::{ROLLOUTS_KEYS, read_rollouts};
 use crate::settings::{LogSettings, NodeSettings, SectionSchema, SettingsError, SettingsFile};
 
 /// Addresses on which the router listens.
@@ -94,6 +95,7 @@
         ("repeats", &["ratio", "allowance", "window-s"]),
         ("cold", &["overshoot", "allowance"]),
         ("shares", &["window-s"]),
+        ("rollouts", ROLLOUTS_KEYS),
         ("log", LogSettings::KEYS),
     ];
 
@@ -164,7 +166,7 @@
                     SPAN_RANGE_S,
                     Duration::from_secs(4),
                 )?,
-                rollouts: None,
+                rollouts: read_rollouts(f)?,
             },
             node,
             listen,
--- a/sapphirespur_node/src/settings/mod.rs
+++ b/sapphirespur_node/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod node;
 mod platform;
+mod rollouts;
 mod router;
 mod settings_error;
 mod settings_file;
--- a/sapphirespur_node/tests/edge/settings.rs
+++ b/sapphirespur_node/tests/edge/settings.rs
@@ -31,6 +31,10 @@
 allowance = 5
 [shares]
 window-s = 4
+[rollouts]
+share = 0.1
+allowance = 40
+rollback-ms = 4500
 ";
 
 fn parse(text: &str) -> Result<EdgeSettings, String> {
@@ -60,6 +64,21 @@
     assert_eq!(settings.limits.grace, Duration::from_secs(30));
 }
 
+#[test]
+fn rollouts_are_read() {
+    let rollouts = parse(VALID).expect("valid settings").decisions.rollouts.expect("a share");
+    assert_eq!((rollouts.share, rollouts.allowance), (0.1, 40.0));
+    assert_eq!(rollouts.rollback, Duration::from_millis(4_500));
+}
+
+// Guards against roll-outs where the platform has none: its template leaves the values empty.
+#[test]
+fn empty_share_means_no_rollouts() {
+    let empty =
+        VALID.replace("share = 0.1", "share =").replace("rollback-ms = 4500", "rollback-ms =");
+    assert!(parse(&empty).expect("valid settings").decisions.rollouts.is_none());
+}
+
 macro_rules! rejected_settings {
     ($($name:ident: $line:expr, $replacement:expr => [$($expected:expr),*];)*) => {
         $(
@@ -82,6 +101,9 @@
     non_numeric_grace_is_rejected: "grace-s = 8", "grace-s = often" => ["grace-s", "from 0.1 to 3600"];
     unknown_key_is_rejected: "allowance = 52", "alowance = 52" => ["alowance", "allowance"];
     unknown_section_is_rejected: "[shares]", "[share]" => ["[share]"];
+    share_above_one_is_rejected: "share = 0.1", "share = 1.5" => ["share", "[rollouts]", "from 0 to 1"];
+    non_numeric_share_is_rejected: "share = 0.1", "share = NaN" => ["share", "from 0 to 1"];
+    zero_rollback_is_rejected: "rollback-ms = 4500", "rollback-ms = 0" => ["rollback-ms"];
     zero_memory_is_rejected: "memory-mb = 260", "memory-mb = 0" => ["memory-mb"];
 }
 
@@ -92,7 +114,7 @@
 }
 
 /// Lines of [`VALID`] with a number that the platform sets, and the smallest allowed one.
-const NUMBERS: [(&str, f64); 9] = [
+const NUMBERS: [(&str, f64); 11] = [
     ("memory-mb = 260", 16.0),
     ("descriptors = 4100", 256.0),
     ("grace-s = 8", 0.1),
@@ -102,6 +124,8 @@
     ("overshoot = 1.5", 0.0),
     ("allowance = 5\n", 0.0),
     ("window-s = 4", 0.1),
+    ("allowance = 40", 0.0),
+    ("rollback-ms = 4500", 1.0),
 ];
 
 /// Returns whether the settings are valid in which each number exceeds the smallest allowed one by `excess`.
--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -16,7 +16,7 @@
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -25,6 +25,12 @@
 /// Maximum number of items on a page.
 const PAGE_ITEMS: usize = 5;
 
+/// Interval between checks for leases whose time is over.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Prefixes of keys that only operators and upstreams may write.
+const FOREIGN_PREFIXES: [&str; 2] = ["op/", "servers/"];
+
 /// Fault with which the store answers new calls; watches that wait already are not affected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreFault {
@@ -34,6 +40,8 @@
     Unavailable,
     /// Accepts calls and never responds.
     Unresponsive,
+    /// Executes transactions and never responds to them; other calls are answered.
+    WriteResponsesLost,
 }
 
 /// Value of a key with its revisions.
@@ -55,6 +63,14 @@
     item: Option<Item>,
 }
 
+/// Lease that holds.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    ttl: Duration,
+    ends_at: Instant,
+}
+
 /// State that the connections share.
 #[derive(Debug)]
 struct State {
@@ -68,7 +84,9 @@
     /// Number of times the store was restored from a copy.
     era: Cell<u64>,
     /// Leases that hold.
-    leases: RefCell<Vec<u64>>,
+    leases: RefCell<Vec<Lease>>,
+    /// Number of calls of any kind.
+    call_count: Cell<u32>,
     /// Number of reads of a first page.
     list_count: Cell<u32>,
     /// Number of watch calls.
@@ -97,9 +115,13 @@
         self.revision.get()
     }
 
-    /// Writes an item.
+    /// Writes an item at a revision of its own.
     fn put(&self, key: &str, value: &[u8], lease_id: u64) {
-        let revision = self.next_revision();
+        self.put_at(self.next_revision(), key, value, lease_id);
+    }
+
+    /// Writes an item at a revision that was given out.
+    fn put_at(&self, revision: u64, key: &str, value: &[u8], lease_id: u64) {
         let mut items = self.items.borrow_mut();
         let creation_revision = items.get(key).map_or(revision, |item| item.creation_revision);
         let item = Item { value: value.to_vec(), revision, creation_revision, lease_id };
@@ -108,13 +130,51 @@
         self.publish(Event { key: key.to_owned(), revision, item: Some(item) });
     }
 
-    /// Deletes an item; does nothing when it is absent.
+    /// Deletes an item at a revision of its own; does nothing when it is absent.
     fn delete(&self, key: &str) {
-        if self.items.borrow_mut().remove(key).is_none() {
-            return;
+        if self.items.borrow().contains_key(key) {
+            self.delete_at(self.next_revision(), key);
+        }
+    }
+
+    /// Deletes an item at a revision that was given out; does nothing when it is absent.
+    fn delete_at(&self, revision: u64, key: &str) {
+        if self.items.borrow_mut().remove(key).is_some() {
+            self.publish(Event { key: key.to_owned(), revision, item: None });
+        }
+    }
+
+    /// Returns whether a lease holds.
+    fn holds(&self, lease_id: u64) -> bool {
+        self.leases.borrow().iter().any(|lease| lease.id == lease_id)
+    }
+
+    /// Ends a lease and deletes its items; returns whether it held.
+    fn end_lease(&self, lease_id: u64) -> bool {
+        if !self.holds(lease_id) {
+            return false;
+        }
+        self.leases.borrow_mut().retain(|lease| lease.id != lease_id);
+        let items = self.items.borrow();
+        let leased = items.iter().filter(|(_, item)| item.lease_id == lease_id);
+        let keys: Vec<String> = leased.map(|(key, _)| key.clone()).collect();
+        drop(items);
+        for key in keys {
+            self.delete(&key);
+        }
+        true
+    }
+
+    /// Ends leases whose time is over.
+    fn expire_leases(&self) {
+        let now = Instant::now();
+        let leases = self.leases.borrow();
+        let ended = leases.iter().filter(|lease| lease.ends_at <= now).map(|lease| lease.id);
+        let ended: Vec<u64> = ended.collect();
+        drop(leases);
+        for lease_id in ended {
+            self.end_lease(lease_id);
         }
-        let event = Event { key: key.to_owned(), revision: self.next_revision(), item: None };
-        self.publish(event);
     }
 
     fn publish(&self, event: Event) {
@@ -139,12 +199,21 @@
             fault: Cell::new(StoreFault::None),
             era: Cell::new(1),
             leases: RefCell::default(),
+            call_count: Cell::new(0),
             list_count: Cell::new(0),
             watch_count: Cell::new(0),
             changed: Notify::new(),
         });
         let store = Self { address: listener.local_addr()?, state: Rc::clone(&state) };
 
+        let expiring = Rc::downgrade(&state);
+        actix_rt::spawn(async move {
+            while let Some(state) = expiring.upgrade() {
+                state.expire_leases();
+                drop(state);
+                tokio::time::sleep(EXPIRY_INTERVAL).await;
+            }
+        });
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let state = Rc::clone(&state);
@@ -168,6 +237,11 @@
         self.state.list_count.get()
     }
 
+    /// Returns how many calls of any kind arrived.
+    pub fn call_count(&self) -> u32 {
+        self.state.call_count.get()
+    }
+
     /// Returns how many watch calls arrived.
     pub fn watch_count(&self) -> u32 {
         self.state.watch_count.get()
@@ -196,16 +270,29 @@
 
     /// Ends all leases and deletes their items.
     pub fn end_leases(&self) {
-        self.state.leases.borrow_mut().clear();
-        let items = self.state.items.borrow();
-        let leased = items.iter().filter(|(_, item)| item.lease_id > 0);
-        let keys: Vec<String> = leased.map(|(key, _)| key.clone()).collect();
-        drop(items);
-        for key in keys {
-            self.state.delete(&key);
+        let leases: Vec<u64> = self.state.leases.borrow().iter().map(|lease| lease.id).collect();
+        for lease_id in leases {
+            self.state.end_lease(lease_id);
         }
     }
 
+    /// Ends the lease of an item, as if its time was over; returns whether there is one.
+    pub fn expire_lease_of(&self, key: &str) -> bool {
+        let lease_id = self.state.items.borrow().get(key).map(|item| item.lease_id);
+        lease_id.is_some_and(|lease_id| self.state.end_lease(lease_id))
+    }
+
+    /// Returns the bytes of an item; none when there is none.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        Some(self.state.items.borrow().get(key)?.value.clone())
+    }
+
+    /// Returns an item as JSON; null when there is none or it is not JSON.
+    pub fn json(&self, key: &str) -> Value {
+        let value = self.value(key).unwrap_or_default();
+        serde_json::from_slice(&value).unwrap_or_default()
+    }
+
     /// Returns the keys with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let items = self.state.items.borrow();
@@ -241,6 +328,7 @@
     state: Rc<State>,
     req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
+    state.call_count.set(state.call_count.get() + 1);
     let query = req.uri().query().unwrap_or_default().to_owned();
     match state.fault.get() {
         StoreFault::Unavailable => {
@@ -249,9 +337,10 @@
         StoreFault::Unresponsive => {
             std::future::pending::<()>().await;
         }
-        StoreFault::None => {}
+        StoreFault::None | StoreFault::WriteResponsesLost => {}
     }
 
+    let method = req.method().clone();
     let path = req.uri().path().to_owned();
     let request_body = req.into_body().collect().await.map(Collected::to_bytes).unwrap_or_default();
     let request_body: Value = serde_json::from_slice(&request_body).unwrap_or_default();
@@ -261,8 +350,15 @@
         "/api/kv-lease" => lease(&state, &request_body),
         "/api/kv-range" => (StatusCode::OK, range(&state, &query)),
         "/api/kv-watch" => watch(&state, &query).await,
-        _ => (StatusCode::NOT_FOUND, json!({})),
+        _ => match (method, path.rsplit_once('/')) {
+            (Method::POST, Some(("/api/kv-keep", id))) => renew_lease(&state, id),
+            (Method::DELETE, Some(("/api/kv-lease-end", id))) => end_lease(&state, id),
+            _ => (StatusCode::NOT_FOUND, json!({})),
+        },
     };
+    if path == "/api/kv-txn" && state.fault.get() == StoreFault::WriteResponsesLost {
+        std::future::pending::<()>().await;
+    }
     Ok(json_response(&state, status, &body))
 }
 
@@ -288,32 +384,63 @@
     }
 }
 
-/// Grants a lease; it holds until the test ends it.
+/// Grants a lease.
 fn lease(state: &State, body: &Value) -> (StatusCode, Value) {
+    let ttl = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or_default());
+    let id = state.next_revision();
+    state.leases.borrow_mut().push(Lease { id, ttl, ends_at: Instant::now() + ttl });
+    (StatusCode::OK, json!({"lease_id": id, "ttl_ms": body["ttl_ms"]}))
+}
+
+/// Renews a lease that holds.
+fn renew_lease(state: &State, id: &str) -> (StatusCode, Value) {
     let mut leases = state.leases.borrow_mut();
-    let lease_id = state.next_revision();
-    leases.push(lease_id);
-    (StatusCode::OK, json!({"lease_id": lease_id, "ttl_ms": body["ttl_ms"]}))
+    let lease = leases.iter_mut().find(|lease| lease.id.to_string() == id);
+    let Some(lease) = lease else { return (StatusCode::NOT_FOUND, json!({})) };
+    lease.ends_at = Instant::now() + lease.ttl;
+    (StatusCode::OK, json!({"lease_id": lease.id, "ttl_ms": lease.ttl.as_millis() as u64}))
 }
 
-/// Executes a transaction if its conditions hold.
+/// Ends a lease and deletes its items.
+fn end_lease(state: &State, id: &str) -> (StatusCode, Value) {
+    let has_ended = id.parse().is_ok_and(|lease_id| state.end_lease(lease_id));
+    let status = if has_ended { StatusCode::OK } else { StatusCode::NOT_FOUND };
+    (status, json!({}))
+}
+
+/// Executes a transaction if its conditions hold, at one revision.
 fn transact(state: &State, body: &Value) -> (StatusCode, Value) {
     let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
     let key = |row: &Value| row["key"].as_str().unwrap_or_default().to_owned();
     let current = |key: &str| state.items.borrow().get(key).map_or(0, |item| item.revision);
+    let removals: Vec<String> = rows("removals").iter().filter_map(text).collect();
+    let written = rows("write").iter().map(key).collect::<Vec<_>>();
+    let is_foreign = |key: &String| FOREIGN_PREFIXES.iter().any(|prefix| key.starts_with(prefix));
+    if written.iter().chain(&removals).any(is_foreign) {
+        return (StatusCode::FORBIDDEN, json!({}));
+    }
     if rows("expected_revision").iter().any(|row| row["revision"] != current(&key(row))) {
         return (StatusCode::PRECONDITION_FAILED, json!({"entries": []}));
     }
     let lease_id = |row: &Value| row["lease_id"].as_u64().unwrap_or_default();
-    let holds = |row: &Value| lease_id(row) == 0 || state.leases.borrow().contains(&lease_id(row));
+    let holds = |row: &Value| lease_id(row) == 0 || state.holds(lease_id(row));
     if !rows("write").iter().all(holds) {
         return (StatusCode::NOT_FOUND, json!({}));
     }
+    let revision = state.next_revision();
     for row in rows("write") {
         let value = STANDARD.decode(row["value"].as_str().unwrap_or_default()).unwrap_or_default();
-        state.put(&key(&row), &value, lease_id(&row));
+        state.put_at(revision, &key(&row), &value, lease_id(&row));
+    }
+    for key in removals {
+        state.delete_at(revision, &key);
     }
-    (StatusCode::OK, json!({"revision": state.revision.get()}))
+    (StatusCode::OK, json!({"revision": revision}))
+}
+
+/// Returns the text of a JSON string.
+fn text(value: &Value) -> Option<String> {
+    value.as_str().map(str::to_owned)
 }
 
 /// Returns a page of the keys with the prefix, after the key of the previous page.
--- a/sapphirespur_standin/src/users_platform/mod.rs
+++ b/sapphirespur_standin/src/users_platform/mod.rs
@@ -8,9 +8,12 @@
 mod metadata_store;
 mod received_request;
 mod runner;
+mod running_request;
+mod version_fault;
 
 pub use behaviour::Behaviour;
 pub use endless_part::EndlessPart;
 pub use metadata_store::{MetadataStore, StoreCopy, StoreFault};
 pub use received_request::ReceivedRequest;
 pub use runner::Runner;
+pub use version_fault::VersionFault;
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -15,6 +15,8 @@
 
 use super::behaviour::Behaviour;
 use super::received_request::ReceivedRequest;
+use super::running_request::RunningRequest;
+use super::version_fault::VersionFault;
 
 /// Maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -28,6 +30,15 @@
     id: String,
     version: RefCell<String>,
     behaviour: Cell<Behaviour>,
+    fault: Cell<VersionFault>,
+    /// Pauses before a plain response, and before each event of a stream.
+    pace: Cell<(Duration, Duration)>,
+    /// Requests that are running.
+    running: Rc<Cell<usize>>,
+    /// Requests that came since the fault was set.
+    fault_index: Cell<u32>,
+    /// Requests that got a signed 500 from the fault, or were slowed.
+    bad_responses: Cell<u32>,
     requests: RefCell<Vec<ReceivedRequest>>,
     client_disconnects: Cell<u32>,
     /// Tasks that accept and serve connections; ended by a crash.
@@ -44,6 +55,20 @@
         }
     }
 
+    /// Returns the fault that concerns the next request; [`VersionFault::NONE`] when none does.
+    fn next_fault(&self, request: &ReceivedRequest) -> (VersionFault, bool) {
+        let (fault, index) = (self.fault.get(), self.fault_index.get());
+        self.fault_index.set(index + 1);
+        if fault == VersionFault::NONE || !fault.concerns(request, index) {
+            return (VersionFault::NONE, false);
+        }
+        let fails = fault.fails(index);
+        if fails || fault.slow_factor > 1 {
+            self.bad_responses.set(self.bad_responses.get() + 1);
+        }
+        (fault, fails)
+    }
+
     /// Returns whether the runner crashes under a request.
     fn crashes_under(&self, request: &ReceivedRequest) -> bool {
         let Behaviour::CrashOn(harmful) = self.behaviour.get() else { return false };
@@ -78,6 +103,11 @@
             id: id.to_owned(),
             version: RefCell::new("v1".to_owned()),
             behaviour: Cell::new(Behaviour::Normal),
+            fault: Cell::new(VersionFault::NONE),
+            pace: Cell::default(),
+            running: Rc::default(),
+            fault_index: Cell::new(0),
+            bad_responses: Cell::new(0),
             requests: RefCell::default(),
             client_disconnects: Cell::new(0),
             tasks: RefCell::default(),
@@ -126,6 +156,34 @@
         self.state.behaviour.set(behaviour);
     }
 
+    /// Sets the fault of its software version, for requests that come from now on.
+    pub fn set_fault(&self, fault: VersionFault) {
+        self.state.fault.set(fault);
+        self.state.fault_index.set(0);
+    }
+
+    /// Sets the pauses before a plain response, and before each event of a stream.
+    pub fn set_pace(&self, before_response: Duration, before_event: Duration) {
+        self.state.pace.set((before_response, before_event));
+    }
+
+    /// Stops at once, like a process that is killed. Returns how many requests were running.
+    pub fn stop(&self) -> usize {
+        let running = self.running_count();
+        self.state.crash();
+        running
+    }
+
+    /// Returns how many requests are running.
+    pub fn running_count(&self) -> usize {
+        self.state.running.get()
+    }
+
+    /// Returns how many responses the fault of its version has made bad.
+    pub fn bad_responses(&self) -> u32 {
+        self.state.bad_responses.get()
+    }
+
     /// Returns the requests that it received, oldest first.
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.state.requests.borrow().clone()
@@ -172,6 +230,7 @@
             return Ok(());
         }
         state.requests.borrow_mut().push(request.clone());
+        let _running = RunningRequest::begin(&state.running);
         let keep_alive = respond(state, &mut stream, &request).await.inspect_err(|_| {
             state.client_disconnects.set(state.client_disconnects.get() + 1);
         })?;
@@ -246,6 +305,11 @@
     };
     let signed = format!("{id_header}{stated}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
     let is_stream = request.line.contains("/stream/");
+    let (fault, fails) = state.next_fault(request);
+    let (before_response, before_event) = state.pace.get();
+    if !is_stream && !before_response.is_zero() {
+        tokio::time::sleep(before_response * fault.slow_factor).await;
+    }
     match state.behaviour.get() {
         Behaviour::Full => {
             let headers = format!("{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\n");
@@ -271,6 +335,10 @@
             write_response(stream, "421 Misdirected Request", &id_header, "").await?;
             Ok(true)
         }
+        _ if fails => {
+            write_response(stream, "500 Internal Server Error", &signed, "failed").await?;
+            Ok(true)
+        }
         Behaviour::ServerError => {
             write_response(stream, "500 Internal Server Error", &signed, "failed").await?;
             Ok(true)
@@ -330,7 +398,10 @@
             stream.write_all(text.as_bytes()).await?;
             Ok(false)
         }
-        _ if is_stream => write_event_stream(state, stream, request, &signed).await,
+        _ if is_stream => {
+            let pause = before_event * fault.slow_factor;
+            write_event_stream(state, stream, request, &signed, pause).await
+        }
         _ => {
             write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
             Ok(true)
@@ -368,12 +439,13 @@
     stream.write_all(text.as_bytes()).await
 }
 
-/// Writes the events after the client's `Last-Event-ID`; returns whether the connection stays open.
+/// Writes the events after the client's `Last-Event-ID`, each after a pause; returns whether the connection stays open.
 async fn write_event_stream(
     state: &State,
     stream: &mut TcpStream,
     request: &ReceivedRequest,
     signed: &str,
+    pause: Duration,
 ) -> io::Result<bool> {
     let is_framed = !matches!(
         state.behaviour.get(),
@@ -398,6 +470,9 @@
         _ => Runner::EVENTS_PER_STREAM,
     };
     for id in last_received + 1..=last_event {
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         match state.behaviour.get() {
             Behaviour::CloseAfter(count) if id > count => {
                 write_chunk(stream, &format!("id: {id}\nda")).await?;
