Roll-outs: a router that is to stop gives up the lead

Cause: a leader that drains would let its lease expire, and its successor wait for two seconds.

Change: the keeper ends the lease once the process is to stop, and makes no further calls.

--- a/sapphirespur_node/src/edge/rollout_keeper.rs
+++ b/sapphirespur_node/src/edge/rollout_keeper.rs
@@ -15,7 +15,7 @@
 use super::registry::RegistryError;
 use super::rollout_keys::{leader_key, rollout_key};
 use super::rollout_log::{self, LeaveReason};
-use super::shared::Shared;
+use super::shared::{Phase, Shared};
 
 /// Interval between two passes over the calls that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -64,23 +64,37 @@
     loop {
         keeper.log_notices();
         keeper.check_lease();
+        keeper.leave_if_stopping().await;
         keeper.perform_due().await;
         tokio::time::sleep(keeper.pause()).await;
     }
 }
 
 impl<S: RecordStore> RolloutKeeper<S> {
+    /// Returns whether the process is to stop, and leaves the lead to another router.
+    fn is_stopping(&self) -> bool {
+        self.cx.phase.get() != Phase::Serving
+    }
+
+    /// Ends the lease of a process that is to stop, so that another router leads at once.
+    async fn leave_if_stopping(&mut self) {
+        if let Some(lease) = self.lease.filter(|_| self.is_stopping()) {
+            self.perform(&RolloutDuty::Release { lease: lease.id }).await;
+        }
+    }
+
     /// Returns the calls that are due.
     fn due(&self) -> Vec<RolloutDuty> {
         let cx = &self.cx;
-        let is_usable = !cx.is_registry_failing() && cx.is_registry_fresh();
+        let is_usable = !cx.is_registry_failing() && cx.is_registry_fresh() && !self.is_stopping();
         cx.router.borrow_mut().rollout_duties(cx.now(), is_usable)
     }
 
     /// Performs the calls that are due. Once the store does not answer one, the rest of them counts as
-    /// failed without a call, so that a renewal is not delayed by them.
+    /// failed without a call, so that a renewal is not delayed by them. A process that is to stop makes
+    /// none.
     async fn perform_due(&mut self) {
-        let mut answers = true;
+        let mut answers = !self.is_stopping();
         for duty in self.due() {
             if answers {
                 answers = self.perform(&duty).await;
