--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -105,9 +105,9 @@
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
-pub(crate) use rollout::EvidenceKey;
+pub(crate) use rollout::{DutyView, EvidenceKey, Fallback, VersionChoice, VersionPlan};
 pub use rollout::{
-    RolloutDuty, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder, RolloutPhase,
+    Judged, RolloutDuty, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder, RolloutPhase,
     RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot, RolloutState,
     RolloutSummary, RolloutVerdict, Rollouts,
 };
--- a/sapphirespur_core/src/edge/rollout/evidence.rs
+++ b/sapphirespur_core/src/edge/rollout/evidence.rs
@@ -39,7 +39,7 @@
 
 impl RolloutEvidence {
     /// Largest count of requests that a report may state.
-    const MAX_COUNT: u32 = 100_000_000;
+    const MAX_COUNT: u32 = 8_000_000;
 
     /// Returns a row without requests.
     pub fn empty(rollout: u32, route: u32, role: RolloutRole, upstream: u32) -> Self {
--- a/sapphirespur_core/src/edge/rollout/mod.rs
+++ b/sapphirespur_core/src/edge/rollout/mod.rs
@@ -4,31 +4,56 @@
 //! [`Rollouts`] holds all roll-outs at one router. The design and the error rates are in
 //! `docs/design/rollouts.md`.
 
+mod counts;
+mod credit;
+mod decision;
 mod duty;
 mod evidence;
+mod fault;
+mod hypotheses;
+mod judge;
+mod judged;
+mod known_order;
+mod leader_view;
+mod leadership;
+mod measure;
 mod notice;
 mod order;
 mod phase;
 mod reason;
 mod record;
+mod reference;
 mod rollouts;
+mod samples;
+mod seen;
+mod sequential_test;
+mod service_rollout;
+mod service_view;
 mod settings;
 mod snapshot;
 mod state;
+mod stored_record;
 mod summary;
+mod tally;
 mod verdict;
+mod version_choice;
+mod version_plan;
 
 pub use duty::RolloutDuty;
 pub(crate) use evidence::EvidenceKey;
 pub use evidence::{RolloutEvidence, RolloutRole};
+pub use judged::Judged;
 pub use notice::{RolloutEvent, RolloutNotice};
 pub use order::RolloutOrder;
 pub use phase::RolloutPhase;
 pub use reason::RolloutReason;
 pub use record::RolloutRecord;
+pub(crate) use rollouts::DutyView;
 pub use rollouts::Rollouts;
 pub use settings::RolloutSettings;
 pub use snapshot::RolloutSnapshot;
 pub use state::RolloutState;
 pub use summary::RolloutSummary;
 pub use verdict::RolloutVerdict;
+pub(crate) use version_choice::VersionChoice;
+pub(crate) use version_plan::{Fallback, VersionPlan};
--- a/sapphirespur_core/src/edge/rollout/rollouts.rs
+++ b/sapphirespur_core/src/edge/rollout/rollouts.rs
@@ -1,25 +1,100 @@
 //! All roll-outs at one router.
 
+use std::time::Duration;
+
 use crate::collections::{HashMap, HashSet};
+use crate::edge::rollout::fault::Fault;
+use crate::edge::rollout::known_order::KnownOrder;
+use crate::edge::rollout::leader_view::LeaderView;
+use crate::edge::rollout::leadership::Leadership;
+use crate::edge::rollout::measure::Measure;
+use crate::edge::rollout::service_rollout::ServiceRollout;
+use crate::edge::rollout::service_view::ServiceView;
+use crate::edge::rollout::version_plan::VersionPlan;
 use crate::edge::{
-    RolloutDuty, RolloutNotice, RolloutOrder, RolloutRecord, RolloutSettings, RolloutSnapshot,
-    RolloutSummary,
+    CallInfo, InFlightRequest, Judged, RegistryState, RolloutDuty, RolloutEvent, RolloutEvidence,
+    RolloutNotice, RolloutOrder, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot,
+    RolloutSummary, SendOutcome, Shares,
 };
 use crate::name::Name;
 use crate::time::Time;
 
+/// Inputs of the calls to the store that are due.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DutyView<'a> {
+    /// Name of this router.
+    pub router: &'a Name,
+    /// State of the registry.
+    pub registry: &'a RegistryState,
+    /// Number of routers that precede this one as leaders.
+    pub rank: usize,
+    /// Number of other routers.
+    pub routers: usize,
+    /// Age up to which reports may lack the work of other routers.
+    pub lag: Duration,
+    /// Whether the settle time after the start of this router is over.
+    pub is_settled: bool,
+    /// Whether the store responds in time and without errors.
+    pub is_store_usable: bool,
+}
+
+impl<'a> DutyView<'a> {
+    fn leader_view(
+        &self,
+        now: Time,
+        fencing: u64,
+        era: u64,
+        is_restored: bool,
+        service: &'a Name,
+    ) -> LeaderView<'a> {
+        LeaderView {
+            now,
+            router: self.router,
+            fencing,
+            era,
+            is_restored,
+            routers: self.routers,
+            lag: self.lag,
+            service: ServiceView { registry: self.registry, service },
+        }
+    }
+}
+
 /// Orders, records and evidence of all services, and this router's part in leading them.
 #[derive(Debug)]
 pub struct Rollouts {
     settings: Option<RolloutSettings>,
-    orders: HashMap<Name, RolloutOrder>,
-    records: HashMap<Name, (RolloutRecord, u64)>,
+    services: HashMap<Name, ServiceRollout>,
+    leadership: Leadership,
+    /// Era of the store.
+    era: Option<u64>,
+    /// When this router first knew that the era had begun.
+    era_since: Time,
 }
 
 impl Rollouts {
+    /// Time after a restore of the store, or after this router heard of it, within which an order that
+    /// is written again with the same content is the same order.
+    const RESTORE_TIME: Duration = Duration::from_secs(30);
+
+    /// Events of a stream after which its interval between events is judged.
+    const INTERVAL_EVENTS: u32 = 8;
+
+    /// Fewest events of a stream that has ended for a judgement of their interval.
+    const MIN_INTERVAL_EVENTS: u32 = 3;
+
+    /// Time to the first event without prefill to which times are adjusted, in milliseconds.
+    const BASE_MS: f64 = 20.0;
+
     /// Creates the state of a router without orders; without settings, nothing takes effect.
     pub fn new(settings: Option<RolloutSettings>) -> Self {
-        Self { settings, orders: HashMap::default(), records: HashMap::default() }
+        Self {
+            settings,
+            services: HashMap::default(),
+            leadership: Leadership::default(),
+            era: None,
+            era_since: Time::default(),
+        }
     }
 
     /// Returns whether roll-outs are on.
@@ -27,45 +102,85 @@
         self.settings.is_some()
     }
 
+    /// Replaces the settings; they apply to services that have had no request and no order yet.
+    pub(crate) fn update_settings(&mut self, settings: Option<RolloutSettings>) {
+        self.settings = settings;
+    }
+
+    /// Returns the state of a service, which is created if roll-outs are on.
+    fn service(&mut self, service: &Name) -> Option<&mut ServiceRollout> {
+        let settings = self.settings.as_ref()?;
+        if !self.services.contains_key(service) {
+            let created = ServiceRollout::new(service.clone(), settings);
+            self.services.insert(service.clone(), created);
+        }
+        self.services.get_mut(service)
+    }
+
     /// Applies an order as written to the store.
     pub fn apply_order(&mut self, now: Time, order: RolloutOrder) {
-        let _ = now;
-        if self.is_on() {
-            self.orders.insert(order.service.clone(), order);
+        if let Some(service) = self.service(&order.service) {
+            service.apply_order(now, order);
         }
     }
 
     /// Records that an order was deleted.
     pub fn remove_order(&mut self, now: Time, service: &Name) {
-        let _ = now;
-        self.orders.remove(service);
+        if let Some(known) =
+            self.services.get_mut(service).and_then(|rollout| rollout.order.as_mut())
+        {
+            known.on_removed(now);
+        }
     }
 
     /// Records that the bytes of an order cannot be decoded; an order that they replaced is gone.
     pub fn reject_order(&mut self, now: Time, service: &Name) {
+        if let Some(rollout) = self.service(service) {
+            rollout.notify(now, RolloutEvent::OrderLost);
+        }
         self.remove_order(now, service);
     }
 
     /// Applies a record as written to the store, with the revision of its item.
     pub fn apply_record(&mut self, now: Time, record: RolloutRecord, revision: u64) {
-        let _ = now;
-        if self.is_on() {
-            self.records.insert(record.service.clone(), (record, revision));
+        let is_leader = self.is_leader(now);
+        let Some(service) = self.service(&record.service) else { return };
+        if service.store.is_outdated(now, &record, revision) {
+            return;
+        }
+        // The first record that this router reads may be old.
+        let is_change = service.store.record.as_ref().is_some_and(|known| *known != record);
+        service.store.set(Some((record.clone(), revision)));
+        service.adopt(now, record);
+        if is_change && !is_leader {
+            self.leadership.on_heard(now);
         }
     }
 
     /// Records which services have an order and a record in a listing of the store; the others were
     /// removed, or are missing in a restored copy.
     pub fn on_listed(&mut self, now: Time, orders: &HashSet<Name>, records: &HashSet<Name>) {
-        let _ = (now, records);
-        self.orders.retain(|service, _| orders.contains(service));
+        for (name, service) in &mut self.services {
+            if !orders.contains(name)
+                && let Some(known) = &mut service.order
+            {
+                known.on_removed(now);
+            }
+            if !records.contains(name) {
+                service.store.set(None);
+            }
+        }
     }
 
     /// Returns the orders and records for routers that cannot reach the store.
     pub fn snapshot(&self) -> RolloutSnapshot {
+        let services = self.services.values();
+        let orders = services.clone().filter_map(|rollout| rollout.order.as_ref());
+        let record =
+            |rollout: &ServiceRollout| Some((rollout.record.clone()?, rollout.store.revision));
         RolloutSnapshot {
-            orders: self.orders.values().cloned().collect(),
-            records: self.records.values().cloned().collect(),
+            orders: orders.map(|known| known.order.clone()).collect(),
+            records: services.filter_map(record).collect(),
         }
     }
 
@@ -81,55 +196,331 @@
 
     /// Returns what happened since the last call, for log lines.
     pub fn take_notices(&mut self) -> Vec<RolloutNotice> {
-        Vec::new()
+        self.services.values_mut().flat_map(ServiceRollout::take_notices).collect()
     }
 
     /// Returns the roll-outs for the status and the metrics.
     pub fn summaries(&self, now: Time) -> Vec<RolloutSummary> {
-        let _ = now;
-        Vec::new()
+        self.services.values().filter_map(|rollout| rollout.summary(now)).collect()
+    }
+
+    /// Returns where a request may go.
+    pub(crate) fn plan(&self, now: Time, call: &CallInfo, registry: &RegistryState) -> VersionPlan {
+        let view = ServiceView { registry, service: &call.service };
+        let rollout = self.services.get(&call.service);
+        rollout.map(|rollout| rollout.plan(now, call, view)).unwrap_or_default()
+    }
+
+    /// Returns whether a stream cannot go on, because its version was withdrawn or replaced.
+    pub(crate) fn is_gone(&self, call: &CallInfo) -> bool {
+        let rollout = self.services.get(&call.service);
+        let version = call.version.as_ref().filter(|_| call.goes_on);
+        rollout.zip(version).is_some_and(|(rollout, version)| rollout.is_gone(version))
+    }
+
+    /// Returns whether a request that was placed before may still go to its version.
+    pub(crate) fn allows(&self, now: Time, request: &InFlightRequest) -> bool {
+        let rollout = self.services.get(&request.service);
+        rollout.is_none_or(|rollout| rollout.allows(now, &request.version))
+    }
+
+    /// Records a request that is sent. Returns the hash of the roll-out that is running for it; zero
+    /// without one.
+    pub(crate) fn on_sent(
+        &mut self,
+        now: Time,
+        service: &Name,
+        version: &Name,
+        route: &Name,
+    ) -> u32 {
+        self.service(service).map_or(0, |rollout| rollout.on_sent(now, version, route))
+    }
+
+    /// Records the first event of a response; `prefill_ms` is the time that its prompt and those before
+    /// it are expected to take.
+    pub(crate) fn on_first_event(
+        &mut self,
+        now: Time,
+        request: &mut InFlightRequest,
+        prefill_ms: f64,
+    ) {
+        let Some((rollout, role)) = self.find(request) else { return };
+        let delay_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
+        let adjusted = delay_ms * Self::BASE_MS / (Self::BASE_MS + prefill_ms);
+        rollout.judge_time(now, request, role, Measure::FirstEvent, adjusted);
+    }
+
+    /// Records events of a stream, which the request counts already.
+    pub(crate) fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
+        let is_due = request.events >= Self::INTERVAL_EVENTS
+            && request.events.saturating_sub(count) < Self::INTERVAL_EVENTS;
+        if !is_due {
+            return;
+        }
+        let Some((rollout, role)) = self.find(request) else { return };
+        if let Some(interval_ms) = interval_ms(request) {
+            rollout.judge_time(now, request, role, Measure::Interval, interval_ms);
+        }
+        if request.judged == Judged::Open {
+            request.judged = rollout.tally.on_fine(request, role);
+        }
+    }
+
+    /// Records the end of a request.
+    pub(crate) fn on_end(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
+        if let Some(rollout) = self.services.get_mut(&request.service) {
+            rollout.on_end(now, request);
+        }
+        let Some((rollout, role)) = self.find(request) else { return };
+        if request.judged == Judged::Bad {
+            return;
+        }
+        let mut request = request.clone();
+        match outcome {
+            SendOutcome::Answered => {
+                rollout.judge_end(now, &mut request, role);
+                rollout.tally.on_fine(&request, role);
+            }
+            SendOutcome::Failed => {
+                rollout.tally.on_fault(now, &request, role, Fault::Failed);
+            }
+            SendOutcome::Broken | SendOutcome::Disconnected => {
+                rollout.tally.on_fault(now, &request, role, Fault::Lost);
+            }
+            SendOutcome::NoResponse => {
+                rollout.tally.on_fault(now, &request, role, Fault::Slow);
+            }
+            SendOutcome::Abandoned
+            | SendOutcome::Misdirected
+            | SendOutcome::Paused
+            | SendOutcome::Rejected
+            | SendOutcome::Withdrawn => {}
+        }
+    }
+
+    fn find(&mut self, request: &InFlightRequest) -> Option<(&mut ServiceRollout, RolloutRole)> {
+        if request.rollout == 0 {
+            return None;
+        }
+        let rollout = self.services.get_mut(&request.service)?;
+        let role = rollout.role(request)?;
+        Some((rollout, role))
+    }
+
+    /// Returns the rows to report to the other routers.
+    pub(crate) fn evidence(&self) -> Vec<RolloutEvidence> {
+        self.services.values().flat_map(ServiceRollout::rows).collect()
+    }
+
+    /// Takes the sums over the other routers into account, and the era of the store.
+    pub(crate) fn observe(
+        &mut self,
+        now: Time,
+        others: &[RolloutEvidence],
+        registry: &RegistryState,
+    ) {
+        if !self.is_on() {
+            return;
+        }
+        self.observe_era(now, registry.version().era);
+        for (name, rollout) in &mut self.services {
+            rollout.observe(now, others, ServiceView { registry, service: name });
+        }
+    }
+
+    fn observe_era(&mut self, now: Time, era: u64) {
+        if self.era == Some(era) {
+            return;
+        }
+        let is_restored = self.era.is_some_and(|known| known < era);
+        self.era = Some(era);
+        self.era_since = now;
+        if is_restored {
+            self.on_restored(now);
+        }
+    }
+
+    /// Records that the store was restored from an older copy: the lease is gone, and the copy may lack
+    /// orders and records.
+    fn on_restored(&mut self, now: Time) {
+        self.leadership.lose(now);
+        for rollout in self.services.values_mut() {
+            rollout.store.is_doubtful = true;
+            if let Some(known) = &mut rollout.order {
+                known.on_restored(now);
+            }
+        }
+    }
+
+    /// Returns the calls to the store that are due.
+    pub(crate) fn duties(&mut self, now: Time, view: DutyView<'_>) -> Vec<RolloutDuty> {
+        if !self.is_on() {
+            return Vec::new();
+        }
+        let lease = self.leadership.lease(now);
+        let fencing = lease.map_or(0, |lease| lease.revision);
+        let (era, is_restored) = self.era(now);
+        let mut services = self.services.iter();
+        let has_work = services.any(|(name, rollout)| {
+            rollout.needs_leader(&view.leader_view(now, fencing, era, is_restored, name))
+        });
+        let leadership = &mut self.leadership;
+        let due = leadership.duty(now, has_work, view.rank, view.is_store_usable, view.is_settled);
+        let mut duties: Vec<RolloutDuty> = due.into_iter().collect();
+        if lease.is_some() && view.is_store_usable {
+            for (name, rollout) in &mut self.services {
+                let cx = view.leader_view(now, fencing, era, is_restored, name);
+                duties.extend(rollout.duty(&cx));
+            }
+        }
+        duties
+    }
+
+    fn era(&self, now: Time) -> (u64, bool) {
+        (self.era.unwrap_or_default(), now.since(self.era_since) < Self::RESTORE_TIME)
+    }
+
+    /// Returns whether this router leads the roll-outs.
+    pub fn is_leader(&self, now: Time) -> bool {
+        self.leadership.lease(now).is_some()
     }
 
     /// Records who leads, as read from the store, with the revision of the leader's item; none without
     /// a leader.
     pub fn on_leader_read(&mut self, now: Time, leader: Option<(Name, u64)>) {
-        let _ = (now, leader);
+        self.leadership.on_read(now, leader.map(|(_, revision)| revision));
     }
 
     /// Records that this router leads since a call that began at `asked_at`.
     pub fn on_acquired(&mut self, asked_at: Time, lease: u64, revision: u64) {
-        let _ = (asked_at, lease, revision);
+        self.leadership.on_acquired(asked_at, lease, revision);
+        // What an earlier leader wrote last may not have been heard yet.
+        for rollout in self.services.values_mut() {
+            rollout.store.is_doubtful = true;
+            rollout.store.written_at = None;
+        }
     }
 
     /// Records that the lease was renewed by a call that began at `asked_at`.
     pub fn on_renewed(&mut self, asked_at: Time) {
-        let _ = asked_at;
+        self.leadership.on_renewed(asked_at);
     }
 
     /// Records that the lease was given up.
     pub fn on_released(&mut self, now: Time) {
-        let _ = now;
+        self.leadership.on_released(now);
     }
 
     /// Records that a record was written, with the new revision of its item.
     pub fn on_written(&mut self, now: Time, service: &Name, revision: u64) {
-        let _ = (now, service, revision);
+        let Some(rollout) = self.services.get_mut(service) else { return };
+        rollout.store.is_pending = false;
+        if let Some(record) = rollout.store.sent.take() {
+            rollout.on_stored(now, record, revision);
+        }
     }
 
     /// Records the record of a service as read from the store, with the revision of its item; none
     /// without a record.
     pub fn on_read(&mut self, now: Time, service: &Name, item: Option<(RolloutRecord, u64)>) {
-        let _ = (now, service, item);
+        let Some(rollout) = self.services.get_mut(service) else { return };
+        rollout.store.is_pending = false;
+        rollout.store.is_doubtful = false;
+        let sent = rollout.store.sent.take();
+        match item {
+            Some((record, revision)) if sent.as_ref() == Some(&record) => {
+                rollout.on_stored(now, record, revision);
+            }
+            Some((record, revision)) => {
+                rollout.store.set(Some((record.clone(), revision)));
+                rollout.adopt(now, record);
+            }
+            None => rollout.store.set(None),
+        }
     }
 
     /// Records that the store refused a duty, because a revision was not as expected or the lease is
     /// gone.
     pub fn on_conflict(&mut self, now: Time, duty: &RolloutDuty) {
-        let _ = (now, duty);
+        self.on_undone(duty);
+        match duty {
+            RolloutDuty::Write { .. } => self.leadership.on_doubt(),
+            RolloutDuty::Read { .. } => {}
+            _ => self.leadership.on_refused(now, duty),
+        }
     }
 
     /// Records that it is unknown whether a duty was done: the store did not respond, or with an error.
     pub fn on_failed(&mut self, now: Time, duty: &RolloutDuty) {
-        let _ = (now, duty);
+        self.on_undone(duty);
+        match duty {
+            RolloutDuty::Renew { .. } => self.leadership.on_renewal_failed(),
+            RolloutDuty::Write { .. } | RolloutDuty::Read { .. } => {}
+            _ => self.leadership.on_refused(now, duty),
+        }
+    }
+
+    /// Has the record of a service read before its next write.
+    fn on_undone(&mut self, duty: &RolloutDuty) {
+        let service = match duty {
+            RolloutDuty::Write { record, .. } => &record.service,
+            RolloutDuty::Read { service } => service,
+            _ => return,
+        };
+        if let Some(rollout) = self.services.get_mut(service) {
+            rollout.store.is_pending = false;
+            rollout.store.is_doubtful = true;
+        }
+    }
+}
+
+impl ServiceRollout {
+    fn apply_order(&mut self, now: Time, order: RolloutOrder) {
+        match &mut self.order {
+            Some(known) => known.update(now, order),
+            None => self.order = Some(KnownOrder::new(now, order)),
+        }
     }
+
+    /// Records that the store has a record of this leader.
+    fn on_stored(&mut self, now: Time, record: RolloutRecord, revision: u64) {
+        self.store.written_at = Some(now);
+        self.store.set(Some((record.clone(), revision)));
+        self.adopt(now, record);
+    }
+
+    /// Judges a time of a response.
+    fn judge_time(
+        &mut self,
+        now: Time,
+        request: &mut InFlightRequest,
+        role: RolloutRole,
+        measure: Measure,
+        ms: f64,
+    ) {
+        let route = Shares::name_hash(&request.route);
+        if self.tally.is_slow(route, role, measure, ms) && request.judged != Judged::Bad {
+            request.judged = self.tally.on_fault(now, request, role, Fault::Slow);
+        }
+    }
+
+    /// Judges the times of a response that has ended well.
+    fn judge_end(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
+        if request.events <= 1 {
+            let total_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
+            self.judge_time(now, request, role, Measure::Total, total_ms);
+        } else if (Rollouts::MIN_INTERVAL_EVENTS..Rollouts::INTERVAL_EVENTS)
+            .contains(&request.events)
+            && let Some(interval_ms) = interval_ms(request)
+        {
+            self.judge_time(now, request, role, Measure::Interval, interval_ms);
+        }
+    }
+}
+
+/// Returns the mean interval between the events of a response, in milliseconds.
+fn interval_ms(request: &InFlightRequest) -> Option<f64> {
+    let span = request.last_event_at.since(request.first_event_at?);
+    let intervals = request.events.checked_sub(1).filter(|count| *count > 0)?;
+    Some(span.as_secs_f64() * 1_000.0 / f64::from(intervals))
 }
--- /dev/null
+++ b/sapphirespur_core/src/edge/rollout/service_rollout.rs
@@ -0,0 +1,475 @@
+//! Roll-out of one service at one router.
+
+use std::time::Duration;
+
+use crate::collections::{HashMap, HashSet};
+use crate::edge::rollout::credit::Credit;
+use crate::edge::rollout::judge::{CONTROL_ROUTE, Judge};
+use crate::edge::rollout::known_order::KnownOrder;
+use crate::edge::rollout::service_view::ServiceView;
+use crate::edge::rollout::stored_record::StoredRecord;
+use crate::edge::rollout::tally::Tally;
+use crate::edge::rollout::version_plan::{Fallback, VersionPlan};
+use crate::edge::{
+    CallInfo, InFlightRequest, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSummary,
+    RolloutVerdict, Shares, VersionChoice,
+};
+use crate::hash::stable_hash;
+use crate::name::Name;
+use crate::time::Time;
+
+/// Time without a change of the requests sent to old versions.
+#[derive(Clone, Copy, Debug)]
+struct Quiet {
+    sent: u32,
+    since: Time,
+}
+
+/// Roll-out of one service: its order, record and evidence, and the requests that are running.
+#[derive(Debug)]
+pub(super) struct ServiceRollout {
+    pub service: Name,
+    pub order: Option<KnownOrder>,
+    /// Newest record that this router knows; the store may have an older one.
+    pub record: Option<RolloutRecord>,
+    /// Time since the begin as of a moment.
+    pub elapsed: (Duration, Time),
+    pub store: StoredRecord,
+    pub judge: Judge,
+    pub tally: Tally,
+    /// Part of the requests that go to the target as a canary.
+    canary_part: f64,
+    credit: Credit,
+    /// Credit at the begin of the shift.
+    ramp: Credit,
+    /// Since when this router has known that the traffic shifts.
+    shifting_since: Option<Time>,
+    /// Requests that are running, by version.
+    in_flight: HashMap<Name, u32>,
+    /// Longest time that a request at an old version took.
+    pub longest: Duration,
+    /// Sums of the other routers' control rows, and since when no request is at an old version.
+    others: RolloutEvidence,
+    quiet: Option<Quiet>,
+    /// Requests that the other routers have sent to the target.
+    others_sent: u32,
+    notices: Vec<RolloutNotice>,
+}
+
+impl ServiceRollout {
+    /// Part of the allowed share that the target gets as a canary; the rest is for retries and for
+    /// streams that go on.
+    const CANARY_FRACTION: f64 = 0.8;
+
+    /// Part of the requests that the target gets at the begin of the shift, and for how long. A version
+    /// that is bad under load shows it here, on as many upstreams as carry the part as the old ones did.
+    const RAMP_FRACTION: f64 = 0.4;
+
+    /// Time for which only a part of the requests is shifted.
+    pub const RAMP_TIME: Duration = Duration::from_millis(1_500);
+
+    /// Fewest upstreams that canary requests go to.
+    const MIN_SUBSET: usize = 2;
+
+    /// Credit that is left to routes with too few responses for a verdict.
+    const NEEDY_RESERVE: f64 = 1.0;
+
+    /// Time without a request at an old version, beyond the age of the reports, after which none
+    /// follows.
+    const QUIET_TIME: Duration = Duration::from_secs(1);
+
+    /// Creates the state of a service without order and record.
+    pub fn new(service: Name, settings: &RolloutSettings) -> Self {
+        Self {
+            service,
+            order: None,
+            record: None,
+            elapsed: (Duration::ZERO, Time::default()),
+            store: StoredRecord::default(),
+            judge: Judge::default(),
+            tally: Tally::default(),
+            canary_part: settings.share * Self::CANARY_FRACTION,
+            credit: Credit::default(),
+            ramp: Credit::default(),
+            shifting_since: None,
+            in_flight: HashMap::default(),
+            longest: Duration::ZERO,
+            others: Self::control_row(0),
+            quiet: None,
+            others_sent: 0,
+            notices: Vec::new(),
+        }
+    }
+
+    /// Returns the hash that identifies a roll-out in reports.
+    fn rollout_key(record: &RolloutRecord) -> u32 {
+        let RolloutRecord { service, target, attempt, .. } = record;
+        let parts = [service.as_str().as_bytes(), target.as_str().as_bytes()];
+        stable_hash(&[parts[0], parts[1], &attempt.to_le_bytes()]) as u32
+    }
+
+    fn control_row(rollout: u32) -> RolloutEvidence {
+        RolloutEvidence::empty(rollout, CONTROL_ROUTE, RolloutRole::Old, 0)
+    }
+
+    /// Returns the order, unless it was deleted.
+    pub fn active_order(&self, now: Time) -> Option<&RolloutOrder> {
+        self.order.as_ref().filter(|known| !known.is_removed(now)).map(|known| &known.order)
+    }
+
+    /// Returns the record of a roll-out that is running.
+    pub fn running(&self) -> Option<&RolloutRecord> {
+        self.record.as_ref().filter(|record| !record.phase.is_terminal())
+    }
+
+    /// Returns the time since the roll-out began.
+    pub fn elapsed(&self, now: Time) -> Duration {
+        let (elapsed, at) = self.elapsed;
+        elapsed + now.since(at)
+    }
+
+    /// Takes over a record that tells more than the known one.
+    pub fn adopt(&mut self, now: Time, record: RolloutRecord) {
+        let known = self.record.as_ref();
+        if known.is_some_and(|known| !record.supersedes(known)) {
+            return;
+        }
+
+        let is_same = known.is_some_and(|known| known.is_same_rollout(&record));
+        let before = known.filter(|_| is_same).map(|known| known.phase);
+        let known_elapsed = if is_same { self.elapsed(now) } else { Duration::ZERO };
+        self.elapsed = (record.elapsed().max(known_elapsed), now);
+        if !is_same {
+            self.begin(&record);
+        }
+        if record.phase == RolloutPhase::Shifting && before != Some(record.phase) {
+            self.shifting_since = Some(now);
+        }
+        let event = RolloutEvent::Phase(record.phase, record.reason);
+        let is_new_phase = before != Some(record.phase);
+        self.record = Some(record);
+        if is_new_phase {
+            self.notify(now, event);
+        }
+    }
+
+    /// Begins with another roll-out.
+    fn begin(&mut self, record: &RolloutRecord) {
+        let rollout = Self::rollout_key(record);
+        self.judge = Judge::new(rollout);
+        self.tally = Tally::new(rollout);
+        self.credit = Credit::default();
+        self.ramp = Credit::default();
+        self.shifting_since = None;
+        self.others = Self::control_row(rollout);
+        self.quiet = None;
+        self.others_sent = 0;
+    }
+
+    /// Records an event for a log line.
+    pub fn notify(&mut self, now: Time, event: RolloutEvent) {
+        let (target, old) = self.judge.totals();
+        let order = self.order.as_ref().map(|known| &known.order.target);
+        let version = self.record.as_ref().map(|record| &record.target).or(order);
+        self.notices.push(RolloutNotice {
+            service: self.service.clone(),
+            target: version.cloned().unwrap_or_else(|| Name::new("")),
+            event,
+            elapsed: self.elapsed(now),
+            answered: target.answered,
+            bad: target.bad(),
+            old_answered: old.answered,
+            old_bad: old.bad(),
+        });
+    }
+
+    /// Returns the events since the last call.
+    pub fn take_notices(&mut self) -> Vec<RolloutNotice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// Returns whether this router sends nothing to the target of a roll-out that is running: its
+    /// verdict is bad, or the order is gone or names another one.
+    fn is_stopped(&self, now: Time, record: &RolloutRecord) -> bool {
+        self.judge.verdict() == RolloutVerdict::Bad
+            || self.active_order(now).is_none_or(|order| order.target != record.target)
+    }
+
+    /// Returns whether requests may go to a version.
+    pub fn allows(&self, now: Time, version: &Name) -> bool {
+        let Some(record) = &self.record else { return !self.is_pending(version) };
+        if record.withdrawn.contains(version) {
+            return false;
+        }
+        match record.phase {
+            RolloutPhase::Canary | RolloutPhase::Shifting if *version == record.target => {
+                !self.is_stopped(now, record)
+            }
+            RolloutPhase::Completed if *version == record.target => true,
+            RolloutPhase::Canary | RolloutPhase::Shifting | RolloutPhase::Reverted => {
+                !self.is_pending(version)
+            }
+            RolloutPhase::Completed => false,
+        }
+    }
+
+    /// Returns whether an order names a version for which there is no record yet.
+    fn is_pending(&self, version: &Name) -> bool {
+        let is_ordered = self.order.as_ref().is_some_and(|known| known.order.target == *version);
+        is_ordered && self.record.as_ref().is_none_or(|record| record.target != *version)
+    }
+
+    /// Returns whether a stream cannot go on: its version was withdrawn, or replaced.
+    pub fn is_gone(&self, version: &Name) -> bool {
+        self.record.as_ref().is_some_and(|record| {
+            record.withdrawn.contains(version)
+                || record.phase == RolloutPhase::Completed && record.target != *version
+        })
+    }
+
+    /// Returns where a request may go.
+    pub fn plan(&self, now: Time, call: &CallInfo, view: ServiceView<'_>) -> VersionPlan {
+        let excluded = self.excluded(view);
+        let Some(record) = &self.record else { return not_in(excluded).into() };
+        match record.phase {
+            RolloutPhase::Reverted => not_in(excluded).into(),
+            RolloutPhase::Completed if view.has(&record.target) => target_at(record, None).into(),
+            RolloutPhase::Completed => not_in(excluded).into(),
+            RolloutPhase::Canary | RolloutPhase::Shifting => {
+                self.running_plan(now, call, view, record, excluded)
+            }
+        }
+    }
+
+    /// Returns the versions that get no requests whatever the phase. A version that no order has moved
+    /// yet serves on if it is the only one.
+    fn excluded(&self, view: ServiceView<'_>) -> Vec<Name> {
+        let mut excluded =
+            self.record.as_ref().map(|record| record.withdrawn.clone()).unwrap_or_default();
+        if let Some(known) = &self.order
+            && self.is_pending(&known.order.target)
+            && view.has_other(&known.order.target)
+        {
+            excluded.push(known.order.target.clone());
+        }
+        excluded
+    }
+
+    fn running_plan(
+        &self,
+        now: Time,
+        call: &CallInfo,
+        view: ServiceView<'_>,
+        record: &RolloutRecord,
+        mut excluded: Vec<Name>,
+    ) -> VersionPlan {
+        if !view.has_other(&record.target) && self.judge.verdict() != RolloutVerdict::Bad {
+            return not_in(excluded).into();
+        }
+        excluded.push(record.target.clone());
+        let old = not_in(excluded.clone());
+        let is_bound_elsewhere =
+            call.version.as_ref().is_some_and(|version| *version != record.target);
+        if self.is_stopped(now, record) || is_bound_elsewhere {
+            return old.into();
+        }
+
+        let is_bound = call.version.is_some();
+        let subset = |part: f64| {
+            let load = (part * view.count_others(&excluded) as f64).ceil() as usize;
+            Some(view.subset(&record.target, load.max(Self::MIN_SUBSET)))
+        };
+        if record.phase == RolloutPhase::Canary {
+            if is_bound && self.credit.may_borrow() {
+                return target_at(record, None).into();
+            }
+            if is_bound || !self.may_try_canary(call) {
+                return old.into();
+            }
+            let first = target_at(record, subset(self.canary_part));
+            return VersionPlan { first, fallback: Fallback::IfDeclined(old) };
+        }
+
+        if is_bound {
+            return target_at(record, None).into();
+        }
+        if !self.is_ramping(now) {
+            let first = target_at(record, None);
+            return VersionPlan { first, fallback: Fallback::IfNoneAvailable(old) };
+        }
+        if !self.ramp.covers(0.0) {
+            return old.into();
+        }
+        let first = target_at(record, subset(Self::RAMP_FRACTION));
+        VersionPlan { first, fallback: Fallback::IfDeclined(old) }
+    }
+
+    /// Returns whether a request of the route may take canary credit. Some is left to routes with too
+    /// few responses for a verdict.
+    fn may_try_canary(&self, call: &CallInfo) -> bool {
+        let is_needy = self.judge.is_needy(Shares::name_hash(&call.route));
+        let reserve =
+            if is_needy || !self.judge.is_any_needy() { 0.0 } else { Self::NEEDY_RESERVE };
+        self.credit.covers(reserve)
+    }
+
+    /// Returns whether only a part of the requests is shifted yet.
+    fn is_ramping(&self, now: Time) -> bool {
+        self.shifting_since.is_none_or(|since| now.since(since) < Self::RAMP_TIME)
+    }
+
+    /// Records a request that is sent to a version. Returns the hash of the roll-out that is running;
+    /// zero without one.
+    pub fn on_sent(&mut self, now: Time, version: &Name, route: &Name) -> u32 {
+        *self.in_flight.entry(version.clone()).or_default() += 1;
+        let Some(record) = self.running() else { return 0 };
+        let rollout = Self::rollout_key(record);
+        let (role, phase) = (role_of(record, version), record.phase);
+        self.credit.earn(self.canary_part);
+        let is_ramping = phase == RolloutPhase::Shifting && self.is_ramping(now);
+        if is_ramping {
+            self.ramp.earn(Self::RAMP_FRACTION);
+        }
+        if role == RolloutRole::Target {
+            match phase {
+                RolloutPhase::Shifting if is_ramping => self.ramp.spend(),
+                RolloutPhase::Shifting => {}
+                _ => self.credit.spend(),
+            }
+        }
+        self.tally.on_sent(Shares::name_hash(route), role);
+        rollout
+    }
+
+    /// Records the end of a request.
+    pub fn on_end(&mut self, now: Time, request: &InFlightRequest) {
+        if let Some(count) = self.in_flight.get_mut(&request.version) {
+            *count = count.saturating_sub(1);
+        }
+        let target = self.record.as_ref().map(|record| &record.target);
+        if target != Some(&request.version) {
+            self.longest = self.longest.max(now.since(request.placed_at));
+        }
+    }
+
+    /// Returns the part of a request's version in the roll-out that is running; none when the request
+    /// was sent before it began.
+    pub fn role(&self, request: &InFlightRequest) -> Option<RolloutRole> {
+        let record = self.running()?;
+        (Self::rollout_key(record) == request.rollout).then(|| role_of(record, &request.version))
+    }
+
+    /// Returns the requests that are running at versions other than the target.
+    fn old_in_flight(&self, target: &Name) -> u32 {
+        let old = self.in_flight.iter().filter(|(version, _)| *version != target);
+        old.map(|(_, count)| count).sum()
+    }
+
+    /// Returns the rows to report: responses, and a control row with what the end of the roll-out
+    /// depends on. Its `answered` counts the routers that know that the traffic shifts.
+    pub fn rows(&self) -> Vec<RolloutEvidence> {
+        let Some(record) = self.running() else { return Vec::new() };
+        let control = RolloutEvidence {
+            sent: self.tally.old_sent(),
+            answered: u32::from(record.phase == RolloutPhase::Shifting),
+            in_flight: self.old_in_flight(&record.target),
+            ..Self::control_row(Self::rollout_key(record))
+        };
+        let mut rows = self.tally.rows();
+        rows.push(control);
+        rows
+    }
+
+    /// Takes the sums over the other routers into account.
+    pub fn observe(&mut self, now: Time, others: &[RolloutEvidence], view: ServiceView<'_>) {
+        let Some(record) = self.running() else { return };
+        let rollout = Self::rollout_key(record);
+        let upstreams = self.upstreams_in_use(now, record, view);
+        let own = self.rows();
+        let control = others.iter().find(|row| row.key() == Self::control_row(rollout).key());
+        self.others = control.copied().unwrap_or(Self::control_row(rollout));
+        self.others_sent = target_sent(rollout, others);
+        self.observe_quiet(now);
+        let before = self.judge.verdict();
+        self.judge.observe(now, &own, others, upstreams);
+        if self.judge.verdict() == RolloutVerdict::Bad && before != RolloutVerdict::Bad {
+            self.notify(now, RolloutEvent::Stopped);
+        }
+    }
+
+    /// Returns the number of upstreams that the target's requests go to.
+    fn upstreams_in_use(&self, now: Time, record: &RolloutRecord, view: ServiceView<'_>) -> usize {
+        let part = match record.phase {
+            RolloutPhase::Shifting if !self.is_ramping(now) => return view.count(&record.target),
+            RolloutPhase::Shifting => Self::RAMP_FRACTION,
+            _ => self.canary_part,
+        };
+        let old = view.count_others(std::slice::from_ref(&record.target));
+        let load = (part * old as f64).ceil() as usize;
+        load.max(Self::MIN_SUBSET).min(view.count(&record.target))
+    }
+
+    fn observe_quiet(&mut self, now: Time) {
+        let Some(record) = self.running() else { return };
+        let in_flight = self.others.in_flight + self.old_in_flight(&record.target);
+        let sent = self.others.sent + self.tally.old_sent();
+        if in_flight > 0 {
+            self.quiet = None;
+        } else if self.quiet.is_none_or(|quiet| quiet.sent != sent) {
+            self.quiet = Some(Quiet { sent, since: now });
+        }
+    }
+
+    /// Returns whether no request is at an old version and none follows: `routers` others know that the
+    /// traffic shifts, and their reports are not older than `lag`.
+    pub fn is_quiet(&self, now: Time, routers: usize, lag: Duration) -> bool {
+        let is_known_to_all = self.others.answered as usize >= routers;
+        let is_over = |quiet: Quiet| now.since(quiet.since) >= Self::QUIET_TIME + lag;
+        is_known_to_all && !self.is_ramping(now) && self.quiet.is_some_and(is_over)
+    }
+
+    /// Returns the roll-out for the status and the metrics; none without an order and a record.
+    pub fn summary(&self, now: Time) -> Option<RolloutSummary> {
+        let order = self.active_order(now).map(|order| &order.target);
+        let record = self.record.as_ref();
+        let target = record.map(|record| &record.target).or(order)?.clone();
+        let (counts, old) = self.judge.totals();
+        Some(RolloutSummary {
+            service: self.service.clone(),
+            phase: record.map(|record| record.phase),
+            reason: record.map_or(RolloutReason::None, |record| record.reason),
+            verdict: self.judge.verdict(),
+            leader: record.map(|record| record.leader.clone()),
+            elapsed: self.elapsed(now),
+            own_sent: self.tally.target_sent(),
+            sent: self.tally.target_sent() + self.others_sent,
+            answered: counts.answered,
+            bad: counts.bad(),
+            old_answered: old.answered,
+            old_bad: old.bad(),
+            old_in_flight: self.others.in_flight + self.old_in_flight(&target),
+            target,
+        })
+    }
+}
+
+fn role_of(record: &RolloutRecord, version: &Name) -> RolloutRole {
+    if record.target == *version { RolloutRole::Target } else { RolloutRole::Old }
+}
+
+/// Returns the requests that were sent to the target of a roll-out.
+fn target_sent(rollout: u32, rows: &[RolloutEvidence]) -> u32 {
+    let is_target = |row: &&RolloutEvidence| {
+        row.rollout == rollout && row.role == RolloutRole::Target && row.upstream == 0
+    };
+    rows.iter().filter(is_target).map(|row| row.sent).sum()
+}
+
+fn not_in(versions: Vec<Name>) -> VersionChoice {
+    VersionChoice::NotIn(versions)
+}
+
+fn target_at(record: &RolloutRecord, subset: Option<HashSet<u32>>) -> VersionChoice {
+    VersionChoice::Target { target: record.target.clone(), subset }
+}
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -102,6 +102,7 @@
 
     /// Replaces the settings; name, data centre and start time stay.
     pub fn update_settings(&mut self, settings: &RouterSettings) {
+        self.rollouts.update_settings(settings.rollouts);
         self.settings = RouterSettings {
             name: self.settings.name.clone(),
             data_centre: self.settings.data_centre.clone(),
@@ -127,6 +128,7 @@
         self.last_tick = now;
 
         self.registry.tick(now);
+        self.observe_rollouts(now);
         self.quarantine.expire(now);
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -9,8 +9,8 @@
 use crate::edge::prefix_sources::PrefixSources;
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
-    Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, QuarantineKey,
-    Router, Shares, Upstream, Upstreams, UsageKey,
+    Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Judged, Placement, Prompt,
+    QuarantineKey, Router, Shares, Upstream, Upstreams, UsageKey, VersionChoice,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -28,7 +28,7 @@
             let (usage, lag) = (self.exchange.peers().usage(), self.exchange.report_lag());
             self.shares.share_usage(now, key, tokens, capacity, usage, lag)
         });
-        let decision = self.choose_upstream(now, call, &[], share_usage, trial);
+        let decision = self.place_by_version(now, call, &[], share_usage, trial);
         if let Some((key, tokens, _)) = charge {
             self.shares.charge(now, key, tokens, decision.is_ok());
         }
@@ -52,7 +52,7 @@
             return Err(self.backoff.decline(call, DeclineReason::RetryBudget, None));
         }
 
-        let admission = self.choose_upstream(now, call, tried, 0.0, trial);
+        let admission = self.place_by_version(now, call, tried, 0.0, trial);
         if reached_upstream
             && admission.is_err()
             && let Some(budget) = self.retry_budgets.get_mut(&call.service)
@@ -131,13 +131,14 @@
     /// Places the request on the upstream with the lowest score among those without a reason to
     /// decline it. A request that tries `trial`, which is quarantined, goes to the one with the
     /// fewest requests, which it may cut.
-    fn choose_upstream(
+    pub(super) fn choose_upstream(
         &mut self,
         now: Time,
         call: &CallInfo,
         tried: &[Name],
         share_usage: f64,
         trial: Option<QuarantineKey>,
+        versions: &VersionChoice,
     ) -> Admission {
         let spec = self.registry.service_spec(&call.service).copied();
         let share = FleetShare {
@@ -184,6 +185,7 @@
             !saturated.contains(&upstream.key)
                 && !tried.contains(&upstream.entry.id)
                 && call.fits_version(&upstream.entry)
+                && versions.allows(upstream)
         };
         let mut candidates =
             cx.ranked_candidates(upstreams.available(now, &call.service).filter(is_allowed));
@@ -194,11 +196,10 @@
             if call.goes_on && !self.registry.upstreams().may_serve_version(call) {
                 return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
             }
-            let is_any_available = self
-                .registry
-                .upstreams()
-                .available(now, &call.service)
-                .any(|upstream| call.fits_version(&upstream.entry));
+            let is_any_available =
+                self.registry.upstreams().available(now, &call.service).any(|upstream| {
+                    call.fits_version(&upstream.entry) && versions.allows(upstream)
+                });
             if let Some(wait) = limited.values().min() {
                 return Err(self.backoff.decline(call, DeclineReason::Limited, Some(*wait)));
             }
@@ -276,11 +277,14 @@
                 self.prefilled.entry(upstream.key).or_default().extend_from_slice(shared);
             }
         }
+        let version = upstream.entry.version.clone();
+        let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
+        let rollout = self.rollouts.on_sent(now, &call.service, &version, &call.route);
         Ok(Placement {
             request: InFlightRequest {
                 upstream: id.clone(),
-                started_ms: upstream.entry.started_ms,
-                version: upstream.entry.version.clone(),
+                started_ms,
+                version,
                 route: call.route.clone(),
                 service: call.service.clone(),
                 segments: call
@@ -296,8 +300,10 @@
                 first_event_at: None,
                 events: 0,
                 last_event_at: now,
+                rollout,
+                judged: Judged::Open,
             },
-            address: upstream.entry.address,
+            address,
             instance: id,
             fetch_from,
             expected_delay,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -100,7 +100,7 @@
             pressures: self.pressures.reports(now),
             reads,
             demands: self.demands(now),
-            rollouts: Vec::new(),
+            rollouts: self.rollouts.evidence(),
         }
     }
 
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -19,6 +19,7 @@
                 upstream.load.on_events(count, gap);
             }
         }
+        self.rollouts.on_events(now, request, count);
     }
 
     /// Records the first event of a response.
@@ -29,6 +30,8 @@
         request.first_event_at = Some(now);
         let delay = now.since(request.placed_at);
         let expected_speed = self.registry.expected_prefill_speed(&request.service);
+        let prefill_ms = request.queued_tokens as f64 / expected_speed.max(f64::MIN_POSITIVE);
+        self.rollouts.on_first_event(now, request, prefill_ms);
         if let Some(upstream) = self.find_upstream(request) {
             upstream.load.on_first_event(
                 request.prefill_tokens,
@@ -72,6 +75,7 @@
         if outcome == SendOutcome::Answered && request.proves_survival() {
             self.quarantine.on_answered(now, request.quarantine_keys());
         }
+        self.rollouts.on_end(now, request, outcome);
         let Some(upstream) = self.find_upstream(request) else { return };
         upstream.on_end(now, request, outcome);
     }
--- a/sapphirespur_core/src/edge/router/rollouts.rs
+++ b/sapphirespur_core/src/edge/router/rollouts.rs
@@ -1,8 +1,15 @@
 //! Roll-outs of versions at a router.
 
-use crate::edge::{InFlightRequest, RolloutDuty, Rollouts, Router};
+use crate::edge::{
+    Admission, CallInfo, DeclineReason, DutyView, Fallback, InFlightRequest, QuarantineKey,
+    RolloutDuty, RolloutEvidence, Rollouts, Router, VersionPlan,
+};
+use crate::name::Name;
 use crate::time::Time;
 
+/// Key of the rendezvous order in which routers try to lead the roll-outs.
+const LEADER_KEY: u32 = 0x726f_6c6c;
+
 impl Router {
     /// Returns the roll-outs.
     pub fn rollouts(&self) -> &Rollouts {
@@ -16,13 +23,75 @@
 
     /// Returns the calls to the store that roll-outs need now; to be called about ten times a second.
     pub fn rollout_duties(&mut self, now: Time, is_store_usable: bool) -> Vec<RolloutDuty> {
-        let _ = (now, is_store_usable);
-        Vec::new()
+        let own = self.name_hash();
+        let members = self.exchange.peers().members();
+        let view = DutyView {
+            router: &self.settings.name,
+            registry: &self.registry,
+            rank: members.rank(now, own, LEADER_KEY),
+            routers: members.count(now),
+            lag: self.exchange.report_lag(),
+            is_settled: self.settled_at <= now,
+            is_store_usable,
+        };
+        self.rollouts.duties(now, view)
     }
 
     /// Returns whether a request that was placed before may still be sent: its upstream is the same
     /// instance and accepts requests, and its version was not withdrawn since.
     pub fn may_send(&self, now: Time, request: &InFlightRequest) -> bool {
-        self.registry.may_send(now, request)
+        self.registry.may_send(now, request) && self.rollouts.allows(now, request)
+    }
+
+    /// Takes the evidence of all routers into account.
+    pub(super) fn observe_rollouts(&mut self, now: Time) {
+        if !self.rollouts.is_on() {
+            return;
+        }
+        self.exchange.peers_mut().expire(now);
+        let others: Vec<RolloutEvidence> = self.exchange.peers().rollouts().collect();
+        self.rollouts.observe(now, &others, &self.registry);
+    }
+
+    /// Places the request on an upstream of a version that may have it.
+    pub(super) fn place_by_version(
+        &mut self,
+        now: Time,
+        call: &CallInfo,
+        tried: &[Name],
+        share_usage: f64,
+        trial: Option<QuarantineKey>,
+    ) -> Admission {
+        if self.rollouts.is_gone(call) {
+            return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
+        }
+
+        let VersionPlan { first, fallback } = self.rollouts.plan(now, call, &self.registry);
+        let admission = self.choose_upstream(now, call, tried, share_usage, trial, &first);
+        let Err(decline) = &admission else { return admission };
+        match fallback {
+            Fallback::IfDeclined(others) => {
+                self.choose_upstream(now, call, tried, share_usage, trial, &others)
+            }
+            Fallback::IfNoneAvailable(others) if is_unavailable(decline.reason) => {
+                self.choose_upstream(now, call, tried, share_usage, trial, &others)
+            }
+            Fallback::IfNoneAvailable(_) | Fallback::Never => admission,
+        }
+    }
+}
+
+/// Returns whether a reason means that no upstream could be tried.
+fn is_unavailable(reason: DeclineReason) -> bool {
+    match reason {
+        DeclineReason::NoUpstream
+        | DeclineReason::Paused
+        | DeclineReason::Cold
+        | DeclineReason::Limited => true,
+        DeclineReason::VersionGone
+        | DeclineReason::Overloaded
+        | DeclineReason::OverShare
+        | DeclineReason::Quarantined
+        | DeclineReason::RetryBudget => false,
     }
 }
