Roll-outs: ramp by upstreams, waiting requests count as slow

Cause: with a ramp of 0.4 of the traffic, a version that is bad under load used up the allowed share before the traffic had shifted; responses that never come were no evidence until their timeout.

Change: the shift begins with a fifth of the target's upstreams, which get the load that they will have later, for two seconds. Requests at the target that have waited for longer than is slow count as slow. Times of old versions are recorded when a response has begun or ended well, since refusals have a first event too. `RolloutMark` links a request to the roll-out.

--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::edge::{Judged, LossEvidence, QuarantineKey, RequestIdentity};
+use crate::edge::{Judged, LossEvidence, QuarantineKey, RequestIdentity, RolloutMark};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -38,8 +38,8 @@
     pub events: u32,
     /// When the latest event arrived; the placement time before the first one.
     pub last_event_at: Time,
-    /// Hash of the roll-out that was running when the request was placed; zero without one.
-    pub rollout: u32,
+    /// Roll-out that was running when the request was placed.
+    pub rollout: RolloutMark,
     /// How far the response has been judged for that roll-out.
     pub judged: Judged,
 }
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -107,9 +107,9 @@
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub(crate) use rollout::{DutyView, EvidenceKey, Fallback, VersionChoice, VersionPlan};
 pub use rollout::{
-    Judged, RolloutDuty, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder, RolloutPhase,
-    RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot, RolloutState,
-    RolloutSummary, RolloutVerdict, Rollouts,
+    Judged, RolloutDuty, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot,
+    RolloutState, RolloutSummary, RolloutVerdict, Rollouts,
 };
 pub use route::{Route, RouteKind, Split};
 pub use route_table::{ClientLimits, RouteError, RouteTable, WorkspaceKeys};
--- a/sapphirespur_core/src/edge/rollout/decision.rs
+++ b/sapphirespur_core/src/edge/rollout/decision.rs
@@ -197,7 +197,7 @@
             };
         }
         match record.phase {
-            RolloutPhase::Canary if !cx.service.has_other(&record.target) => {
+            RolloutPhase::Canary if !cx.service.has_other(&record.target, &record.withdrawn) => {
                 RolloutRecord { phase: RolloutPhase::Completed, ..record }
             }
             RolloutPhase::Canary if elapsed >= record.duration() => {
@@ -234,7 +234,7 @@
     ) -> RolloutRecord {
         let mut withdrawn: Vec<Name> = record.withdrawn.clone();
         let is_only = cx.service.has(&record.target)
-            && !cx.service.has_other(&record.target)
+            && !cx.service.has_other(&record.target, &record.withdrawn)
             && reason != RolloutReason::Bad;
         if !is_only && !withdrawn.contains(&record.target) {
             withdrawn.push(record.target.clone());
--- a/sapphirespur_core/src/edge/rollout/rollouts.rs
+++ b/sapphirespur_core/src/edge/rollout/rollouts.rs
@@ -55,7 +55,7 @@
             is_restored,
             routers: self.routers,
             lag: self.lag,
-            service: ServiceView { registry: self.registry, service },
+            service: ServiceView { now, registry: self.registry, service },
         }
     }
 }
@@ -83,9 +83,6 @@
     /// Fewest events of a stream that has ended for a judgement of their interval.
     const MIN_INTERVAL_EVENTS: u32 = 3;
 
-    /// Time to the first event without prefill to which times are adjusted, in milliseconds.
-    const BASE_MS: f64 = 20.0;
-
     /// Creates the state of a router without orders; without settings, nothing takes effect.
     pub fn new(settings: Option<RolloutSettings>) -> Self {
         Self {
@@ -97,11 +94,24 @@
         }
     }
 
+    /// Time for which the store is to grant the leader's lease.
+    pub const LEASE_TIME: Duration = Leadership::LEASE_TIME;
+
     /// Returns whether roll-outs are on.
     pub fn is_on(&self) -> bool {
         self.settings.is_some()
     }
 
+    /// Returns whether the traffic of a service is being moved.
+    pub(crate) fn is_running(&self, service: &Name) -> bool {
+        self.services.get(service).is_some_and(|rollout| rollout.running().is_some())
+    }
+
+    /// Returns whether there is nothing to lead: no order and no record.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.services.values().all(|rollout| rollout.order.is_none() && rollout.record.is_none())
+    }
+
     /// Replaces the settings; they apply to services that have had no request and no order yet.
     pub(crate) fn update_settings(&mut self, settings: Option<RolloutSettings>) {
         self.settings = settings;
@@ -206,9 +216,9 @@
 
     /// Returns where a request may go.
     pub(crate) fn plan(&self, now: Time, call: &CallInfo, registry: &RegistryState) -> VersionPlan {
-        let view = ServiceView { registry, service: &call.service };
+        let view = ServiceView { now, registry, service: &call.service };
         let rollout = self.services.get(&call.service);
-        rollout.map(|rollout| rollout.plan(now, call, view)).unwrap_or_default()
+        rollout.map(|rollout| rollout.plan(call, view)).unwrap_or_default()
     }
 
     /// Returns whether a stream cannot go on, because its version was withdrawn or replaced.
@@ -219,50 +229,38 @@
     }
 
     /// Returns whether a request that was placed before may still go to its version.
-    pub(crate) fn allows(&self, now: Time, request: &InFlightRequest) -> bool {
+    pub(crate) fn allows(
+        &self,
+        now: Time,
+        request: &InFlightRequest,
+        registry: &RegistryState,
+    ) -> bool {
+        let view = ServiceView { now, registry, service: &request.service };
         let rollout = self.services.get(&request.service);
-        rollout.is_none_or(|rollout| rollout.allows(now, &request.version))
+        rollout.is_none_or(|rollout| rollout.allows(&request.version, view))
     }
 
-    /// Records a request that is sent. Returns the hash of the roll-out that is running for it; zero
-    /// without one.
-    pub(crate) fn on_sent(
-        &mut self,
-        now: Time,
-        service: &Name,
-        version: &Name,
-        route: &Name,
-    ) -> u32 {
-        self.service(service).map_or(0, |rollout| rollout.on_sent(now, version, route))
+    /// Records a request that is placed on an upstream. `prefill_ms` is the time that its prompt and
+    /// those before it are expected to take.
+    pub(crate) fn on_sent(&mut self, now: Time, request: &mut InFlightRequest, prefill_ms: f64) {
+        if let Some(rollout) = self.service(&request.service) {
+            request.rollout = rollout.on_sent(now, request, prefill_ms);
+        }
     }
 
-    /// Records the first event of a response; `prefill_ms` is the time that its prompt and those before
-    /// it are expected to take.
-    pub(crate) fn on_first_event(
-        &mut self,
-        now: Time,
-        request: &mut InFlightRequest,
-        prefill_ms: f64,
-    ) {
-        let Some((rollout, role)) = self.find(request) else { return };
-        let delay_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
-        let adjusted = delay_ms * Self::BASE_MS / (Self::BASE_MS + prefill_ms);
-        rollout.judge_time(now, request, role, Measure::FirstEvent, adjusted);
+    /// Records the first event of a response.
+    pub(crate) fn on_first_event(&mut self, now: Time, request: &mut InFlightRequest) {
+        if let Some((rollout, role)) = self.find(request) {
+            rollout.on_first_event(now, request, role);
+        }
     }
 
     /// Records events of a stream, which the request counts already.
     pub(crate) fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
         let is_due = request.events >= Self::INTERVAL_EVENTS
             && request.events.saturating_sub(count) < Self::INTERVAL_EVENTS;
-        if !is_due {
-            return;
-        }
-        let Some((rollout, role)) = self.find(request) else { return };
-        if let Some(interval_ms) = interval_ms(request) {
-            rollout.judge_time(now, request, role, Measure::Interval, interval_ms);
-        }
-        if request.judged == Judged::Open {
-            request.judged = rollout.tally.on_fine(request, role);
+        if let Some((rollout, role)) = self.find(request).filter(|_| is_due) {
+            rollout.judge_begun(now, request, role);
         }
     }
 
@@ -272,34 +270,31 @@
             rollout.on_end(now, request);
         }
         let Some((rollout, role)) = self.find(request) else { return };
-        if request.judged == Judged::Bad {
-            return;
-        }
         let mut request = request.clone();
-        match outcome {
+        if rollout.tally.stop_waiting(request.rollout.number) {
+            request.judged = Judged::Bad;
+        }
+        let fault = match outcome {
             SendOutcome::Answered => {
-                rollout.judge_end(now, &mut request, role);
-                rollout.tally.on_fine(&request, role);
-            }
-            SendOutcome::Failed => {
-                rollout.tally.on_fault(now, &request, role, Fault::Failed);
-            }
-            SendOutcome::Broken | SendOutcome::Disconnected => {
-                rollout.tally.on_fault(now, &request, role, Fault::Lost);
-            }
-            SendOutcome::NoResponse => {
-                rollout.tally.on_fault(now, &request, role, Fault::Slow);
+                rollout.judge_ended(now, &mut request, role);
+                return;
             }
+            SendOutcome::Failed => Fault::Failed,
+            SendOutcome::Broken | SendOutcome::Disconnected => Fault::Lost,
+            SendOutcome::NoResponse => Fault::Slow,
             SendOutcome::Abandoned
             | SendOutcome::Misdirected
             | SendOutcome::Paused
             | SendOutcome::Rejected
-            | SendOutcome::Withdrawn => {}
+            | SendOutcome::Withdrawn => return,
+        };
+        if request.judged != Judged::Bad {
+            rollout.tally.on_fault(now, &request, role, fault);
         }
     }
 
     fn find(&mut self, request: &InFlightRequest) -> Option<(&mut ServiceRollout, RolloutRole)> {
-        if request.rollout == 0 {
+        if request.rollout.rollout == 0 {
             return None;
         }
         let rollout = self.services.get_mut(&request.service)?;
@@ -324,7 +319,7 @@
         }
         self.observe_era(now, registry.version().era);
         for (name, rollout) in &mut self.services {
-            rollout.observe(now, others, ServiceView { registry, service: name });
+            rollout.observe(others, ServiceView { now, registry, service: name });
         }
     }
 
@@ -489,7 +484,54 @@
         self.adopt(now, record);
     }
 
-    /// Judges a time of a response.
+    /// Judges the time to the first event.
+    fn on_first_event(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
+        let route = Shares::name_hash(&request.route);
+        let delay = now.since(request.placed_at);
+        if self.tally.stop_waiting(request.rollout.number) {
+            request.judged = Judged::Bad;
+        } else if self.tally.is_first_slow(route, delay, request.rollout.prefill_ms) {
+            request.judged = self.tally.on_fault(now, request, role, Fault::Slow);
+        }
+    }
+
+    /// Judges a stream that has sent some events.
+    fn judge_begun(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
+        self.record_first(request, role);
+        if let Some(interval_ms) = interval_ms(request) {
+            self.judge_time(now, request, role, Measure::Interval, interval_ms);
+        }
+        self.judge_fine(request, role);
+    }
+
+    /// Judges a response that has ended well.
+    fn judge_ended(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
+        if request.events >= Rollouts::INTERVAL_EVENTS {
+            return;
+        }
+        self.record_first(request, role);
+        if request.events <= 1 {
+            let total_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
+            self.judge_time(now, request, role, Measure::Total, total_ms);
+        } else if request.events >= Rollouts::MIN_INTERVAL_EVENTS
+            && let Some(interval_ms) = interval_ms(request)
+        {
+            self.judge_time(now, request, role, Measure::Interval, interval_ms);
+        }
+        self.judge_fine(request, role);
+    }
+
+    /// Records the time to the first event of an old version's response. It is not recorded earlier,
+    /// because refusals have one as well.
+    fn record_first(&mut self, request: &InFlightRequest, role: RolloutRole) {
+        let Some(first_event_at) = request.first_event_at else { return };
+        if role == RolloutRole::Old {
+            let delay = first_event_at.since(request.placed_at);
+            let route = Shares::name_hash(&request.route);
+            self.tally.record_first(route, delay, request.rollout.prefill_ms);
+        }
+    }
+
     fn judge_time(
         &mut self,
         now: Time,
@@ -504,16 +546,9 @@
         }
     }
 
-    /// Judges the times of a response that has ended well.
-    fn judge_end(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
-        if request.events <= 1 {
-            let total_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
-            self.judge_time(now, request, role, Measure::Total, total_ms);
-        } else if (Rollouts::MIN_INTERVAL_EVENTS..Rollouts::INTERVAL_EVENTS)
-            .contains(&request.events)
-            && let Some(interval_ms) = interval_ms(request)
-        {
-            self.judge_time(now, request, role, Measure::Interval, interval_ms);
+    fn judge_fine(&mut self, request: &mut InFlightRequest, role: RolloutRole) {
+        if request.judged == Judged::Open {
+            request.judged = self.tally.on_fine(request, role);
         }
     }
 }
--- a/sapphirespur_core/src/edge/rollout/service_rollout.rs
+++ b/sapphirespur_core/src/edge/rollout/service_rollout.rs
@@ -10,15 +10,24 @@
 use crate::edge::rollout::stored_record::StoredRecord;
 use crate::edge::rollout::tally::Tally;
 use crate::edge::rollout::version_plan::{Fallback, VersionPlan};
+use crate::edge::rollout::waiting::Waiting;
 use crate::edge::{
-    CallInfo, InFlightRequest, RolloutEvent, RolloutEvidence, RolloutNotice, RolloutOrder,
-    RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSummary,
-    RolloutVerdict, Shares, VersionChoice,
+    CallInfo, InFlightRequest, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice,
+    RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings,
+    RolloutSummary, RolloutVerdict, Shares, Upstream, VersionChoice,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
+/// Upstreams of the target that get requests at the begin of the shift.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ramp {
+    upstreams: usize,
+    /// Part of the requests with which each has the load that it will have after the shift.
+    part: f64,
+}
+
 /// Time without a change of the requests sent to old versions.
 #[derive(Clone, Copy, Debug)]
 struct Quiet {
@@ -42,7 +51,8 @@
     canary_part: f64,
     credit: Credit,
     /// Credit at the begin of the shift.
-    ramp: Credit,
+    ramp_credit: Credit,
+    ramp: Ramp,
     /// Since when this router has known that the traffic shifts.
     shifting_since: Option<Time>,
     /// Requests that are running, by version.
@@ -62,12 +72,12 @@
     /// streams that go on.
     const CANARY_FRACTION: f64 = 0.8;
 
-    /// Part of the requests that the target gets at the begin of the shift, and for how long. A version
-    /// that is bad under load shows it here, on as many upstreams as carry the part as the old ones did.
-    const RAMP_FRACTION: f64 = 0.4;
+    /// Part of the target's upstreams that get requests at the begin of the shift.
+    const RAMP_PART: f64 = 0.2;
 
-    /// Time for which only a part of the requests is shifted.
-    pub const RAMP_TIME: Duration = Duration::from_millis(1_500);
+    /// Time for which only these get requests. A version that is bad under load shows it here, while
+    /// the requests that it gets fit into the allowed share.
+    pub const RAMP_TIME: Duration = Duration::from_secs(2);
 
     /// Fewest upstreams that canary requests go to.
     const MIN_SUBSET: usize = 2;
@@ -91,7 +101,8 @@
             tally: Tally::default(),
             canary_part: settings.share * Self::CANARY_FRACTION,
             credit: Credit::default(),
-            ramp: Credit::default(),
+            ramp_credit: Credit::default(),
+            ramp: Ramp::default(),
             shifting_since: None,
             in_flight: HashMap::default(),
             longest: Duration::ZERO,
@@ -160,7 +171,7 @@
         self.judge = Judge::new(rollout);
         self.tally = Tally::new(rollout);
         self.credit = Credit::default();
-        self.ramp = Credit::default();
+        self.ramp_credit = Credit::default();
         self.shifting_since = None;
         self.others = Self::control_row(rollout);
         self.quiet = None;
@@ -197,20 +208,18 @@
     }
 
     /// Returns whether requests may go to a version.
-    pub fn allows(&self, now: Time, version: &Name) -> bool {
+    pub fn allows(&self, version: &Name, view: ServiceView<'_>) -> bool {
         let Some(record) = &self.record else { return !self.is_pending(version) };
         if record.withdrawn.contains(version) {
             return false;
         }
         match record.phase {
             RolloutPhase::Canary | RolloutPhase::Shifting if *version == record.target => {
-                !self.is_stopped(now, record)
+                !self.is_stopped(view.now, record)
             }
             RolloutPhase::Completed if *version == record.target => true,
-            RolloutPhase::Canary | RolloutPhase::Shifting | RolloutPhase::Reverted => {
-                !self.is_pending(version)
-            }
-            RolloutPhase::Completed => false,
+            RolloutPhase::Completed if view.has(&record.target) => false,
+            _ => !self.is_pending(version) || !view.has_other(version, &record.withdrawn),
         }
     }
 
@@ -229,7 +238,7 @@
     }
 
     /// Returns where a request may go.
-    pub fn plan(&self, now: Time, call: &CallInfo, view: ServiceView<'_>) -> VersionPlan {
+    pub fn plan(&self, call: &CallInfo, view: ServiceView<'_>) -> VersionPlan {
         let excluded = self.excluded(view);
         let Some(record) = &self.record else { return not_in(excluded).into() };
         match record.phase {
@@ -237,7 +246,7 @@
             RolloutPhase::Completed if view.has(&record.target) => target_at(record, None).into(),
             RolloutPhase::Completed => not_in(excluded).into(),
             RolloutPhase::Canary | RolloutPhase::Shifting => {
-                self.running_plan(now, call, view, record, excluded)
+                self.running_plan(call, view, record, excluded)
             }
         }
     }
@@ -249,7 +258,7 @@
             self.record.as_ref().map(|record| record.withdrawn.clone()).unwrap_or_default();
         if let Some(known) = &self.order
             && self.is_pending(&known.order.target)
-            && view.has_other(&known.order.target)
+            && view.has_other(&known.order.target, &excluded)
         {
             excluded.push(known.order.target.clone());
         }
@@ -258,13 +267,14 @@
 
     fn running_plan(
         &self,
-        now: Time,
         call: &CallInfo,
         view: ServiceView<'_>,
         record: &RolloutRecord,
         mut excluded: Vec<Name>,
     ) -> VersionPlan {
-        if !view.has_other(&record.target) && self.judge.verdict() != RolloutVerdict::Bad {
+        let now = view.now;
+        let has_other = view.has_other(&record.target, &record.withdrawn);
+        if !has_other && self.judge.verdict() != RolloutVerdict::Bad {
             return not_in(excluded).into();
         }
         excluded.push(record.target.clone());
@@ -276,10 +286,7 @@
         }
 
         let is_bound = call.version.is_some();
-        let subset = |part: f64| {
-            let load = (part * view.count_others(&excluded) as f64).ceil() as usize;
-            Some(view.subset(&record.target, load.max(Self::MIN_SUBSET)))
-        };
+        let subset = |count: usize| Some(view.subset(&record.target, count));
         if record.phase == RolloutPhase::Canary {
             if is_bound && self.credit.may_borrow() {
                 return target_at(record, None).into();
@@ -287,7 +294,7 @@
             if is_bound || !self.may_try_canary(call) {
                 return old.into();
             }
-            let first = target_at(record, subset(self.canary_part));
+            let first = target_at(record, subset(self.canary_size(view, &excluded)));
             return VersionPlan { first, fallback: Fallback::IfDeclined(old) };
         }
 
@@ -298,10 +305,10 @@
             let first = target_at(record, None);
             return VersionPlan { first, fallback: Fallback::IfNoneAvailable(old) };
         }
-        if !self.ramp.covers(0.0) {
+        if !self.ramp_credit.covers(0.0) {
             return old.into();
         }
-        let first = target_at(record, subset(Self::RAMP_FRACTION));
+        let first = target_at(record, subset(self.ramp.upstreams));
         VersionPlan { first, fallback: Fallback::IfDeclined(old) }
     }
 
@@ -319,27 +326,42 @@
         self.shifting_since.is_none_or(|since| now.since(since) < Self::RAMP_TIME)
     }
 
-    /// Records a request that is sent to a version. Returns the hash of the roll-out that is running;
-    /// zero without one.
-    pub fn on_sent(&mut self, now: Time, version: &Name, route: &Name) -> u32 {
-        *self.in_flight.entry(version.clone()).or_default() += 1;
-        let Some(record) = self.running() else { return 0 };
+    /// Records a request that is placed on an upstream. Returns its link to the roll-out that is
+    /// running.
+    pub fn on_sent(
+        &mut self,
+        now: Time,
+        request: &InFlightRequest,
+        prefill_ms: f64,
+    ) -> RolloutMark {
+        *self.in_flight.entry(request.version.clone()).or_default() += 1;
+        let Some(record) = self.running() else { return RolloutMark::default() };
         let rollout = Self::rollout_key(record);
-        let (role, phase) = (role_of(record, version), record.phase);
+        let (role, phase) = (role_of(record, &request.version), record.phase);
+        let route = Shares::name_hash(&request.route);
+        self.tally.on_sent(route, role);
         self.credit.earn(self.canary_part);
         let is_ramping = phase == RolloutPhase::Shifting && self.is_ramping(now);
         if is_ramping {
-            self.ramp.earn(Self::RAMP_FRACTION);
+            self.ramp_credit.earn(self.ramp.part);
         }
-        if role == RolloutRole::Target {
-            match phase {
-                RolloutPhase::Shifting if is_ramping => self.ramp.spend(),
-                RolloutPhase::Shifting => {}
-                _ => self.credit.spend(),
-            }
+        if role == RolloutRole::Old {
+            return RolloutMark { rollout, number: 0, prefill_ms };
         }
-        self.tally.on_sent(Shares::name_hash(route), role);
-        rollout
+
+        match phase {
+            RolloutPhase::Shifting if is_ramping => self.ramp_credit.spend(),
+            RolloutPhase::Shifting => {}
+            _ => self.credit.spend(),
+        }
+        let number = self.tally.await_response(Waiting {
+            route,
+            upstream: Upstream::hash_id(&request.upstream),
+            placed_at: request.placed_at,
+            prefill_ms,
+            is_slow: false,
+        });
+        RolloutMark { rollout, number, prefill_ms }
     }
 
     /// Records the end of a request.
@@ -357,7 +379,8 @@
     /// was sent before it began.
     pub fn role(&self, request: &InFlightRequest) -> Option<RolloutRole> {
         let record = self.running()?;
-        (Self::rollout_key(record) == request.rollout).then(|| role_of(record, &request.version))
+        (Self::rollout_key(record) == request.rollout.rollout)
+            .then(|| role_of(record, &request.version))
     }
 
     /// Returns the requests that are running at versions other than the target.
@@ -382,10 +405,13 @@
     }
 
     /// Takes the sums over the other routers into account.
-    pub fn observe(&mut self, now: Time, others: &[RolloutEvidence], view: ServiceView<'_>) {
+    pub fn observe(&mut self, others: &[RolloutEvidence], view: ServiceView<'_>) {
+        let now = view.now;
         let Some(record) = self.running() else { return };
         let rollout = Self::rollout_key(record);
-        let upstreams = self.upstreams_in_use(now, record, view);
+        let upstreams = self.upstreams_in_use(record, view);
+        self.ramp = Ramp::of(view.count(&record.target));
+        self.tally.count_waiting(now);
         let own = self.rows();
         let control = others.iter().find(|row| row.key() == Self::control_row(rollout).key());
         self.others = control.copied().unwrap_or(Self::control_row(rollout));
@@ -399,15 +425,21 @@
     }
 
     /// Returns the number of upstreams that the target's requests go to.
-    fn upstreams_in_use(&self, now: Time, record: &RolloutRecord, view: ServiceView<'_>) -> usize {
-        let part = match record.phase {
-            RolloutPhase::Shifting if !self.is_ramping(now) => return view.count(&record.target),
-            RolloutPhase::Shifting => Self::RAMP_FRACTION,
-            _ => self.canary_part,
+    fn upstreams_in_use(&self, record: &RolloutRecord, view: ServiceView<'_>) -> usize {
+        let all = view.count(&record.target);
+        let used = match record.phase {
+            RolloutPhase::Shifting if !self.is_ramping(view.now) => all,
+            RolloutPhase::Shifting => self.ramp.upstreams,
+            _ => self.canary_size(view, std::slice::from_ref(&record.target)),
         };
-        let old = view.count_others(std::slice::from_ref(&record.target));
-        let load = (part * old as f64).ceil() as usize;
-        load.max(Self::MIN_SUBSET).min(view.count(&record.target))
+        used.min(all)
+    }
+
+    /// Returns the number of upstreams that canary requests go to: as many as give each of them the
+    /// load of an old one. `excluded` are the versions that are not old ones.
+    fn canary_size(&self, view: ServiceView<'_>, excluded: &[Name]) -> usize {
+        let load = self.canary_part * view.count_others(excluded) as f64;
+        (load.ceil() as usize).max(Self::MIN_SUBSET)
     }
 
     fn observe_quiet(&mut self, now: Time) {
@@ -454,6 +486,15 @@
     }
 }
 
+impl Ramp {
+    /// Returns the ramp for a number of upstreams.
+    fn of(all: usize) -> Self {
+        let part = ServiceRollout::RAMP_PART;
+        let upstreams = ((all as f64 * part) as usize).max(1);
+        Self { upstreams, part: upstreams as f64 / all.max(1) as f64 }
+    }
+}
+
 fn role_of(record: &RolloutRecord, version: &Name) -> RolloutRole {
     if record.target == *version { RolloutRole::Target } else { RolloutRole::Old }
 }
--- a/sapphirespur_core/src/edge/rollout/service_view.rs
+++ b/sapphirespur_core/src/edge/rollout/service_view.rs
@@ -1,13 +1,16 @@
 //! What a router knows of the upstreams of a service with a roll-out.
 
 use crate::collections::HashSet;
-use crate::edge::{RegistryState, UpstreamEntry};
+use crate::edge::{RegistryState, Upstream, UpstreamEntry};
 use crate::hash::rendezvous;
 use crate::name::Name;
+use crate::time::Time;
 
 /// Upstreams of a service, by their part in a roll-out.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServiceView<'a> {
+    /// Current time.
+    pub now: Time,
     /// State of the registry.
     pub registry: &'a RegistryState,
     /// Name of the service.
@@ -35,11 +38,15 @@
         self.present().any(|entry| entry.version == *version)
     }
 
-    /// Returns whether the service has, or had until lately, an upstream of another version.
-    pub fn has_other(&self, version: &Name) -> bool {
+    /// Returns whether the service has, or had until lately, an upstream of a version that is neither
+    /// this one nor withdrawn.
+    pub fn has_other(&self, version: &Name, withdrawn: &[Name]) -> bool {
         let departed = self.registry.upstreams().departed();
         let departed = departed.filter(|entry| entry.service == *self.service);
-        self.present().chain(departed).any(|entry| entry.version != *version)
+        let is_other = |entry: &UpstreamEntry| {
+            entry.version != *version && !withdrawn.contains(&entry.version)
+        };
+        self.present().chain(departed).any(is_other)
     }
 
     /// Returns the keys of `count` upstreams of a version, the same at all routers.
@@ -50,7 +57,13 @@
         chosen.into_iter().filter_map(|id| Some(upstreams.get(id.as_str())?.key)).collect()
     }
 
+    /// Returns the upstreams of the service; those whose entry is missing, as after a restore of the
+    /// store, until they count as gone.
     fn present(&self) -> impl Iterator<Item = &'a UpstreamEntry> {
-        self.registry.upstreams().present(self.service).map(|upstream| &upstream.entry)
+        let Self { now, service, .. } = *self;
+        let is_present = move |upstream: &&Upstream| {
+            upstream.entry.service == *service && upstream.gone_at.is_none_or(|at| at > now)
+        };
+        self.registry.upstreams().iter().filter(is_present).map(|upstream| &upstream.entry)
     }
 }
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -10,7 +10,7 @@
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
     Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Judged, Placement, Prompt,
-    QuarantineKey, Router, Shares, Upstream, Upstreams, UsageKey, VersionChoice,
+    QuarantineKey, RolloutMark, Router, Shares, Upstream, Upstreams, UsageKey, VersionChoice,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -279,35 +279,27 @@
         }
         let version = upstream.entry.version.clone();
         let (address, started_ms) = (upstream.entry.address, upstream.entry.started_ms);
-        let rollout = self.rollouts.on_sent(now, &call.service, &version, &call.route);
-        Ok(Placement {
-            request: InFlightRequest {
-                upstream: id.clone(),
-                started_ms,
-                version,
-                route: call.route.clone(),
-                service: call.service.clone(),
-                segments: call
-                    .prompt
-                    .as_ref()
-                    .map(|prompt| prompt.shared_ids.clone())
-                    .unwrap_or_default(),
-                identity: call.identity,
-                prefill_tokens,
-                queued_tokens,
-                placed_at: now,
-                is_framed: false,
-                first_event_at: None,
-                events: 0,
-                last_event_at: now,
-                rollout,
-                judged: Judged::Open,
-            },
-            address,
-            instance: id,
-            fetch_from,
-            expected_delay,
-        })
+        let segments = call.prompt.as_ref().map(|prompt| prompt.shared_ids.clone());
+        let mut request = InFlightRequest {
+            upstream: id.clone(),
+            started_ms,
+            version,
+            route: call.route.clone(),
+            service: call.service.clone(),
+            segments: segments.unwrap_or_default(),
+            identity: call.identity,
+            prefill_tokens,
+            queued_tokens,
+            placed_at: now,
+            is_framed: false,
+            first_event_at: None,
+            events: 0,
+            last_event_at: now,
+            rollout: RolloutMark::default(),
+            judged: Judged::default(),
+        };
+        self.record_version(now, &mut request);
+        Ok(Placement { request, address, instance: id, fetch_from, expected_delay })
     }
 }
 
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -30,8 +30,7 @@
         request.first_event_at = Some(now);
         let delay = now.since(request.placed_at);
         let expected_speed = self.registry.expected_prefill_speed(&request.service);
-        let prefill_ms = request.queued_tokens as f64 / expected_speed.max(f64::MIN_POSITIVE);
-        self.rollouts.on_first_event(now, request, prefill_ms);
+        self.rollouts.on_first_event(now, request);
         if let Some(upstream) = self.find_upstream(request) {
             upstream.load.on_first_event(
                 request.prefill_tokens,
--- a/sapphirespur_core/src/edge/router/rollouts.rs
+++ b/sapphirespur_core/src/edge/router/rollouts.rs
@@ -23,6 +23,9 @@
 
     /// Returns the calls to the store that roll-outs need now; to be called about ten times a second.
     pub fn rollout_duties(&mut self, now: Time, is_store_usable: bool) -> Vec<RolloutDuty> {
+        if self.rollouts.is_idle() {
+            return Vec::new();
+        }
         let own = self.name_hash();
         let members = self.exchange.peers().members();
         let view = DutyView {
@@ -40,7 +43,18 @@
     /// Returns whether a request that was placed before may still be sent: its upstream is the same
     /// instance and accepts requests, and its version was not withdrawn since.
     pub fn may_send(&self, now: Time, request: &InFlightRequest) -> bool {
-        self.registry.may_send(now, request) && self.rollouts.allows(now, request)
+        self.registry.may_send(now, request) && self.rollouts.allows(now, request, &self.registry)
+    }
+
+    /// Records a request that is placed on an upstream, with the time that its prompt and those before
+    /// it are expected to take.
+    pub(super) fn record_version(&mut self, now: Time, request: &mut InFlightRequest) {
+        let mut prefill_ms = 0.0;
+        if request.queued_tokens > 0 && self.rollouts.is_running(&request.service) {
+            let speed = self.registry.expected_prefill_speed(&request.service);
+            prefill_ms = request.queued_tokens as f64 / speed.max(f64::MIN_POSITIVE);
+        }
+        self.rollouts.on_sent(now, request, prefill_ms);
     }
 
     /// Takes the evidence of all routers into account.
--- a/sapphirespur_core/tests/edge/rollout.rs
+++ b/sapphirespur_core/tests/edge/rollout.rs
@@ -4,10 +4,13 @@
 
 use sapphirespur_core::edge::{RolloutPhase, RolloutReason, RolloutState};
 
-use crate::rollout_scene::{FAILS, Fault, Scene};
+use crate::rollout_scene::{FAILS, Fault, ORDER, Scene};
 
 const WAIT: Duration = Duration::from_secs(40);
 
+/// Time of a response that comes only after all tests.
+const HANGS: u64 = 10_000;
+
 macro_rules! version_is {
     ($($name:ident: $state:ident, $faults:expr;)*) => {
         $(
@@ -47,6 +50,8 @@
     partly_slow_version_reverts: Reverted,
         vec![("v2", Fault { part: 0.4, slowdown: Some(5), ..FAILS })];
     version_bad_on_one_route_reverts: Reverted, vec![("v2", Fault { route: Some("chat"), ..FAILS })];
+    hanging_version_reverts: Reverted,
+        vec![("v2", Fault { part: 0.5, slowdown: Some(HANGS), ..FAILS })];
     version_no_worse_than_the_old_one_completes: Completed,
         vec![("v1", Fault { part: 0.1, ..FAILS }), ("v2", Fault { part: 0.1, ..FAILS })];
     good_version_beside_grey_old_version_completes: Completed,
@@ -78,3 +83,51 @@
     let fiftieth = scene.bad_at.get(49).copied().unwrap_or(scene.fleet.now);
     assert!(scene.last_at_target.since(fiftieth) <= Duration::from_secs(5));
 }
+
+macro_rules! version_with_upstreams_is {
+    ($($name:ident: $upstreams:expr, $state:ident, $fault:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let fault: Option<Fault> = $fault;
+                let mut scene = Scene::start_with($upstreams, $upstreams);
+                scene.run(Duration::from_secs(2));
+                scene.order("v2", ORDER);
+                scene.faults.extend(fault.map(|fault| ("v2", fault)));
+                assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::$state));
+                if RolloutState::$state == RolloutState::Reverted {
+                    scene.run(Duration::from_secs(3));
+                    scene.assert_bounds();
+                }
+            }
+        )*
+    };
+}
+
+version_with_upstreams_is! {
+    good_version_of_three_upstreams_completes: 3, Completed, None;
+    good_version_of_forty_upstreams_completes: 40, Completed, None;
+    bad_version_of_three_upstreams_reverts: 3, Reverted, Some(FAILS);
+    bad_version_of_forty_upstreams_reverts: 40, Reverted, Some(FAILS);
+    version_of_three_upstreams_bad_under_load_reverts: 3, Reverted,
+        Some(Fault { from_load: 7, ..FAILS });
+    version_of_three_upstreams_slow_under_load_reverts: 3, Reverted,
+        Some(Fault { part: 0.8, slowdown: Some(4), from_load: 7, ..FAILS });
+    version_of_forty_upstreams_bad_under_load_reverts: 40, Reverted,
+        Some(Fault { from_load: 2, ..FAILS });
+}
+
+/// A version may also cut connections; a single crash counts once a second, but not these.
+#[test]
+fn version_that_cuts_connections_reverts() {
+    for from in [0, 9_800] {
+        let mut scene = Scene::ordered();
+        let from = Duration::from_millis(from);
+        scene.faults = vec![("v2", Fault { from, is_cut: true, ..FAILS })];
+        scene.hold_old(Duration::from_secs(20));
+        assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::Reverted));
+        scene.run(Duration::from_secs(3));
+        let fiftieth = scene.bad_at.get(49).copied().unwrap_or(scene.fleet.now);
+        assert!(scene.last_at_target.since(fiftieth) <= Duration::from_secs(5));
+    }
+}
--- a/sapphirespur_core/tests/edge/rollout_faults.rs
+++ b/sapphirespur_core/tests/edge/rollout_faults.rs
@@ -59,7 +59,7 @@
             break write;
         }
     };
-    scene.frozen.insert(leader);
+    scene.freeze(leader);
     scene.run(ms(6_000));
     let successor = scene.record().expect("it exists").clone();
     assert_ne!(successor.leader, name, "another router leads");
@@ -68,7 +68,7 @@
     store.perform(now, &name, fleet.nodes[leader].router.rollouts_mut(), &late);
     assert_eq!(scene.store.conflicts, conflicts + 1);
     assert_eq!(scene.record(), Some(&successor));
-    scene.frozen.remove(&leader);
+    scene.thaw(leader);
     assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::Completed));
 }
 
--- a/sapphirespur_core/tests/edge/rollout_scene.rs
+++ b/sapphirespur_core/tests/edge/rollout_scene.rs
@@ -41,10 +41,18 @@
     pub from_load: u32,
     /// When it begins, after the order.
     pub from: Duration,
+    /// Whether the connection is cut.
+    pub is_cut: bool,
 }
 
-pub const FAILS: Fault =
-    Fault { part: 0.3, slowdown: None, route: None, from_load: 0, from: Duration::ZERO };
+pub const FAILS: Fault = Fault {
+    part: 0.3,
+    slowdown: None,
+    route: None,
+    from_load: 0,
+    from: Duration::ZERO,
+    is_cut: false,
+};
 
 /// Request that is running.
 struct Running {
@@ -66,7 +74,7 @@
     /// Nodes that do not reach the store.
     pub cut: HashSet<usize>,
     /// Nodes whose process is frozen.
-    pub frozen: HashSet<usize>,
+    frozen: HashSet<usize>,
     pub ordered_at: Time,
     pub sent: u64,
     pub sent_to_target: u64,
@@ -91,8 +99,12 @@
 impl Scene {
     /// Starts a fleet of routers before ten old and `new` new upstreams.
     pub fn start(new: u16) -> Self {
+        Self::start_with(UPSTREAMS, new)
+    }
+
+    pub fn start_with(old: u16, new: u16) -> Self {
         let mut scene = Self {
-            fleet: Fleet::start_with_upstreams(ROUTERS, DATA_CENTRES, UPSTREAMS),
+            fleet: Fleet::start_with_upstreams(ROUTERS, DATA_CENTRES, old),
             store: Store::default(),
             faults: Vec::new(),
             cut: HashSet::default(),
@@ -171,6 +183,17 @@
         (0..ROUTERS).for_each(|index| self.restart(index));
     }
 
+    /// Freezes the process of a router.
+    pub fn freeze(&mut self, index: usize) {
+        self.frozen.insert(index);
+        self.fleet.nodes[index].is_alive = false;
+    }
+
+    pub fn thaw(&mut self, index: usize) {
+        self.frozen.remove(&index);
+        self.fleet.nodes[index].is_alive = true;
+    }
+
     /// Cuts a router off from the store and from the other routers.
     pub fn cut_off(&mut self, index: usize) {
         self.cut.insert(index);
@@ -291,9 +314,10 @@
 
     fn end_requests(&mut self) {
         let now = self.fleet.now;
-        let (ended, running) = std::mem::take(&mut self.running)
-            .into_iter()
-            .partition(|running: &Running| running.ends_at <= now);
+        let (ended, running) =
+            std::mem::take(&mut self.running).into_iter().partition(|running: &Running| {
+                running.ends_at <= now && !self.frozen.contains(&running.node)
+            });
         self.running = running;
         let ended: Vec<Running> = ended;
         for Running { node, starts, mut request, is_bad, outcome, .. } in ended {
@@ -301,7 +325,7 @@
             if is_bad && request.version.as_str() == "v2" {
                 self.bad_at.push(now);
             }
-            if self.frozen.contains(&node) || starts < self.starts[node] {
+            if starts < self.starts[node] {
                 continue;
             }
             let router = &mut self.fleet.nodes[node].router;
@@ -402,6 +426,7 @@
             Some((_, Fault { slowdown: Some(factor), .. })) => {
                 (true, ms(usual * factor), SendOutcome::Answered)
             }
+            Some((_, Fault { is_cut: true, .. })) => (true, ms(usual), SendOutcome::Disconnected),
             Some(_) => (true, ms(usual), SendOutcome::Failed),
         }
     }
