--- a/sapphirespur_node/src/edge/rollout_log.rs
+++ b/sapphirespur_node/src/edge/rollout_log.rs
@@ -33,7 +33,7 @@
 pub(super) fn log_order(order: &RolloutOrder) {
     log::info!(
         service = order.service.as_str(),
-        target = order.target.as_str(),
+        to_version = order.target.as_str(),
         duration_ms = millis(order.duration),
         revision = order.revision;
         "roll-out ordered"
@@ -54,7 +54,7 @@
     };
     log::info!(
         service = notice.service.as_str(),
-        target = notice.target.as_str(),
+        to_version = notice.target.as_str(),
         phase = phase,
         reason = reason,
         elapsed_ms = millis(notice.elapsed),
@@ -80,7 +80,7 @@
 pub(super) fn log_written(record: &RolloutRecord, write: &StateWrite, revision: u64) {
     log::info!(
         service = record.service.as_str(),
-        target = write.target.as_str(),
+        to_version = write.target.as_str(),
         state = write.state.as_str(),
         phase = record.phase.as_str(),
         reason = record.reason.as_str(),
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -456,6 +456,10 @@
     let framing = if is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
     let head =
         format!("HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n{framing}\r\n");
+    // The head leaves with the first event.
+    if !pause.is_zero() {
+        tokio::time::sleep(pause).await;
+    }
     stream.write_all(head.as_bytes()).await?;
     if state.crashes_under(request) {
         // The head leaves before the process ends.
@@ -470,7 +474,7 @@
         _ => Runner::EVENTS_PER_STREAM,
     };
     for id in last_received + 1..=last_event {
-        if !pause.is_zero() {
+        if !pause.is_zero() && id > last_received + 1 {
             tokio::time::sleep(pause).await;
         }
         match state.behaviour.get() {
