Roll-outs: reference of rare routes, verdicts of other routers, more tests

The reference of a route with few responses was too low.

Change: the reference of a route tends to that of all routes and is raised by a standard deviation; the control row counts the routers that have stopped, and the leader reverts when one has stopped for two seconds. The good verdict on all routes together keeps a coarser test, so that it comes in time at 200 requests per second.

--- a/sapphirespur_core/src/edge/rollout/decision.rs
+++ b/sapphirespur_core/src/edge/rollout/decision.rs
@@ -182,7 +182,7 @@
         let elapsed = self.elapsed(cx.now);
         let upstreams = cx.service.count(&record.target);
         let verdict = self.judge.verdict();
-        if verdict == RolloutVerdict::Bad {
+        if verdict == RolloutVerdict::Bad || self.is_stopped_elsewhere(cx.now) {
             return self.revert(cx, &record, RolloutReason::Bad);
         }
         if upstreams == 0 {
--- a/sapphirespur_core/src/edge/rollout/hypotheses.rs
+++ b/sapphirespur_core/src/edge/rollout/hypotheses.rs
@@ -21,7 +21,10 @@
     const FACTOR: f64 = 2.0;
 
     /// Rate of failures that a bad version has in addition.
-    const EXTRA_FAILURES: f64 = 0.05;
+    const EXTRA_FAILURES: f64 = 0.03;
+
+    /// The same for the good verdict, which has to come within the first seconds of an order.
+    const EXTRA_ALL_ROUTES: f64 = 0.05;
 
     /// Rate of bad responses in addition for tests of slow responses, and for the good verdict of a
     /// single route, for which there are few responses.
@@ -32,6 +35,11 @@
         Self::new(reference.max(Self::MIN_FAILURES), Self::EXTRA_FAILURES)
     }
 
+    /// Returns the rates of failures for the good verdict on all routes together.
+    pub fn all_failures(reference: f64) -> Self {
+        Self::new(reference.max(Self::MIN_FAILURES), Self::EXTRA_ALL_ROUTES)
+    }
+
     /// Returns the rates of failures between which few responses decide.
     pub fn coarse_failures(reference: f64) -> Self {
         Self::new(reference.max(Self::MIN_FAILURES), Self::EXTRA_COARSE)
--- a/sapphirespur_core/src/edge/rollout/judge.rs
+++ b/sapphirespur_core/src/edge/rollout/judge.rs
@@ -5,7 +5,7 @@
 use crate::collections::{HashMap, HashSet};
 use crate::edge::rollout::counts::Counts;
 use crate::edge::rollout::hypotheses::Hypotheses;
-use crate::edge::rollout::reference::Reference;
+use crate::edge::rollout::reference::{Rates, Reference};
 use crate::edge::rollout::seen::Seen;
 use crate::edge::rollout::sequential_test::SequentialTest;
 use crate::edge::{EvidenceKey, RolloutEvidence, RolloutRole, RolloutVerdict};
@@ -43,6 +43,8 @@
     rollout: u32,
     seen: HashMap<EvidenceKey, Seen>,
     routes: HashMap<u32, RouteTests>,
+    /// Old versions on all routes.
+    reference: Reference,
     /// Failures on all routes.
     pooled: SequentialTest,
     suspects: HashMap<u32, Suspect>,
@@ -175,9 +177,9 @@
         }
         for (key, counts) in new.iter().filter(|(key, _)| key.upstream != 0) {
             let reference = self.routes.get(&key.route).map(|tests| tests.reference);
-            let reference = reference.unwrap_or_default();
+            let rates = reference.unwrap_or_default().rates(&self.reference);
             let suspect = self.suspects.entry(key.upstream).or_default();
-            suspect.evidence += reference.evidence(*counts);
+            suspect.evidence += rates.evidence(*counts);
         }
     }
 
@@ -220,17 +222,20 @@
         old: Counts,
         tested: Counts,
     ) {
+        self.reference.add(elapsed, old);
         let tests = self.routes.entry(route).or_default();
         tests.target = tests.target.plus(target);
         tests.old = tests.old.plus(old);
         tests.reference.add(elapsed, old);
+        let rates = tests.reference.rates(&self.reference);
         let (answered, failed) = (tested.answered, tested.failed + tested.lost);
-        let failures = Hypotheses::failures(tests.reference.failures()).evidence(answered, failed);
+        let failures = Hypotheses::failures(rates.failures).evidence(answered, failed);
         tests.failures.add(failures);
-        self.pooled.add(failures);
-        let coarse = Hypotheses::coarse_failures(tests.reference.failures());
+        let all = Hypotheses::all_failures(rates.failures).evidence(answered, failed);
+        self.pooled.add(all);
+        let coarse = Hypotheses::coarse_failures(rates.failures);
         tests.coarse.add(coarse.evidence(answered, failed));
-        let slow = Hypotheses::slow(tests.reference.slow());
+        let slow = Hypotheses::slow(rates.slow);
         tests.slow.add(slow.evidence(answered, tested.slow));
     }
 
@@ -271,11 +276,11 @@
     }
 }
 
-impl Reference {
+impl Rates {
     /// Returns how much more likely responses of one upstream are for a bad version.
     fn evidence(&self, counts: Counts) -> f64 {
         let failed = counts.failed + counts.lost;
-        Hypotheses::failures(self.failures()).evidence(counts.answered, failed)
-            + Hypotheses::slow(self.slow()).evidence(counts.answered, counts.slow)
+        Hypotheses::failures(self.failures).evidence(counts.answered, failed)
+            + Hypotheses::slow(self.slow).evidence(counts.answered, counts.slow)
     }
 }
--- a/sapphirespur_core/src/edge/rollout/reference.rs
+++ b/sapphirespur_core/src/edge/rollout/reference.rs
@@ -16,8 +16,8 @@
     /// Time in which the weight of a response halves.
     const HALF_LIFE: Duration = Duration::from_secs(2);
 
-    /// Responses that are assumed without any, and the bad ones among them.
-    const PRIOR: (f64, f64, f64) = (20.0, 0.1, 1.0);
+    /// Responses that are assumed without any, with the rates of all routes.
+    const PRIOR: f64 = 20.0;
 
     /// Adds responses. Without new ones, as at the end of a roll-out, the earlier ones keep their
     /// weight.
@@ -32,15 +32,25 @@
         self.slow = self.slow * kept + f64::from(counts.slow);
     }
 
-    /// Returns the rate of failures.
-    pub fn failures(&self) -> f64 {
-        let (answered, failed, _) = Self::PRIOR;
-        (self.failed + failed) / (self.answered + answered)
+    /// Returns the rates of bad responses; on a route with few responses, they are close to those of
+    /// all routes.
+    pub fn rates(&self, all: &Self) -> Rates {
+        let rate = |own: f64, all_bad: f64| {
+            let prior = Self::PRIOR * all_bad / all.answered.max(Self::PRIOR);
+            let responses = self.answered + Self::PRIOR;
+            let rate = ((own + prior) / responses).min(1.0);
+            rate + (rate * (1.0 - rate) / responses).sqrt()
+        };
+        Rates { failures: rate(self.failed, all.failed), slow: rate(self.slow, all.slow) }
     }
+}
 
-    /// Returns the rate of slow responses.
-    pub fn slow(&self) -> f64 {
-        let (answered, _, slow) = Self::PRIOR;
-        (self.slow + slow) / (self.answered + answered)
-    }
+/// Rates of bad responses that a version has at most if it is like the old ones: the measured ones and
+/// a standard deviation.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Rates {
+    /// Rate of failures.
+    pub failures: f64,
+    /// Rate of slow responses.
+    pub slow: f64,
 }
--- a/sapphirespur_core/src/edge/rollout/service_rollout.rs
+++ b/sapphirespur_core/src/edge/rollout/service_rollout.rs
@@ -62,6 +62,8 @@
     /// Sums of the other routers' control rows, and since when no request is at an old version.
     others: RolloutEvidence,
     quiet: Option<Quiet>,
+    /// Since when other routers have stopped sending to the target.
+    stopped_since: Option<Time>,
     /// Requests that the other routers have sent to the target.
     others_sent: u32,
     notices: Vec<RolloutNotice>,
@@ -89,6 +91,9 @@
     /// follows.
     const QUIET_TIME: Duration = Duration::from_secs(1);
 
+    /// Time after which the leader follows the bad verdict of another router.
+    const STOPPED_TIME: Duration = Duration::from_secs(2);
+
     /// Creates the state of a service without order and record.
     pub fn new(service: Name, settings: &RolloutSettings) -> Self {
         Self {
@@ -108,6 +113,7 @@
             longest: Duration::ZERO,
             others: Self::control_row(0),
             quiet: None,
+            stopped_since: None,
             others_sent: 0,
             notices: Vec::new(),
         }
@@ -175,6 +181,7 @@
         self.shifting_since = None;
         self.others = Self::control_row(rollout);
         self.quiet = None;
+        self.stopped_since = None;
         self.others_sent = 0;
     }
 
@@ -390,12 +397,14 @@
     }
 
     /// Returns the rows to report: responses, and a control row with what the end of the roll-out
-    /// depends on. Its `answered` counts the routers that know that the traffic shifts.
+    /// depends on. Its `answered` counts the routers that know that the traffic shifts, its `failed`
+    /// those that have stopped.
     pub fn rows(&self) -> Vec<RolloutEvidence> {
         let Some(record) = self.running() else { return Vec::new() };
         let control = RolloutEvidence {
             sent: self.tally.old_sent(),
             answered: u32::from(record.phase == RolloutPhase::Shifting),
+            failed: u32::from(self.judge.verdict() == RolloutVerdict::Bad),
             in_flight: self.old_in_flight(&record.target),
             ..Self::control_row(Self::rollout_key(record))
         };
@@ -417,6 +426,7 @@
         self.others = control.copied().unwrap_or(Self::control_row(rollout));
         self.others_sent = target_sent(rollout, others);
         self.observe_quiet(now);
+        self.observe_stopped(now);
         let before = self.judge.verdict();
         self.judge.observe(now, &own, others, upstreams);
         if self.judge.verdict() == RolloutVerdict::Bad && before != RolloutVerdict::Bad {
@@ -442,6 +452,20 @@
         (load.ceil() as usize).max(Self::MIN_SUBSET)
     }
 
+    fn observe_stopped(&mut self, now: Time) {
+        if self.others.failed == 0 {
+            self.stopped_since = None;
+        } else {
+            self.stopped_since.get_or_insert(now);
+        }
+    }
+
+    /// Returns whether another router has stopped for so long that its verdict holds: the evidence that
+    /// arrives there may differ.
+    pub fn is_stopped_elsewhere(&self, now: Time) -> bool {
+        self.stopped_since.is_some_and(|since| now.since(since) >= Self::STOPPED_TIME)
+    }
+
     fn observe_quiet(&mut self, now: Time) {
         let Some(record) = self.running() else { return };
         let in_flight = self.others.in_flight + self.old_in_flight(&record.target);
--- a/sapphirespur_core/tests/edge/rollout.rs
+++ b/sapphirespur_core/tests/edge/rollout.rs
@@ -4,7 +4,7 @@
 
 use sapphirespur_core::edge::{RolloutPhase, RolloutReason, RolloutState};
 
-use crate::rollout_scene::{FAILS, Fault, ORDER, Scene};
+use crate::rollout_scene::{FAILS, Fault, ORDER, ROUTERS, Scene};
 
 const WAIT: Duration = Duration::from_secs(40);
 
@@ -33,6 +33,10 @@
 
 version_is! {
     good_version_completes: Completed, vec![];
+    version_as_bad_as_the_old_one_on_a_rare_route_completes: Completed, vec![
+        ("v1", Fault { part: 0.1, ..FAILS }),
+        ("v2", Fault { part: 0.1, ..FAILS }),
+    ];
     version_bad_at_once_reverts: Reverted, vec![("v2", FAILS)];
     slightly_bad_version_reverts: Reverted, vec![("v2", Fault { part: 0.08, ..FAILS })];
     version_bad_during_canary_reverts: Reverted,
@@ -131,3 +135,38 @@
         assert!(scene.last_at_target.since(fiftieth) <= Duration::from_secs(5));
     }
 }
+
+/// With few requests, the good verdict takes most of the time of the order.
+#[test]
+fn good_version_of_a_service_with_few_requests_completes() {
+    let mut scene = Scene::start(10);
+    scene.requests_per_s = 200;
+    scene.run(Duration::from_secs(2));
+    scene.order("v2", ORDER);
+    assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::Completed));
+}
+
+/// Requests that take long at the old version have the traffic shift early.
+#[test]
+fn long_requests_have_the_traffic_shift_early() {
+    let mut scene = Scene::start(10);
+    (0..ROUTERS).for_each(|node| scene.hold_old_at(node, Duration::from_secs(7)));
+    scene.run(Duration::from_secs(8));
+    scene.order("v2", ORDER);
+    scene.run_to_phase(RolloutPhase::Shifting, WAIT);
+    let begin = scene.fleet.now.since(scene.ordered_at);
+    assert!(begin < Duration::from_secs(6), "after {begin:?}");
+}
+
+#[test]
+fn grey_upstream_does_not_condemn_the_version() {
+    for slowdown in [None, Some(5)] {
+        let mut scene = Scene::start_with(40, 40);
+        scene.run(Duration::from_secs(2));
+        scene.order("v2", ORDER);
+        scene.run(Duration::from_secs(1));
+        let upstream: &str = scene.busy_target().as_str().to_owned().leak();
+        scene.faults = vec![(upstream, Fault { part: 0.9, slowdown, ..FAILS })];
+        assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::Completed), "{slowdown:?}");
+    }
+}
--- a/sapphirespur_core/tests/edge/rollout_faults.rs
+++ b/sapphirespur_core/tests/edge/rollout_faults.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{RolloutDuty, RolloutPhase, RolloutState};
+use sapphirespur_core::edge::{
+    ExchangeRole, PeerReport, RolloutDuty, RolloutEvidence, RolloutPhase, RolloutRole, RolloutState,
+};
 use sapphirespur_core::name::Name;
 
-use crate::rollout_scene::{FAILS, Fault, ORDER, ROUTERS, SHARE, Scene, router};
+use crate::rollout_scene::{FAILS, Fault, ORDER, ROUTERS, SHARE, Scene, resumed_call, router};
 use crate::rollout_store::Health;
 use crate::support::ms;
 
@@ -38,7 +40,13 @@
 exposure_stays_below_the_share! {
     exposure_of_a_steady_fleet: |_, _| {};
     exposure_with_restarted_routers: |scene, second| scene.restart(second);
+    exposure_with_all_routers_restarted_each_second: |scene, _| scene.restart_all();
     exposure_with_all_routers_restarted: |scene, second| if second == 5 { scene.restart_all() };
+    exposure_with_streams_that_go_on: |scene, _| for node in 0..ROUTERS {
+        for _ in 0..20 {
+            scene.place(node, &resumed_call("v2"), 0);
+        }
+    };
     exposure_with_a_cut_off_router: |scene, second| if second == 2 { scene.cut_off(3) };
     exposure_with_the_store_down: |scene, second| if second == 2 { scene.store.health = Health::Down };
 }
@@ -241,3 +249,30 @@
     scene.run(ms(12_000));
     scene.assert_bounds();
 }
+
+/// The reports of a router are lost now and then; what it counted must not count again each time.
+#[test]
+fn reports_that_come_back_count_once() {
+    let mut scene = Scene::start(10);
+    scene.run(ms(1_000));
+    scene.order("v2", ORDER);
+    scene.run(ms(1_000));
+    let is_member =
+        |index: &usize| scene.fleet.nodes[*index].router.exchange().role() == ExchangeRole::Member;
+    let index = (0..ROUTERS).find(is_member).expect("there is one");
+    let now = scene.fleet.now;
+    let rows = router(&mut scene, index).report(now).rollouts;
+    let row = rows.iter().find(|row| row.route != 0).expect("it has sent some");
+    let (role, answered) = (RolloutRole::Target, 30);
+    let bad = RolloutEvidence { role, answered, failed: 1, ..*row };
+    for sequence in 0..20 {
+        let rollouts = if sequence % 2 == 0 { vec![bad] } else { Vec::new() };
+        let report =
+            PeerReport { router: 99, started_ms: 1, sequence, rollouts, ..PeerReport::default() };
+        let now = scene.fleet.now;
+        assert!(router(&mut scene, index).apply_report(now, report));
+        scene.run(ms(200));
+    }
+    let summary = &router(&mut scene, index).rollouts().summaries(now)[0];
+    assert_eq!(summary.bad, 1);
+}
--- a/sapphirespur_core/tests/edge/rollout_orders.rs
+++ b/sapphirespur_core/tests/edge/rollout_orders.rs
@@ -199,7 +199,9 @@
         }
     }
     scene.order("v2", ORDER);
+    scene.declined = 0;
     assert_eq!(scene.run_to_end(WAIT), Some(RolloutState::Completed));
+    assert_eq!(scene.declined, 0, "old upstreams take what the target does not");
     let late = scene.fleet.now.since(scene.ordered_at);
     assert!(late < ORDER + ms(2_000), "completed after {late:?}");
 }
