--- a/sapphirespur_core/src/edge/rollout/rollouts.rs
+++ b/sapphirespur_core/src/edge/rollout/rollouts.rs
@@ -3,63 +3,20 @@
 use std::time::Duration;
 
 use crate::collections::{HashMap, HashSet};
+use crate::edge::rollout::duty_view::DutyView;
 use crate::edge::rollout::fault::Fault;
-use crate::edge::rollout::known_order::KnownOrder;
-use crate::edge::rollout::leader_view::LeaderView;
 use crate::edge::rollout::leadership::Leadership;
-use crate::edge::rollout::measure::Measure;
 use crate::edge::rollout::service_rollout::ServiceRollout;
 use crate::edge::rollout::service_view::ServiceView;
 use crate::edge::rollout::version_plan::VersionPlan;
 use crate::edge::{
     CallInfo, InFlightRequest, Judged, RegistryState, RolloutDuty, RolloutEvent, RolloutEvidence,
     RolloutNotice, RolloutOrder, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot,
-    RolloutSummary, SendOutcome, Shares,
+    RolloutSummary, SendOutcome,
 };
 use crate::name::Name;
 use crate::time::Time;
 
-/// Inputs of the calls to the store that are due.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct DutyView<'a> {
-    /// Name of this router.
-    pub router: &'a Name,
-    /// State of the registry.
-    pub registry: &'a RegistryState,
-    /// Number of routers that precede this one as leaders.
-    pub rank: usize,
-    /// Number of other routers.
-    pub routers: usize,
-    /// Age up to which reports may lack the work of other routers.
-    pub lag: Duration,
-    /// Whether the settle time after the start of this router is over.
-    pub is_settled: bool,
-    /// Whether the store responds in time and without errors.
-    pub is_store_usable: bool,
-}
-
-impl<'a> DutyView<'a> {
-    fn leader_view(
-        &self,
-        now: Time,
-        fencing: u64,
-        era: u64,
-        is_restored: bool,
-        service: &'a Name,
-    ) -> LeaderView<'a> {
-        LeaderView {
-            now,
-            router: self.router,
-            fencing,
-            era,
-            is_restored,
-            routers: self.routers,
-            lag: self.lag,
-            service: ServiceView { now, registry: self.registry, service },
-        }
-    }
-}
-
 /// Orders, records and evidence of all services, and this router's part in leading them.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -77,12 +34,6 @@
     /// is written again with the same content is the same order.
     const RESTORE_TIME: Duration = Duration::from_secs(30);
 
-    /// Events of a stream after which its interval between events is judged.
-    const INTERVAL_EVENTS: u32 = 8;
-
-    /// Fewest events of a stream that has ended for a judgement of their interval.
-    const MIN_INTERVAL_EVENTS: u32 = 3;
-
     /// Creates the state of a router without orders; without settings, nothing takes effect.
     pub fn new(settings: Option<RolloutSettings>) -> Self {
         Self {
@@ -112,9 +63,15 @@
         self.services.values().all(|rollout| rollout.order.is_none() && rollout.record.is_none())
     }
 
-    /// Replaces the settings; they apply to services that have had no request and no order yet.
+    /// Replaces the settings; without any, what is known of roll-outs is dropped.
     pub(crate) fn update_settings(&mut self, settings: Option<RolloutSettings>) {
         self.settings = settings;
+        match &self.settings {
+            Some(settings) => {
+                self.services.values_mut().for_each(|rollout| rollout.update_settings(settings));
+            }
+            None => self.services.clear(),
+        }
     }
 
     /// Returns the state of a service, which is created if roll-outs are on.
@@ -257,8 +214,8 @@
 
     /// Records events of a stream, which the request counts already.
     pub(crate) fn on_events(&mut self, now: Time, request: &mut InFlightRequest, count: u32) {
-        let is_due = request.events >= Self::INTERVAL_EVENTS
-            && request.events.saturating_sub(count) < Self::INTERVAL_EVENTS;
+        let is_due = request.events >= ServiceRollout::INTERVAL_EVENTS
+            && request.events.saturating_sub(count) < ServiceRollout::INTERVAL_EVENTS;
         if let Some((rollout, role)) = self.find(request).filter(|_| is_due) {
             rollout.judge_begun(now, request, role);
         }
@@ -468,94 +425,3 @@
         }
     }
 }
-
-impl ServiceRollout {
-    fn apply_order(&mut self, now: Time, order: RolloutOrder) {
-        match &mut self.order {
-            Some(known) => known.update(now, order),
-            None => self.order = Some(KnownOrder::new(now, order)),
-        }
-    }
-
-    /// Records that the store has a record of this leader.
-    fn on_stored(&mut self, now: Time, record: RolloutRecord, revision: u64) {
-        self.store.written_at = Some(now);
-        self.store.set(Some((record.clone(), revision)));
-        self.adopt(now, record);
-    }
-
-    /// Judges the time to the first event.
-    fn on_first_event(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
-        let route = Shares::name_hash(&request.route);
-        let delay = now.since(request.placed_at);
-        if self.tally.stop_waiting(request.rollout.number) {
-            request.judged = Judged::Bad;
-        } else if self.tally.is_first_slow(route, delay, request.rollout.prefill_ms) {
-            request.judged = self.tally.on_fault(now, request, role, Fault::Slow);
-        }
-    }
-
-    /// Judges a stream that has sent some events.
-    fn judge_begun(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
-        self.record_first(request, role);
-        if let Some(interval_ms) = interval_ms(request) {
-            self.judge_time(now, request, role, Measure::Interval, interval_ms);
-        }
-        self.judge_fine(request, role);
-    }
-
-    /// Judges a response that has ended well.
-    fn judge_ended(&mut self, now: Time, request: &mut InFlightRequest, role: RolloutRole) {
-        if request.events >= Rollouts::INTERVAL_EVENTS {
-            return;
-        }
-        self.record_first(request, role);
-        if request.events <= 1 {
-            let total_ms = now.since(request.placed_at).as_secs_f64() * 1_000.0;
-            self.judge_time(now, request, role, Measure::Total, total_ms);
-        } else if request.events >= Rollouts::MIN_INTERVAL_EVENTS
-            && let Some(interval_ms) = interval_ms(request)
-        {
-            self.judge_time(now, request, role, Measure::Interval, interval_ms);
-        }
-        self.judge_fine(request, role);
-    }
-
-    /// Records the time to the first event of an old version's response. It is not recorded earlier,
-    /// because refusals have one as well.
-    fn record_first(&mut self, request: &InFlightRequest, role: RolloutRole) {
-        let Some(first_event_at) = request.first_event_at else { return };
-        if role == RolloutRole::Old {
-            let delay = first_event_at.since(request.placed_at);
-            let route = Shares::name_hash(&request.route);
-            self.tally.record_first(route, delay, request.rollout.prefill_ms);
-        }
-    }
-
-    fn judge_time(
-        &mut self,
-        now: Time,
-        request: &mut InFlightRequest,
-        role: RolloutRole,
-        measure: Measure,
-        ms: f64,
-    ) {
-        let route = Shares::name_hash(&request.route);
-        if self.tally.is_slow(route, role, measure, ms) && request.judged != Judged::Bad {
-            request.judged = self.tally.on_fault(now, request, role, Fault::Slow);
-        }
-    }
-
-    fn judge_fine(&mut self, request: &mut InFlightRequest, role: RolloutRole) {
-        if request.judged == Judged::Open {
-            request.judged = self.tally.on_fine(request, role);
-        }
-    }
-}
-
-/// Returns the mean interval between the events of a response, in milliseconds.
-fn interval_ms(request: &InFlightRequest) -> Option<f64> {
-    let span = request.last_event_at.since(request.first_event_at?);
-    let intervals = request.events.checked_sub(1).filter(|count| *count > 0)?;
-    Some(span.as_secs_f64() * 1_000.0 / f64::from(intervals))
-}
--- a/sapphirespur_core/src/edge/rollout/service_rollout.rs
+++ b/sapphirespur_core/src/edge/rollout/service_rollout.rs
@@ -2,32 +2,24 @@
 
 use std::time::Duration;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::edge::rollout::credit::Credit;
 use crate::edge::rollout::judge::{CONTROL_ROUTE, Judge};
 use crate::edge::rollout::known_order::KnownOrder;
+use crate::edge::rollout::ramp::Ramp;
 use crate::edge::rollout::service_view::ServiceView;
 use crate::edge::rollout::stored_record::StoredRecord;
 use crate::edge::rollout::tally::Tally;
-use crate::edge::rollout::version_plan::{Fallback, VersionPlan};
 use crate::edge::rollout::waiting::Waiting;
 use crate::edge::{
-    CallInfo, InFlightRequest, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice,
-    RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings,
-    RolloutSummary, RolloutVerdict, Shares, Upstream, VersionChoice,
+    InFlightRequest, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSummary,
+    RolloutVerdict, Shares, Upstream,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
-/// Upstreams of the target that get requests at the begin of the shift.
-#[derive(Clone, Copy, Debug, Default)]
-struct Ramp {
-    upstreams: usize,
-    /// Part of the requests with which each has the load that it will have after the shift.
-    part: f64,
-}
-
 /// Time without a change of the requests sent to old versions.
 #[derive(Clone, Copy, Debug)]
 struct Quiet {
@@ -48,11 +40,11 @@
     pub judge: Judge,
     pub tally: Tally,
     /// Part of the requests that go to the target as a canary.
-    canary_part: f64,
-    credit: Credit,
+    pub canary_part: f64,
+    pub credit: Credit,
     /// Credit at the begin of the shift.
-    ramp_credit: Credit,
-    ramp: Ramp,
+    pub ramp_credit: Credit,
+    pub ramp: Ramp,
     /// Since when this router has known that the traffic shifts.
     shifting_since: Option<Time>,
     /// Requests that are running, by version.
@@ -74,19 +66,10 @@
     /// streams that go on.
     const CANARY_FRACTION: f64 = 0.8;
 
-    /// Part of the target's upstreams that get requests at the begin of the shift.
-    const RAMP_PART: f64 = 0.2;
-
     /// Time for which only these get requests. A version that is bad under load shows it here, while
     /// the requests that it gets fit into the allowed share.
     pub const RAMP_TIME: Duration = Duration::from_secs(2);
 
-    /// Fewest upstreams that canary requests go to.
-    const MIN_SUBSET: usize = 2;
-
-    /// Credit that is left to routes with too few responses for a verdict.
-    const NEEDY_RESERVE: f64 = 1.0;
-
     /// Time without a request at an old version, beyond the age of the reports, after which none
     /// follows.
     const QUIET_TIME: Duration = Duration::from_secs(1);
@@ -119,6 +102,11 @@
         }
     }
 
+    /// Replaces the settings.
+    pub fn update_settings(&mut self, settings: &RolloutSettings) {
+        self.canary_part = settings.share * Self::CANARY_FRACTION;
+    }
+
     /// Returns the hash that identifies a roll-out in reports.
     fn rollout_key(record: &RolloutRecord) -> u32 {
         let RolloutRecord { service, target, attempt, .. } = record;
@@ -146,6 +134,21 @@
         elapsed + now.since(at)
     }
 
+    /// Applies an order as written to the store.
+    pub fn apply_order(&mut self, now: Time, order: RolloutOrder) {
+        match &mut self.order {
+            Some(known) => known.update(now, order),
+            None => self.order = Some(KnownOrder::new(now, order)),
+        }
+    }
+
+    /// Records that the store has a record of this leader.
+    pub fn on_stored(&mut self, now: Time, record: RolloutRecord, revision: u64) {
+        self.store.written_at = Some(now);
+        self.store.set(Some((record.clone(), revision)));
+        self.adopt(now, record);
+    }
+
     /// Takes over a record that tells more than the known one.
     pub fn adopt(&mut self, now: Time, record: RolloutRecord) {
         let known = self.record.as_ref();
@@ -207,129 +210,8 @@
         std::mem::take(&mut self.notices)
     }
 
-    /// Returns whether this router sends nothing to the target of a roll-out that is running: its
-    /// verdict is bad, or the order is gone or names another one.
-    fn is_stopped(&self, now: Time, record: &RolloutRecord) -> bool {
-        self.judge.verdict() == RolloutVerdict::Bad
-            || self.active_order(now).is_none_or(|order| order.target != record.target)
-    }
-
-    /// Returns whether requests may go to a version.
-    pub fn allows(&self, version: &Name, view: ServiceView<'_>) -> bool {
-        let Some(record) = &self.record else { return !self.is_pending(version) };
-        if record.withdrawn.contains(version) {
-            return false;
-        }
-        match record.phase {
-            RolloutPhase::Canary | RolloutPhase::Shifting if *version == record.target => {
-                !self.is_stopped(view.now, record)
-            }
-            RolloutPhase::Completed if *version == record.target => true,
-            RolloutPhase::Completed if view.has(&record.target) => false,
-            _ => !self.is_pending(version) || !view.has_other(version, &record.withdrawn),
-        }
-    }
-
-    /// Returns whether an order names a version for which there is no record yet.
-    fn is_pending(&self, version: &Name) -> bool {
-        let is_ordered = self.order.as_ref().is_some_and(|known| known.order.target == *version);
-        is_ordered && self.record.as_ref().is_none_or(|record| record.target != *version)
-    }
-
-    /// Returns whether a stream cannot go on: its version was withdrawn, or replaced.
-    pub fn is_gone(&self, version: &Name) -> bool {
-        self.record.as_ref().is_some_and(|record| {
-            record.withdrawn.contains(version)
-                || record.phase == RolloutPhase::Completed && record.target != *version
-        })
-    }
-
-    /// Returns where a request may go.
-    pub fn plan(&self, call: &CallInfo, view: ServiceView<'_>) -> VersionPlan {
-        let excluded = self.excluded(view);
-        let Some(record) = &self.record else { return not_in(excluded).into() };
-        match record.phase {
-            RolloutPhase::Reverted => not_in(excluded).into(),
-            RolloutPhase::Completed if view.has(&record.target) => target_at(record, None).into(),
-            RolloutPhase::Completed => not_in(excluded).into(),
-            RolloutPhase::Canary | RolloutPhase::Shifting => {
-                self.running_plan(call, view, record, excluded)
-            }
-        }
-    }
-
-    /// Returns the versions that get no requests whatever the phase. A version that no order has moved
-    /// yet serves on if it is the only one.
-    fn excluded(&self, view: ServiceView<'_>) -> Vec<Name> {
-        let mut excluded =
-            self.record.as_ref().map(|record| record.withdrawn.clone()).unwrap_or_default();
-        if let Some(known) = &self.order
-            && self.is_pending(&known.order.target)
-            && view.has_other(&known.order.target, &excluded)
-        {
-            excluded.push(known.order.target.clone());
-        }
-        excluded
-    }
-
-    fn running_plan(
-        &self,
-        call: &CallInfo,
-        view: ServiceView<'_>,
-        record: &RolloutRecord,
-        mut excluded: Vec<Name>,
-    ) -> VersionPlan {
-        let now = view.now;
-        let has_other = view.has_other(&record.target, &record.withdrawn);
-        if !has_other && self.judge.verdict() != RolloutVerdict::Bad {
-            return not_in(excluded).into();
-        }
-        excluded.push(record.target.clone());
-        let old = not_in(excluded.clone());
-        let is_bound_elsewhere =
-            call.version.as_ref().is_some_and(|version| *version != record.target);
-        if self.is_stopped(now, record) || is_bound_elsewhere {
-            return old.into();
-        }
-
-        let is_bound = call.version.is_some();
-        let subset = |count: usize| Some(view.subset(&record.target, count));
-        if record.phase == RolloutPhase::Canary {
-            if is_bound && self.credit.may_borrow() {
-                return target_at(record, None).into();
-            }
-            if is_bound || !self.may_try_canary(call) {
-                return old.into();
-            }
-            let first = target_at(record, subset(self.canary_size(view, &excluded)));
-            return VersionPlan { first, fallback: Fallback::IfDeclined(old) };
-        }
-
-        if is_bound {
-            return target_at(record, None).into();
-        }
-        if !self.is_ramping(now) {
-            let first = target_at(record, None);
-            return VersionPlan { first, fallback: Fallback::IfNoneAvailable(old) };
-        }
-        if !self.ramp_credit.covers(0.0) {
-            return old.into();
-        }
-        let first = target_at(record, subset(self.ramp.upstreams));
-        VersionPlan { first, fallback: Fallback::IfDeclined(old) }
-    }
-
-    /// Returns whether a request of the route may take canary credit. Some is left to routes with too
-    /// few responses for a verdict.
-    fn may_try_canary(&self, call: &CallInfo) -> bool {
-        let is_needy = self.judge.is_needy(Shares::name_hash(&call.route));
-        let reserve =
-            if is_needy || !self.judge.is_any_needy() { 0.0 } else { Self::NEEDY_RESERVE };
-        self.credit.covers(reserve)
-    }
-
     /// Returns whether only a part of the requests is shifted yet.
-    fn is_ramping(&self, now: Time) -> bool {
+    pub fn is_ramping(&self, now: Time) -> bool {
         self.shifting_since.is_none_or(|since| now.since(since) < Self::RAMP_TIME)
     }
 
@@ -445,13 +327,6 @@
         used.min(all)
     }
 
-    /// Returns the number of upstreams that canary requests go to: as many as give each of them the
-    /// load of an old one. `excluded` are the versions that are not old ones.
-    fn canary_size(&self, view: ServiceView<'_>, excluded: &[Name]) -> usize {
-        let load = self.canary_part * view.count_others(excluded) as f64;
-        (load.ceil() as usize).max(Self::MIN_SUBSET)
-    }
-
     fn observe_stopped(&mut self, now: Time) {
         if self.others.failed == 0 {
             self.stopped_since = None;
@@ -510,15 +385,6 @@
     }
 }
 
-impl Ramp {
-    /// Returns the ramp for a number of upstreams.
-    fn of(all: usize) -> Self {
-        let part = ServiceRollout::RAMP_PART;
-        let upstreams = ((all as f64 * part) as usize).max(1);
-        Self { upstreams, part: upstreams as f64 / all.max(1) as f64 }
-    }
-}
-
 fn role_of(record: &RolloutRecord, version: &Name) -> RolloutRole {
     if record.target == *version { RolloutRole::Target } else { RolloutRole::Old }
 }
@@ -530,11 +396,3 @@
     };
     rows.iter().filter(is_target).map(|row| row.sent).sum()
 }
-
-fn not_in(versions: Vec<Name>) -> VersionChoice {
-    VersionChoice::NotIn(versions)
-}
-
-fn target_at(record: &RolloutRecord, subset: Option<HashSet<u32>>) -> VersionChoice {
-    VersionChoice::Target { target: record.target.clone(), subset }
-}
