Roll-outs: mutations, tests of pending targets and of other routers' verdicts

Cause: two of the thirty mutations were missed by the tests: a target that gets requests before its roll-out is on record, and a leader that ignores the verdict of another router.

Change: tests for these two, 30 mutations.

--- a/sapphirespur_core/tests/edge/rollout_faults.rs
+++ b/sapphirespur_core/tests/edge/rollout_faults.rs
@@ -276,3 +276,23 @@
     let summary = &router(&mut scene, index).rollouts().summaries(now)[0];
     assert_eq!(summary.bad, 1);
 }
+
+/// The evidence that arrives at routers may differ; one that has stopped must not hold up the end.
+#[test]
+fn leader_follows_the_verdict_of_another_router() {
+    let mut scene = Scene::ordered();
+    scene.run(ms(2_000));
+    let leader = scene.leader();
+    assert_eq!(router(&mut scene, leader).exchange().role(), ExchangeRole::Member);
+    for sequence in 0..30 {
+        let now = scene.fleet.now;
+        let rows = router(&mut scene, leader).report(now).rollouts;
+        let Some(control) = rows.iter().find(|row| row.route == 0) else { break };
+        let rollouts = vec![RolloutEvidence { failed: 1, sent: 0, in_flight: 0, ..*control }];
+        let report =
+            PeerReport { router: 99, started_ms: 1, sequence, rollouts, ..PeerReport::default() };
+        router(&mut scene, leader).apply_report(now, report);
+        scene.run(ms(100));
+    }
+    assert_eq!(scene.store.state("pool"), Some(RolloutState::Reverted));
+}
--- a/sapphirespur_core/tests/edge/rollout_orders.rs
+++ b/sapphirespur_core/tests/edge/rollout_orders.rs
@@ -4,7 +4,7 @@
 
 use sapphirespur_core::collections::HashSet;
 use sapphirespur_core::edge::{
-    DeclineReason, RolloutPhase, RolloutReason, RolloutState, SendOutcome,
+    DeclineReason, RolloutOrder, RolloutPhase, RolloutReason, RolloutState, SendOutcome,
 };
 use sapphirespur_core::name::Name;
 
@@ -223,3 +223,14 @@
     assert!(off.report(now).rollouts.is_empty());
     assert!(off.rollouts().snapshot().orders.is_empty());
 }
+
+#[test]
+fn target_gets_nothing_before_its_rollout_is_on_record() {
+    let mut scene = Scene::start(10);
+    let (now, service) = (scene.fleet.now, Name::new("pool"));
+    let order = RolloutOrder { service, target: Name::new("v2"), duration: ORDER, revision: 1 };
+    router(&mut scene, 0).rollouts_mut().apply_order(now, order);
+    for arrival in 0..40 {
+        assert_eq!(scene.place(0, &plain_call("notes"), arrival), Some(Name::new("v1")));
+    }
+}
