--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use crate::collections::HashMap;
+use crate::edge::load::Draw;
+use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
     Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
     RetryBudget, RetryLimits, Rollouts, RouterSettings, Shares, StreamOrigins,
@@ -22,11 +24,16 @@
 #[derive(Debug)]
 pub struct Router {
     settings: RouterSettings,
+    /// Hash of this router's name.
+    name_hash: u64,
     registry: RegistryState,
     exchange: Exchange,
     shares: Shares,
     retry_budgets: HashMap<Name, RetryBudget>,
     pressures: Pressures,
+    recent_choices: RecentChoices,
+    selection: Selection,
+    choice: Choice,
     quarantine: Quarantine,
     output_lengths: OutputLengths,
     streams: StreamOrigins,
@@ -36,6 +43,8 @@
     sequence: u64,
     is_registry_fresh: bool,
     backoff: Backoff,
+    /// Draws of upstreams of plain services.
+    draw: Draw,
     last_tick: Time,
     /// When the settle time after the start is over.
     settled_at: Time,
@@ -57,18 +66,22 @@
 
     /// Creates a router without a configuration, upstreams or peers.
     pub fn new(settings: RouterSettings) -> Self {
-        let seed = stable_hash(&[settings.name.as_str().as_bytes()]);
-        let shares = Shares::new(settings.share_window, seed);
+        let name_hash = stable_hash(&[settings.name.as_str().as_bytes()]);
+        let shares = Shares::new(settings.share_window, name_hash);
 
         let rollouts = Rollouts::new(settings.rollouts);
 
         Self {
             settings,
+            name_hash,
             registry: RegistryState::default(),
             exchange: Exchange::default(),
             shares,
             retry_budgets: HashMap::default(),
             pressures: Pressures::default(),
+            recent_choices: RecentChoices::default(),
+            selection: Selection::default(),
+            choice: Choice::default(),
             quarantine: Quarantine::default(),
             output_lengths: OutputLengths::default(),
             streams: StreamOrigins::default(),
@@ -77,6 +90,7 @@
             sequence: 0,
             is_registry_fresh: false,
             backoff: Backoff::default(),
+            draw: Draw::new(name_hash),
             last_tick: Time::default(),
             settled_at: Time::default(),
             retries_settled_at: Time::default(),
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -6,7 +6,6 @@
     Contact, Exchange, FleetNews, OutgoingMessage, PeerMessage, PeerReport, Peers,
     PrefilledSegments, RetryBudget, Router, ServiceDemand, Shares, Upstream,
 };
-use crate::hash::stable_hash;
 use crate::name::Name;
 use crate::time::Time;
 
@@ -37,7 +36,9 @@
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
         let limits = self.registry.upstreams_mut().limit_reports(now);
-        let mut news = FleetNews { limits, ..FleetNews::default() };
+        let is_plain = |service: &Name| self.registry.is_plain(service);
+        let loads = self.registry.upstreams().load_reports(now, self.exchange.role(), is_plain);
+        let mut news = FleetNews { limits, loads, ..FleetNews::default() };
         self.quarantine.write_news(now, &mut news);
         self.exchange.tick(now, report, news)
     }
@@ -51,6 +52,7 @@
     ) -> Option<OutgoingMessage> {
         self.quarantine.merge(now, &message.news);
         self.registry.upstreams_mut().merge_limits(now, &message.news.limits);
+        self.registry.upstreams_mut().merge_loads(now, &message.news.loads);
         let (report, answer) = self.exchange.on_message(now, from, message);
         if let Some(report) = report {
             self.record_prefills(now, &report);
@@ -118,6 +120,6 @@
 
     /// Returns the hash of the router's name, which identifies it in reports.
     pub(super) fn name_hash(&self) -> u64 {
-        stable_hash(&[self.settings.name.as_str().as_bytes()])
+        self.name_hash
     }
 }
--- a/sapphirespur_core/src/edge/router/rollouts.rs
+++ b/sapphirespur_core/src/edge/router/rollouts.rs
@@ -1,10 +1,10 @@
 //! Roll-outs of versions at a router.
 
+use crate::edge::placement::PlacementRequest;
 use crate::edge::{
-    Admission, CallInfo, DeclineReason, DutyView, Fallback, InFlightRequest, QuarantineKey,
-    RolloutDuty, RolloutEvidence, Rollouts, Router, VersionPlan,
+    Admission, DeclineReason, DutyView, Fallback, InFlightRequest, RolloutDuty, RolloutEvidence,
+    Rollouts, Router, VersionPlan,
 };
-use crate::name::Name;
 use crate::time::Time;
 
 /// Key of the rendezvous order in which routers try to lead the roll-outs.
@@ -71,24 +71,22 @@
     pub(super) fn place_by_version(
         &mut self,
         now: Time,
-        call: &CallInfo,
-        tried: &[Name],
-        share_usage: f64,
-        trial: Option<QuarantineKey>,
+        request: PlacementRequest<'_>,
     ) -> Admission {
+        let call = request.call;
         if self.rollouts.is_gone(call) {
             return Err(self.backoff.decline(call, DeclineReason::VersionGone, None));
         }
 
         let VersionPlan { first, fallback } = self.rollouts.plan(now, call, &self.registry);
-        let admission = self.choose_upstream(now, call, tried, share_usage, trial, &first);
+        let admission = self.choose_upstream(now, PlacementRequest { versions: &first, ..request });
         let Err(decline) = &admission else { return admission };
         match fallback {
             Fallback::IfDeclined(others) => {
-                self.choose_upstream(now, call, tried, share_usage, trial, &others)
+                self.choose_upstream(now, PlacementRequest { versions: &others, ..request })
             }
             Fallback::IfNoneAvailable(others) if is_unavailable(decline.reason) => {
-                self.choose_upstream(now, call, tried, share_usage, trial, &others)
+                self.choose_upstream(now, PlacementRequest { versions: &others, ..request })
             }
             Fallback::IfNoneAvailable(_) | Fallback::Never => admission,
         }
@@ -100,6 +98,7 @@
     match reason {
         DeclineReason::NoUpstream
         | DeclineReason::Paused
+        | DeclineReason::Full
         | DeclineReason::Cold
         | DeclineReason::Limited => true,
         DeclineReason::VersionGone
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -61,6 +61,12 @@
         &self.request.version
     }
 
+    /// Returns the reported load on which the placement was based, as the log shows it; empty when the
+    /// upstream reported none.
+    pub fn load(&self) -> String {
+        self.request.load.map(|load| load.to_string()).unwrap_or_default()
+    }
+
     /// Returns the number of complete events that the upstream has sent.
     pub fn events(&self) -> u32 {
         self.request.events
@@ -71,7 +77,17 @@
     pub fn on_head(&mut self, head: &ResponseHead, is_framed: bool) {
         let now = self.cx.now();
         self.request.is_framed = is_framed;
+        if head.is_load_malformed {
+            self.cx.metrics.record_malformed_load();
+        }
         let mut router = self.cx.router.borrow_mut();
+        // The pace tells how the time to the first event compares with the usual one.
+        if head.matches_attempt
+            && !head.is_misdirected
+            && let Some(load) = head.load
+        {
+            router.on_load(now, &self.request, load);
+        }
         router.on_first_event(now, &mut self.request);
         // A different instance has responded; nothing is known of the one that was meant.
         if head.is_misdirected {
@@ -99,6 +115,12 @@
         !self.request.is_framed && self.request.events == 0
     }
 
+    /// Records that nothing was read of the response for `span`, since its client took nothing: the time
+    /// says nothing of the upstream.
+    pub fn on_client_wait(&mut self, span: Duration) {
+        self.request.last_event_at = self.request.last_event_at + span;
+    }
+
     /// Records `count` complete events of a stream.
     pub fn on_events(&mut self, count: u32) {
         let now = self.cx.now();
@@ -216,7 +238,7 @@
 
 impl BufferGuard {
     /// Counts the body of a request.
-    fn for_request(cx: &Rc<Shared>) -> Self {
+    pub fn for_request(cx: &Rc<Shared>) -> Self {
         Self { cx: Rc::clone(cx), kind: BufferKind::Request, bytes: 0 }
     }
 
@@ -230,7 +252,7 @@
     /// Requests and responses have a limit each, so that neither keeps out the other.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
         let total = self.total().get() + bytes;
-        if total > self.cx.settings().limits.max_buffered_bytes {
+        if total + self.undelivered() > self.cx.settings().limits.max_buffered_bytes {
             return false;
         }
         self.total().set(total);
@@ -246,6 +268,14 @@
         self.try_grow(bytes - self.bytes)
     }
 
+    /// Returns the bytes of complete messages that count toward the same limit.
+    fn undelivered(&self) -> usize {
+        match self.kind {
+            BufferKind::Request => 0,
+            BufferKind::Response => self.cx.deliveries.bytes(),
+        }
+    }
+
     fn total(&self) -> &Cell<usize> {
         match self.kind {
             BufferKind::Request => &self.cx.buffered_bytes,
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -86,11 +86,16 @@
     in_flight: Gauge,
     connections: Gauge,
     buffered_bytes: Gauge,
+    unread_bytes: Gauge,
+    unread_responses: Family<KindLabel, Counter>,
     retries_left: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
     limited_upstreams: Gauge,
+    reporting_upstreams: Gauge,
+    full_upstreams: Gauge,
+    malformed_loads: Counter,
 }
 
 impl Metrics {
@@ -120,11 +125,16 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             buffered_bytes: Gauge::default(),
+            unread_bytes: Gauge::default(),
+            unread_responses: Family::default(),
             retries_left: Family::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
             quarantined_requests: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            reporting_upstreams: Gauge::default(),
+            full_upstreams: Gauge::default(),
+            malformed_loads: Counter::default(),
             registry: Registry::default(),
         };
 
@@ -154,6 +164,8 @@
         r.register("in_flight", "Requests being served", metrics.in_flight.clone());
         r.register("connections", "Connections of clients", metrics.connections.clone());
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered_bytes.clone());
+        r.register("unread_bytes", "Bytes that wait for clients", metrics.unread_bytes.clone());
+        r.register("unread", "Answers that were not read", metrics.unread_responses.clone());
         r.register("repeats_left", "Repeats this router has left", metrics.retries_left.clone());
         r.register("kept_parts", "Prompt parts taken for kept", metrics.cached_segments.clone());
         r.register(
@@ -171,6 +183,21 @@
             "Upstreams that name a limit",
             metrics.limited_upstreams.clone(),
         );
+        r.register(
+            "reporting_upstreams",
+            "Upstreams whose load is known",
+            metrics.reporting_upstreams.clone(),
+        );
+        r.register(
+            "full_upstreams",
+            "Upstreams that are known to be full",
+            metrics.full_upstreams.clone(),
+        );
+        r.register(
+            "malformed_loads",
+            "Reported loads that were ignored",
+            metrics.malformed_loads.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -210,6 +237,11 @@
         self.declines.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a reported load that is malformed.
+    pub fn record_malformed_load(&self) {
+        self.malformed_loads.inc();
+    }
+
     /// Counts a failed send, by outcome.
     pub fn record_failed_send(&self, kind: &'static str) {
         self.failed_sends.get_or_create(&KindLabel { kind }).inc();
@@ -235,6 +267,11 @@
         self.resumed_streams.inc();
     }
 
+    /// Counts a response that was ended since its client did not read it, by reason.
+    pub fn record_unread_response(&self, kind: &'static str) {
+        self.unread_responses.get_or_create(&KindLabel { kind }).inc();
+    }
+
     /// Counts suppressed log lines.
     pub fn record_suppressed_log_lines(&self, lines: u64) {
         self.suppressed_log_lines.inc_by(lines);
@@ -297,6 +334,9 @@
         self.cached_segments.set(cached.sum::<usize>() as i64);
         let limited = router.registry().upstreams().iter().filter(|u| u.limit.is_some()).count();
         self.limited_upstreams.set(limited as i64);
+        let known = || router.registry().upstreams().iter().map(|upstream| &upstream.known);
+        self.reporting_upstreams.set(known().filter(|k| k.told(now).is_some()).count() as i64);
+        self.full_upstreams.set(known().filter(|known| known.is_full(now)).count() as i64);
         let quarantined = router.quarantine().quarantined();
         let requests = quarantined.iter().filter(|key| key.is_request()).count();
         self.quarantined_requests.set(requests as i64);
@@ -315,6 +355,7 @@
         self.in_flight.set(cx.in_flight.get() as i64);
         self.connections.set(cx.connections.get() as i64);
         self.buffered_bytes.set(cx.buffered_bytes.get() as i64);
+        self.unread_bytes.set(cx.deliveries.bytes() as i64);
     }
 }
 
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -6,6 +6,9 @@
 mod buffered;
 pub mod client_stream;
 mod connect;
+mod delivered_body;
+mod delivery;
+mod delivery_stream;
 mod dialect;
 pub mod event_buffer;
 mod guards;
@@ -21,7 +24,7 @@
 mod record_store;
 mod registry;
 mod registry_sync;
-mod response;
+pub mod response;
 mod rollout_keeper;
 mod rollout_keys;
 mod rollout_log;
@@ -56,7 +59,7 @@
 pub use rollout_keys::{ROLLOUT_LEADER, ROLLOUTS_PREFIX};
 pub use rollout_status::RolloutStatus;
 use shared::Shared;
-pub use status::{EdgeStatus, STATUS_PATH, UpstreamStatus};
+pub use status::{EdgeStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
 pub use stream_keys::RECORDS_PREFIX;
 
 use crate::settings::EdgeSettings;
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -149,6 +149,7 @@
     let extension = message.extension();
     let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&message.news.requests, bytes)?;
+    let bytes = postcard::to_extend(&message.news.loads, bytes)?;
     if extension.rollouts.is_empty() {
         return Ok(bytes);
     }
@@ -167,9 +168,11 @@
     if !rest.is_empty() {
         let (mut extension, rest) = postcard::take_from_bytes::<MessageExtension>(rest)?;
         let (requests, rest) = take_list(rest)?;
+        let (loads, rest) = take_list(rest)?;
         (extension.rollouts, _) = take_list(rest)?;
         message.apply_extension(extension);
         message.news.requests = requests;
+        message.news.loads = loads;
     }
 
     Ok(message)
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -20,6 +20,8 @@
     Leaving,
     /// Responds correctly and names the limit of requests that it takes, in thousandths a second.
     LimitNamed(u32),
+    /// Responds correctly and reports its load with this value of the header.
+    LoadReported(&'static str),
     /// Refuses as at capacity and states that it is leaving.
     LeavingAndFull,
     /// Refuses with 421, as if the request was meant for another runner.
@@ -57,6 +59,15 @@
     MissingEvent,
     /// Waits this many milliseconds before each event.
     SlowEvents(u64),
+    /// Sends streams of `events` events with a pause before each.
+    Paced {
+        /// Number of events.
+        events: u64,
+        /// Pause before each event, in milliseconds.
+        pause_ms: u64,
+        /// Bytes that are added to each event.
+        padding: usize,
+    },
     /// Crashes when it begins to respond to a request with this prompt segment before the last one,
     /// like a process that ends: all its connections close, and its port refuses new ones.
     CrashOn(u64),
@@ -70,6 +81,10 @@
         /// Pause between the pieces, in milliseconds; without one, they come as fast as they are read.
         pause_ms: u64,
     },
+    /// Responds with a body of this many bytes; streams are normal.
+    LargeBody(usize),
+    /// Reads request bodies at 1 KB for each this many milliseconds.
+    SlowBody(u64),
     /// Sends an endless stream of events, padded by this many bytes each, without a pause.
     LargeEvents(usize),
 }
