--- a/sapphirespur_core/benches/scene/mod.rs
+++ b/sapphirespur_core/benches/scene/mod.rs
@@ -271,6 +271,7 @@
         cold_overshoot: 1.5,
         cold_allowance: 5.0,
         share_window: Duration::from_secs(4),
+        rollouts: None,
     }
 }
 
--- a/sapphirespur_core/src/edge/rollout/placing.rs
+++ b/sapphirespur_core/src/edge/rollout/placing.rs
@@ -71,9 +71,12 @@
     fn excluded(&self, view: ServiceView<'_>) -> Vec<Name> {
         let mut excluded =
             self.record.as_ref().map(|record| record.withdrawn.clone()).unwrap_or_default();
+        // A version that is being rolled out may be given up for the one of a later order.
+        let running = self.running().map(|record| record.target.clone());
+        let others: Vec<Name> = excluded.iter().cloned().chain(running).collect();
         if let Some(known) = &self.order
             && self.is_pending(&known.order.target)
-            && view.has_other(&known.order.target, &excluded)
+            && view.has_other(&known.order.target, &others)
         {
             excluded.push(known.order.target.clone());
         }
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -24,6 +24,7 @@
 mod record_store;
 mod registry;
 mod registry_sync;
+mod registry_thread;
 pub mod response;
 mod rollout_keeper;
 mod rollout_keys;
@@ -65,15 +66,15 @@
 use crate::settings::EdgeSettings;
 use crate::start::StartError;
 
-/// Runs the router until a stop signal, and drains it. `records` opens a client of the store.
+/// Runs the router until a stop signal, and drains it. `registry` and `records` open clients of the store.
 ///
 /// # Errors
 ///
 /// Returns an error when a socket or signal handler cannot be opened or logging cannot start.
-pub async fn run<R: RecordStore + 'static>(
+pub async fn run<C: Registry, R: RecordStore + 'static>(
     settings: EdgeSettings,
     dialect: Rc<dyn Dialect>,
-    registry: impl Registry + 'static,
+    registry: impl FnOnce() -> C + Send + 'static,
     records: impl Fn() -> R + 'static,
 ) -> Result<(), StartError> {
     let flush_handle = crate::logging::start_on_stdout(&settings.log, settings.node.name.as_str())?;
@@ -105,6 +106,7 @@
     actix_rt::spawn(server::serve_admin(admin, Rc::clone(&cx)));
     actix_rt::spawn(server::serve_admin(metrics, Rc::clone(&cx)));
     actix_rt::spawn(peers.run(Rc::clone(&cx)));
+    let registry = registry_thread::RegistryThread::start(registry)?;
     actix_rt::spawn(registry_sync::run(Rc::clone(&cx), registry));
     actix_rt::spawn(stream_keeper::write_records(Rc::clone(&cx), records()));
     actix_rt::spawn(stream_keeper::keep_bases(Rc::clone(&cx), records()));
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -148,7 +148,10 @@
     async fn read_at_relay(&mut self) -> Option<Duration> {
         let started = self.cx.now();
         let is_told = self.cx.router.borrow().exchange().is_told_of_changes(started);
-        let is_in_doubt = self.cx.unverified_since.get().is_some() || self.outage.is_suspected();
+        // A router that is late would wait for the relay in vain, and lose the time for the registry.
+        let is_late = self.cx.overload.borrow().is_refusing();
+        let is_in_doubt =
+            is_late || self.cx.unverified_since.get().is_some() || self.outage.is_suspected();
         if !is_told || is_in_doubt || self.failures > 0 || self.is_call_due(started) {
             return None;
         }
