--- a/sapphirespur_core/src/edge/exchange/members.rs
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -123,11 +123,6 @@
         self.recent(now).count()
     }
 
-    /// Returns the number of routers that were heard within `span`.
-    pub fn count_heard_within(&self, now: Time, span: Duration) -> usize {
-        self.recent(now).filter(|(_, member)| now.since(member.heard_at) < span).count()
-    }
-
     /// Returns the number of routers that precede the one with hash `own` in the rendezvous order
     /// of `key`.
     pub fn rank(&self, now: Time, own: u64, key: u32) -> usize {
--- a/sapphirespur_core/src/edge/rollout/decision.rs
+++ b/sapphirespur_core/src/edge/rollout/decision.rs
@@ -208,23 +208,13 @@
             {
                 RolloutRecord { phase: RolloutPhase::Shifting, ..record }
             }
-            RolloutPhase::Shifting
-                if self.is_quiet(cx.now, self.needed_routers(cx, &record), cx.lag) =>
-            {
+            RolloutPhase::Shifting if self.is_quiet(cx.now, cx.routers, cx.lag) => {
                 RolloutRecord { phase: RolloutPhase::Completed, ..record }
             }
             _ => record,
         }
     }
 
-    /// Returns the number of routers that must know that the traffic shifts before the old version is
-    /// given up. After the deadline, a router that has fallen silent is not waited for: it has ended, and
-    /// its requests with it.
-    fn needed_routers(&self, cx: &LeaderView<'_>, record: &RolloutRecord) -> usize {
-        let is_due = self.elapsed(cx.now) >= record.duration();
-        if is_due { cx.heard_routers } else { cx.routers }
-    }
-
     /// Returns the elapsed time at which the traffic begins to shift: late, because all that is sent to
     /// a version counts if it turns out to be bad, but in time for the last requests to end.
     fn shift_at(&self, record: &RolloutRecord) -> Duration {
--- a/sapphirespur_core/src/edge/rollout/duty_view.rs
+++ b/sapphirespur_core/src/edge/rollout/duty_view.rs
@@ -19,8 +19,6 @@
     pub rank: usize,
     /// Number of other routers.
     pub routers: usize,
-    /// Number of other routers that were heard within [`Self::SILENCE_TIME`].
-    pub heard_routers: usize,
     /// Age up to which reports may lack the work of other routers.
     pub lag: Duration,
     /// Whether the settle time after the start of this router is over.
@@ -30,10 +28,6 @@
 }
 
 impl<'a> DutyView<'a> {
-    /// Time without a message after which a router counts as silent: members hear of those of other data
-    /// centres in turn only.
-    pub const SILENCE_TIME: Duration = Duration::from_secs(6);
-
     /// Returns the inputs of the leader's decision on one service.
     pub(super) fn leader_view(
         &self,
@@ -50,7 +44,6 @@
             era,
             is_restored,
             routers: self.routers,
-            heard_routers: self.heard_routers,
             lag: self.lag,
             service: ServiceView { now, registry: self.registry, service },
         }
--- a/sapphirespur_core/src/edge/rollout/leader_view.rs
+++ b/sapphirespur_core/src/edge/rollout/leader_view.rs
@@ -21,8 +21,6 @@
     pub is_restored: bool,
     /// Number of other routers.
     pub routers: usize,
-    /// Number of other routers that have not fallen silent.
-    pub heard_routers: usize,
     /// Age up to which reports may lack the work of other routers.
     pub lag: Duration,
     /// Upstreams of the service.
--- a/sapphirespur_core/src/edge/router/rollouts.rs
+++ b/sapphirespur_core/src/edge/router/rollouts.rs
@@ -33,7 +33,6 @@
             registry: &self.registry,
             rank: members.rank(now, own, LEADER_KEY),
             routers: members.count(now),
-            heard_routers: members.count_heard_within(now, DutyView::SILENCE_TIME),
             lag: self.exchange.report_lag(),
             is_settled: self.settled_at <= now,
             is_store_usable,
