--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -102,6 +102,7 @@
             pressures: self.pressures.reports(now),
             reads,
             demands: self.demands(now),
+            rollouts: self.rollouts.evidence(),
         }
     }
 
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -23,6 +23,7 @@
                 upstream.load.on_events(count, gap);
             }
         }
+        self.rollouts.on_events(now, request, count);
     }
 
     /// Records the first event of a response.
@@ -36,6 +37,7 @@
         let is_pace_steady =
             request.load.is_none_or(|load| (pace / load.pace - 1.0).abs() <= Self::STEADY_PACE);
         let expected_speed = self.registry.expected_prefill_speed(&request.service);
+        self.rollouts.on_first_event(now, request);
         if let Some(upstream) = self.find_upstream(request) {
             upstream.load.on_first_event(
                 request.prefill_tokens,
@@ -86,6 +88,7 @@
         if outcome == SendOutcome::Answered && request.proves_survival() {
             self.quarantine.on_answered(now, request.quarantine_keys());
         }
+        self.rollouts.on_end(now, request, outcome);
         let is_plain = self.registry.is_plain(&request.service);
         if outcome == SendOutcome::Answered && is_plain {
             self.registry.upstreams_mut().record_call(now, request);
