--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use crate::collections::HashSet;
+use crate::collections::{HashMap, HashSet};
 use crate::edge::departed::Departed;
 use crate::edge::exchange::take_in_turn;
 use crate::edge::upstream_index::UpstreamIndex;
 use crate::edge::{
-    CallInfo, Condition, FleetNews, LimitReport, Load, ServiceSpec, Upstream, UpstreamEntry,
-    UpstreamState,
+    CallInfo, Condition, FleetNews, LimitReport, Load, ServiceLoad, ServiceSpec, Upstream,
+    UpstreamEntry, UpstreamState,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -22,6 +22,8 @@
     departed: Departed,
     /// Number of reports of limits so far.
     limit_reports: u32,
+    /// What was learned of services whose upstreams report their load.
+    pub(super) service_loads: HashMap<Name, ServiceLoad>,
 }
 
 impl Upstreams {
@@ -69,7 +71,7 @@
 
         self.departed.forget(&entry.id);
         self.remove_replaced(now, &entry);
-        let upstream = Upstream::new(entry, Load::new(), cold_until);
+        let upstream = Upstream::new(now, entry, Load::new(), cold_until);
         self.index.insert(self.all.len(), &upstream);
         self.all.push(upstream);
         true
