--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -33,6 +33,8 @@
     pub step_time_factors: Vec<f64>,
     /// Configured throughput of all engines together, in tokens per second.
     pub tokens_per_s: u64,
+    /// Whether the routers estimate the work of requests.
+    pub uses_work_estimates: bool,
     /// Kinds of request, at the usual rates.
     pub request_kinds: Vec<RequestKind>,
 }
@@ -89,6 +91,7 @@
             },
             step_time_factors: vec![1.0, 1.0, 1.3],
             tokens_per_s: 320_000,
+            uses_work_estimates: false,
             request_kinds: vec![
                 kind("dossier", 48.5, [512, 4_870], [3, 76], 6_610, (384, 1_120), 1_200, 12_000),
                 kind("tuning-note", 86.3, [119, 79], [20, 305], 628, (288, 952), 1_000, 10_000),
@@ -125,6 +128,7 @@
                 kind: RouteKind::Stream { resumable: false },
                 timeout: kind.timeout,
                 target: kind.target_latency,
+                gap_limit: None,
                 splits: vec![Split { service: Name::new("pool"), weight: 1 }],
                 attempts: 1,
                 is_open: false,
@@ -161,6 +165,7 @@
             cold_overshoot: 1.5,
             cold_allowance: 5.0,
             share_window: Duration::from_secs(4),
+            uses_work_estimates: self.uses_work_estimates,
         }
     }
 }
--- a/sapphirespur_cli/src/commands/router.rs
+++ b/sapphirespur_cli/src/commands/router.rs
@@ -4,7 +4,9 @@
 
 use awc::Client;
 use sapphirespur_core::edge::BaseVersion;
-use sapphirespur_node::edge::{EdgeStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
+use sapphirespur_node::edge::{
+    EdgeStatus, PredictionStatus, ReportedLoad, STATUS_PATH, UpstreamStatus,
+};
 
 use crate::args::RouterArgs;
 use crate::error::CommandError;
@@ -57,6 +59,7 @@
         ("quarantined requests", status.quarantined_requests.join(" ")),
         ("base versions", base_versions(status)),
         ("streams known", status.known_streams.to_string()),
+        ("costs within factor 2", predictions(status)),
     ];
     let rows: Vec<Vec<String>> =
         rows.into_iter().map(|(name, value)| vec![name.to_owned(), value]).collect();
@@ -89,6 +92,13 @@
     status.base_versions.iter().map(name).collect::<Vec<_>>().join(" ")
 }
 
+/// Returns the percentage of each route's requests whose predicted cost was about right.
+fn predictions(status: &EdgeStatus) -> String {
+    let percent =
+        |route: &PredictionStatus| format!("{}={:.0}%", route.route, route.within_two_percent);
+    status.predictions.iter().map(percent).collect::<Vec<_>>().join(" ")
+}
+
 /// Returns the table row of an upstream.
 fn row(upstream: &UpstreamStatus) -> Vec<String> {
     vec![
--- a/sapphirespur_core/benches/decisions.rs
+++ b/sapphirespur_core/benches/decisions.rs
@@ -21,22 +21,29 @@
     for upstreams in UPSTREAMS {
         group.bench_function(BenchmarkId::from_parameter(upstreams), |b| {
             let mut scene = Scene::new(upstreams, scene::CALM_TOKENS);
-            b.iter_custom(|count| {
-                let mut total = Duration::ZERO;
-                for _ in 0..count {
-                    let call = scene.next_call();
-                    let start = Instant::now();
-                    let admission = black_box(scene.admit(&call));
-                    total += start.elapsed();
-                    scene.keep(admission.expect("the upstreams are not busy"));
-                }
-                total
-            });
+            b.iter_custom(|count| time_decisions(&mut scene, count));
+        });
+        group.bench_function(BenchmarkId::new("work estimates", upstreams), |b| {
+            let mut scene = Scene::new(upstreams, scene::CALM_TOKENS);
+            scene.estimate_work();
+            b.iter_custom(|count| time_decisions(&mut scene, count));
         });
     }
     group.finish();
 }
 
+fn time_decisions(scene: &mut Scene, count: u64) -> Duration {
+    let mut total = Duration::ZERO;
+    for _ in 0..count {
+        let call = scene.next_call();
+        let start = Instant::now();
+        let admission = black_box(scene.admit(&call));
+        total += start.elapsed();
+        scene.keep(admission.expect("the upstreams are not busy"));
+    }
+    total
+}
+
 /// Declining a request of a workspace far above its share while upstreams are busy.
 fn refuse(c: &mut Criterion) {
     let mut group = c.benchmark_group("refuse");
--- a/sapphirespur_core/benches/scene/mod.rs
+++ b/sapphirespur_core/benches/scene/mod.rs
@@ -80,6 +80,17 @@
         scene
     }
 
+    /// Lets placement count the expected work of requests, and the streams' pauses.
+    pub fn estimate_work(&mut self) {
+        let settings = RouterSettings { uses_work_estimates: true, ..settings("any") };
+        self.router.update_settings(&settings);
+        let mut table = RouteTable { version: 2, ..table() };
+        for route in table.hosts.values_mut().flatten() {
+            route.gap_limit = Some(Duration::from_millis(300));
+        }
+        assert!(self.router.registry_mut().apply_table(table));
+    }
+
     /// Returns a call of an ordinary workspace.
     pub fn next_call(&mut self) -> CallInfo {
         self.calls += 1;
@@ -202,6 +213,8 @@
         pending_tokens: pending_tokens + (index as u64 * 131 + sequence * 37) % 1_500,
         event_ms: 30 + (index as u32 * 5 + sequence as u32) % 10,
         unshared_tokens: 200,
+        decode_tokens: 2_000 + u64::from(sequence as u32 % 1_000),
+        memory_tokens: 20_000,
     };
     let window_tokens = TOKENS_PER_S * 4 / WORKSPACES;
     let usage = |index: u64| WorkspaceUsage {
@@ -244,7 +257,9 @@
     }
     segments.push((1_000_000 + index, 150));
     let tokens = segments.iter().map(|(_, tokens)| tokens).sum();
-    Prompt::new(&segments, tokens, 400)
+    // Half of the prompts come with a hint.
+    let output_hint = index.is_multiple_of(2).then_some(200);
+    Prompt { output_hint, ..Prompt::new(&segments, tokens, 400) }
 }
 
 fn call(workspace: &str, index: u64) -> CallInfo {
@@ -271,6 +286,7 @@
         cold_overshoot: 1.5,
         cold_allowance: 5.0,
         share_window: Duration::from_secs(4),
+        uses_work_estimates: false,
     }
 }
 
@@ -304,6 +320,7 @@
         kind: RouteKind::Stream { resumable: true },
         timeout: Duration::from_secs(20),
         target: Duration::from_millis(1_400),
+        gap_limit: None,
         splits: vec![Split { service: Name::new("pool"), weight: 1 }],
         attempts: 2,
         is_open: false,
--- a/sapphirespur_core/src/edge/exchange/message.rs
+++ b/sapphirespur_core/src/edge/exchange/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::edge::exchange::{Contact, HeardContact};
-use crate::edge::{FleetNews, MessageExtension, PeerReport};
+use crate::edge::{FleetNews, MessageExtension, PeerReport, WorkValues};
 
 /// Routers over which a report sums.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -44,6 +44,26 @@
         MessageExtension { news: self.news.clone(), demands: demands.unwrap_or_default() }
     }
 
+    /// Returns the remaining work at the upstreams of the report, which is encoded at the end; empty
+    /// when the senders count none.
+    pub fn work_values(&self) -> Vec<WorkValues> {
+        let loads = self.report.as_ref().map_or(&[][..], |(_, report)| &report.upstreams);
+        if loads.iter().all(|load| load.decode_tokens == 0 && load.memory_tokens == 0) {
+            return Vec::new();
+        }
+        loads.iter().map(WorkValues::new).collect()
+    }
+
+    /// Adds the remaining work that was encoded at the end.
+    pub fn apply_work_values(&mut self, values: Vec<WorkValues>) {
+        let Some((_, report)) = &mut self.report else { return };
+        if values.len() == report.upstreams.len() {
+            for (load, values) in report.upstreams.iter_mut().zip(values) {
+                values.apply(load);
+            }
+        }
+    }
+
     /// Adds what was encoded after the message.
     pub fn apply_extension(&mut self, extension: MessageExtension) {
         self.news = extension.news;
--- a/sapphirespur_core/src/edge/fleet_sums.rs
+++ b/sapphirespur_core/src/edge/fleet_sums.rs
@@ -13,6 +13,8 @@
     timed_requests: u32,
     /// Sum of the event intervals, weighted by requests.
     weighted_interval_ms: u64,
+    decode_tokens: u64,
+    memory_tokens: u64,
 }
 
 /// Token usage of one workspace at several routers.
@@ -51,6 +53,8 @@
             sum.pending_tokens += load.pending_tokens;
             sum.timed_requests += timed_requests(load);
             sum.weighted_interval_ms += weighted_interval_ms(load);
+            sum.decode_tokens += load.decode_tokens;
+            sum.memory_tokens += load.memory_tokens;
         }
         for usage in &report.workspaces {
             let sum = self.workspaces.entry(usage.workspace).or_default();
@@ -84,6 +88,8 @@
             sum.pending_tokens -= load.pending_tokens;
             sum.timed_requests -= timed_requests(load);
             sum.weighted_interval_ms -= weighted_interval_ms(load);
+            sum.decode_tokens -= load.decode_tokens;
+            sum.memory_tokens -= load.memory_tokens;
             if sum.reports == 0 {
                 self.upstreams.remove(&load.upstream);
             }
@@ -130,6 +136,8 @@
             pending_tokens: sum.pending_tokens,
             event_ms: event_ms as u32,
             unshared_tokens: 0,
+            decode_tokens: sum.decode_tokens,
+            memory_tokens: sum.memory_tokens,
         }
     }
 
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::edge::{LoadUse, LossEvidence, QuarantineKey, RequestIdentity};
+use crate::edge::{LoadUse, LossEvidence, QuarantineKey, RequestIdentity, RequestWork};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -28,6 +28,8 @@
     pub prefill_tokens: u64,
     /// Prompt tokens in the upstream's prefill queue at placement, including this request.
     pub queued_tokens: u64,
+    /// Predicted and remaining work; none for a plain call.
+    pub work: Option<RequestWork>,
     /// Reported load on which the placement was based; none when the upstream reports none.
     pub load: Option<LoadUse>,
     /// When the request was placed.
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -17,7 +17,6 @@
 mod named_limit;
 mod others_admitted;
 mod others_demand;
-mod output_lengths;
 mod overload;
 mod pause_detector;
 mod peers;
@@ -65,6 +64,7 @@
 mod upstream_index;
 mod upstreams;
 mod window_limiter;
+mod work;
 
 pub use admission::{Admission, Decline, DeclineReason, Placement};
 pub use backoff::Backoff;
@@ -79,7 +79,6 @@
 pub use load::{KnownLoad, Load, LoadReport, LoadUse, PaceTime, ServiceLoad, ToldLoad};
 pub use loss_evidence::LossEvidence;
 pub use named_limit::NamedLimit;
-pub use output_lengths::OutputLengths;
 pub use overload::OverloadGuard;
 pub use pause_detector::PauseDetector;
 pub use peers::Peers;
@@ -98,7 +97,8 @@
 pub use registry_version::RegistryVersion;
 pub use relay_view::RelayView;
 pub use report::{
-    PeerReport, PrefilledSegments, ServiceDemand, ServicePressure, UpstreamLoad, WorkspaceUsage,
+    PeerReport, PrefilledSegments, ServiceDemand, ServicePressure, UpstreamLoad, WorkValues,
+    WorkspaceUsage,
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
@@ -124,3 +124,7 @@
 pub use upstream_entry::{UpstreamEntry, UpstreamState};
 pub use upstreams::Upstreams;
 pub use window_limiter::WindowLimiter;
+pub use work::{
+    BatchEffect, BatchMean, HintErrors, LengthOutlook, LogHistogram, OutputLengths,
+    PredictionErrors, RemainingWork, RequestWork, WorkEstimate, WorkEstimator,
+};
--- a/sapphirespur_core/src/edge/placement/candidate.rs
+++ b/sapphirespur_core/src/edge/placement/candidate.rs
@@ -6,6 +6,7 @@
 use crate::edge::load::PlainOption;
 use crate::edge::placement::cost::Cost;
 use crate::edge::placement::selection::Selected;
+use crate::edge::placement::upstream_work::{Prefill, UpstreamWork};
 use crate::edge::placement::{ScoringContext, ShareStatus};
 use crate::edge::{
     CallInfo, DeclineReason, Prompt, ServiceLoad, ServiceSpec, Upstream, UpstreamLoad,
@@ -113,14 +114,37 @@
         let prefill_ms = prefill_tokens as f64 / speed;
         let batch_ms = f64::from(in_flight) * Self::BATCH_MS_PER_REQUEST;
         let slot_wait_ms = slot_wait_ms(upstream, in_flight, cx.spec) * pace;
-        let delay_ms = queued_tokens as f64 / speed + slot_wait_ms + batch_ms + prefix.fetch_ms;
         let event_interval_ms = fleet_event_interval_ms(upstream, &peers) * pace;
+        let prefill =
+            Prefill { tokens: prefill_tokens as f64, queued_tokens: queued_tokens as f64, speed };
+        let work = cx
+            .work
+            .as_ref()
+            .map(|cx| (cx, UpstreamWork::new(cx, upstream, &peers, event_interval_ms, prefill)));
+        let memory_wait_ms = work.as_ref().map_or(0.0, |(cx, work)| work.memory_wait_ms(cx));
+        let delay_ms = queued_tokens as f64 / speed
+            + slot_wait_ms
+            + batch_ms
+            + prefix.fetch_ms
+            + memory_wait_ms;
+        let after_first_event = match &work {
+            Some((cx, work)) => Cost {
+                generation_ms: work.generation_ms(cx) * cx.own_weight,
+                batch_delay_ms: work.others_delay_ms(cx) * cx.others_weight,
+                pause_ms: work.late_streams(cx) * cx.late_ms,
+                ..Cost::default()
+            },
+            None => Cost {
+                generation_ms: cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT,
+                batch_delay_ms: f64::from(in_flight) * prefill_ms * Self::BATCH_DELAY_WEIGHT,
+                ..Cost::default()
+            },
+        };
         let cost = Cost {
             delay_ms,
-            generation_ms: cx.expected_events * event_interval_ms * Self::GENERATION_WEIGHT,
-            batch_delay_ms: f64::from(in_flight) * prefill_ms * Self::BATCH_DELAY_WEIGHT,
             affinity_ms: Self::affinity_ms(cx, upstream, prefix.tokens, speed, in_flight),
             avoidance_ms: Self::avoidance_ms(cx, upstream),
+            ..after_first_event
         };
 
         Self {
--- a/sapphirespur_core/src/edge/placement/cost.rs
+++ b/sapphirespur_core/src/edge/placement/cost.rs
@@ -7,8 +7,11 @@
     pub delay_ms: f64,
     /// Time that the response takes after its first event.
     pub generation_ms: f64,
-    /// Delay that the prefill causes for the requests in the same batch.
+    /// Delay that the request causes for those in the same batch: by its prefill, and by its output
+    /// where work is estimated.
     pub batch_delay_ms: f64,
+    /// Running streams that become late by a pause.
+    pub pause_ms: f64,
     /// Prefill of segments that other upstreams have cached, or the occupied slots of plain calls.
     pub affinity_ms: f64,
     /// Failures, unresponsiveness and distance.
@@ -21,6 +24,7 @@
         self.delay_ms
             + self.generation_ms
             + self.batch_delay_ms
+            + self.pause_ms
             + self.affinity_ms
             + self.avoidance_ms
     }
--- a/sapphirespur_core/src/edge/placement/mod.rs
+++ b/sapphirespur_core/src/edge/placement/mod.rs
@@ -15,6 +15,8 @@
 mod scoring_context;
 mod selection;
 mod share_status;
+mod upstream_work;
+mod work_context;
 
 pub(super) use candidate::{Candidate, PlacementEstimate};
 pub(super) use choice::Choice;
@@ -27,3 +29,4 @@
 pub(super) use scoring_context::ScoringContext;
 pub(super) use selection::Selection;
 pub(super) use share_status::ShareStatus;
+pub(super) use work_context::WorkContext;
--- a/sapphirespur_core/src/edge/placement/request.rs
+++ b/sapphirespur_core/src/edge/placement/request.rs
@@ -1,6 +1,6 @@
 //! Request for which an upstream is chosen.
 
-use crate::edge::{CallInfo, QuarantineKey};
+use crate::edge::{CallInfo, LengthOutlook, QuarantineKey};
 use crate::name::Name;
 
 /// Call with what is known of it beyond its own properties.
@@ -14,6 +14,8 @@
     pub share_usage: f64,
     /// What the request tries although it is quarantined.
     pub trial: Option<QuarantineKey>,
+    /// Distribution of the length of its response.
+    pub outlook: LengthOutlook,
 }
 
 impl PlacementRequest<'_> {
--- a/sapphirespur_core/src/edge/placement/scoring_context.rs
+++ b/sapphirespur_core/src/edge/placement/scoring_context.rs
@@ -1,5 +1,6 @@
 //! Inputs of the score that are the same for all candidates of a request.
 
+use crate::edge::placement::WorkContext;
 use crate::edge::placement::prefix_sources::PrefixSources;
 use crate::edge::{CallInfo, Peers, ServiceLoad, ServiceSpec};
 use crate::name::Name;
@@ -25,6 +26,9 @@
     pub prefix_owner: Option<u32>,
     /// Expected number of events of the response.
     pub expected_events: f64,
+    /// Expected work of the request and its effect on others; none where placement does not count
+    /// it.
+    pub work: Option<WorkContext>,
     /// Longest interval between events at which long responses finish in time, in milliseconds;
     /// zero when it cannot be estimated yet.
     pub max_event_interval_ms: f64,
--- a/sapphirespur_core/src/edge/prompt.rs
+++ b/sapphirespur_core/src/edge/prompt.rs
@@ -26,6 +26,8 @@
     pub input_tokens: u32,
     /// Maximum number of tokens to generate.
     pub max_output_tokens: u32,
+    /// Client's estimate of the number of tokens to generate; none without one.
+    pub output_hint: Option<u32>,
 }
 
 impl Prompt {
@@ -47,7 +49,7 @@
             })
             .collect();
 
-        Self { segments, shared_ids, input_tokens, max_output_tokens }
+        Self { segments, shared_ids, input_tokens, max_output_tokens, output_hint: None }
     }
 
     /// Returns the tokens that no other request shares.
--- a/sapphirespur_core/src/edge/report.rs
+++ b/sapphirespur_core/src/edge/report.rs
@@ -17,6 +17,43 @@
     pub event_ms: u32,
     /// Tokens of unshared prompt segments sent since the previous report.
     pub unshared_tokens: u32,
+    /// Output tokens that the requests are expected to have yet; encoded after the message.
+    #[serde(skip)]
+    pub decode_tokens: u64,
+    /// Memory that the requests are expected to need at their ends, in tokens; encoded after the
+    /// message.
+    #[serde(skip)]
+    pub memory_tokens: u64,
+}
+
+/// Remaining work at one upstream as it is encoded after a message, in the order of the loads.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkValues {
+    /// Output tokens in units of 32.
+    decode: u64,
+    /// Memory in units of 128 tokens.
+    memory: u64,
+}
+
+impl WorkValues {
+    /// Units with which most values take one or two bytes. What they round off is less than an event
+    /// of a few streams.
+    const DECODE_UNIT: u64 = 32;
+    const MEMORY_UNIT: u64 = 128;
+
+    /// Creates the values of a load.
+    pub fn new(load: &UpstreamLoad) -> Self {
+        Self {
+            decode: (load.decode_tokens + Self::DECODE_UNIT / 2) / Self::DECODE_UNIT,
+            memory: (load.memory_tokens + Self::MEMORY_UNIT / 2) / Self::MEMORY_UNIT,
+        }
+    }
+
+    /// Sets the values of a load.
+    pub fn apply(self, load: &mut UpstreamLoad) {
+        load.decode_tokens = self.decode.saturating_mul(Self::DECODE_UNIT);
+        load.memory_tokens = self.memory.saturating_mul(Self::MEMORY_UNIT);
+    }
 }
 
 /// Token usage of one workspace at one router, over the share window.
@@ -112,7 +149,9 @@
     /// Returns whether the values are in a range in which they can be added up.
     pub fn is_plausible(&self) -> bool {
         let is_load_plausible = |load: &UpstreamLoad| {
-            load.in_flight <= Self::MAX_COUNT && load.pending_tokens <= Self::MAX_SUM
+            load.in_flight <= Self::MAX_COUNT
+                && load.pending_tokens <= Self::MAX_SUM
+                && load.decode_tokens.max(load.memory_tokens) <= Self::MAX_SUM
         };
         let is_usage_plausible = |usage: &WorkspaceUsage| {
             usage.asked <= Self::MAX_SUM && usage.admitted <= Self::MAX_SUM
--- a/sapphirespur_core/src/edge/route.rs
+++ b/sapphirespur_core/src/edge/route.rs
@@ -55,6 +55,9 @@
     pub timeout: Duration,
     /// Target latency of the first event, or of the response of a plain call.
     pub target: Duration,
+    /// Longest time between two events of a stream, beyond which it counts as late; none when it does
+    /// not matter.
+    pub gap_limit: Option<Duration>,
     /// Services among which the route's traffic is split, with their weights.
     pub splits: Vec<Split>,
     /// Maximum number of upstreams that may run one client attempt.
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -11,8 +11,8 @@
 use crate::edge::load::Draw;
 use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
-    Backoff, Exchange, OutputLengths, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins,
+    Backoff, BatchEffect, Exchange, Pressures, PromptSegment, Quarantine, RegistryState,
+    RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins, WorkEstimator,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -34,7 +34,7 @@
     selection: Selection,
     choice: Choice,
     quarantine: Quarantine,
-    output_lengths: OutputLengths,
+    work: WorkEstimator,
     streams: StreamOrigins,
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
@@ -79,7 +79,7 @@
             selection: Selection::default(),
             choice: Choice::default(),
             quarantine: Quarantine::default(),
-            output_lengths: OutputLengths::default(),
+            work: WorkEstimator::default(),
             streams: StreamOrigins::default(),
             prefilled: HashMap::default(),
             sequence: 0,
@@ -140,6 +140,9 @@
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
         }
+        if self.settings.uses_work_estimates {
+            self.learn_batch_effects(now);
+        }
         self.pressures.adapt(now, elapsed.min(Self::MAX_DECAY_STEP), self.exchange.peers());
         let capacity = self.registry.table().and_then(|table| table.tokens_per_s);
         if let Some(capacity) = capacity {
@@ -147,6 +150,30 @@
         }
     }
 
+    /// Learns how one more request slows the others at an upstream, from the times between events.
+    fn learn_batch_effects(&mut self, now: Time) {
+        let (work, peers) = (&mut self.work, self.exchange.peers());
+        work.batches.values_mut().for_each(BatchEffect::decay);
+        for upstream in self.registry.upstreams_mut().iter_mut() {
+            let interval_ms = upstream.load.event_interval_ms;
+            if upstream.load.in_flight == 0 || interval_ms == 0.0 {
+                continue;
+            }
+            let requests = upstream.load.in_flight + peers.load(now, upstream.key).in_flight;
+            let service = &upstream.entry.service;
+            let Some(effect) = work.batches.get_mut(service) else {
+                work.batches.insert(service.clone(), BatchEffect::default());
+                continue;
+            };
+            effect.record(&mut upstream.batch, f64::from(requests), interval_ms);
+        }
+    }
+
+    /// Returns what this router has learned of the cost of requests.
+    pub fn work(&self) -> &WorkEstimator {
+        &self.work
+    }
+
     /// Returns the requests and prompt segments under which upstreams were lost.
     pub fn quarantine(&self) -> &Quarantine {
         &self.quarantine
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -4,12 +4,13 @@
 
 use crate::edge::placement::{
     Candidate, Choice, ColdLimit, Filter, FleetShare, PlacementEstimate, PlacementRequest,
-    PrefixSources, RecentChoice, ScoringContext, Selection, ShareStatus,
+    PrefixSources, RecentChoice, ScoringContext, Selection, ShareStatus, WorkContext,
 };
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
-    Admission, CallInfo, Decline, DeclineReason, InFlightRequest, Placement, Prompt, QuarantineKey,
-    Router, Shares, UsageKey,
+    Admission, BatchEffect, CallInfo, Decline, DeclineReason, EngineSpec, InFlightRequest,
+    LengthOutlook, Placement, Prompt, QuarantineKey, RequestWork, Router, Shares, UsageKey,
+    WorkEstimate,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -22,12 +23,15 @@
 
         self.exchange.peers_mut().expire(now);
         let trial = self.check_quarantine(now, call)?;
-        let charge = self.charge_for(&call.route, call.workspace.as_ref(), call.prompt.as_ref());
+        let outlook = self.work.outlook(call);
+        let charge = call.prompt.as_ref().and_then(|prompt| {
+            self.charge_for(&call.route, call.workspace.as_ref(), prompt, &outlook)
+        });
         let share_usage = charge.map_or(0.0, |(key, tokens, capacity)| {
             let (usage, lag) = (self.exchange.peers().usage(), self.exchange.report_lag());
             self.shares.share_usage(now, key, tokens, capacity, usage, lag)
         });
-        let request = PlacementRequest { call, tried: &[], share_usage, trial };
+        let request = PlacementRequest { call, tried: &[], share_usage, trial, outlook };
         let decision = self.choose_upstream(now, request);
         if let Some((key, tokens, _)) = charge {
             self.shares.charge(now, key, tokens, decision.is_ok());
@@ -52,7 +56,8 @@
             return Err(self.backoff.decline(call, DeclineReason::RetryBudget, None));
         }
 
-        let request = PlacementRequest { call, tried, share_usage: 0.0, trial };
+        let outlook = self.work.outlook(call);
+        let request = PlacementRequest { call, tried, share_usage: 0.0, trial, outlook };
         let admission = self.choose_upstream(now, request);
         if reached_upstream
             && admission.is_err()
@@ -103,24 +108,32 @@
         workspace: Option<&Name>,
         prompt: Option<&Prompt>,
     ) {
-        if let Some((key, tokens, _)) = self.charge_for(route, workspace, prompt) {
+        let Some(prompt) = prompt else { return };
+        let outlook = self.work.prompt_outlook(route, workspace, prompt);
+        if let Some((key, tokens, _)) = self.charge_for(route, workspace, prompt, &outlook) {
             self.shares.charge(now, key, tokens, false);
         }
     }
 
     /// Returns the usage key, tokens and fleet capacity in tokens per second of a call that counts
-    /// towards a share; none when no capacity is configured or the call has no workspace or prompt.
+    /// towards a share; none when no capacity is configured or the call has no workspace.
     fn charge_for(
         &self,
         route: &Name,
         workspace: Option<&Name>,
-        prompt: Option<&Prompt>,
+        prompt: &Prompt,
+        outlook: &LengthOutlook,
     ) -> Option<(UsageKey, u64, u64)> {
         let capacity = self.registry.table()?.tokens_per_s?;
         let key =
             UsageKey { workspace: Shares::name_hash(workspace?), route: Shares::name_hash(route) };
 
-        Some((key, self.output_lengths.charged_tokens(route, prompt?), capacity))
+        let tokens = if self.settings.uses_work_estimates {
+            WorkEstimate::total_cost(prompt, outlook.mean()) as u64
+        } else {
+            self.work.lengths.charged_tokens(route, prompt)
+        };
+        Some((key, tokens, capacity))
     }
 
     /// Returns the number of routers among which fleet-wide limits are divided: this one, its
@@ -220,8 +233,9 @@
             sources,
             spec,
             prefix_owner,
-            expected_events: self.output_lengths.expected_events(call, spec),
-            max_event_interval_ms: self.output_lengths.max_event_interval_ms(routes, spec),
+            expected_events: self.work.lengths.expected_events(call, spec),
+            work: self.work_context(request),
+            max_event_interval_ms: self.work.lengths.max_event_interval_ms(routes, spec),
             mean_prefill_speed: measured_speed
                 .unwrap_or_else(|| registry.expected_prefill_speed(&call.service)),
             service_load: registry.upstreams().service_load(&call.service),
@@ -229,6 +243,19 @@
         choice.fill(&cx, selection, registry.upstreams(), request.trial.is_some());
     }
 
+    /// Returns the expected work of a request, if placement counts it.
+    fn work_context(&self, request: PlacementRequest<'_>) -> Option<WorkContext> {
+        let call = request.call;
+        if !self.settings.uses_work_estimates || call.prompt.is_none() {
+            return None;
+        }
+        let engine = self.registry.service_spec(&call.service)?.engine?;
+        let routes = self.registry.routes(&call.service);
+        let batch = self.work.batches.get(&call.service);
+        let batch_ms = batch.map_or(0.0, BatchEffect::ms_per_request);
+        Some(WorkContext::new(call, &request.outlook, engine, routes, batch_ms))
+    }
+
     /// Draws the upstream of a plain service that gets a request, if they report their load.
     ///
     /// # Errors
@@ -270,7 +297,7 @@
         if let Some(key) = request.trial {
             self.quarantine.on_tried(now, key);
         }
-        Ok(self.commit(now, call, chosen))
+        Ok(self.commit(now, call, chosen, &request.outlook))
     }
 
     /// Measures the pressure on the candidates, and records it.
@@ -347,7 +374,13 @@
     }
 
     /// Records the request at the chosen upstream.
-    fn commit(&mut self, now: Time, call: &CallInfo, chosen: &Candidate) -> Placement {
+    fn commit(
+        &mut self,
+        now: Time,
+        call: &CallInfo,
+        chosen: &Candidate,
+        outlook: &LengthOutlook,
+    ) -> Placement {
         let estimate = &chosen.estimate;
         let expected_delay = estimate.expected_delay();
         let PlacementEstimate { fetch_from, prefill_tokens, queued_tokens, .. } = *estimate;
@@ -356,6 +389,14 @@
         let service_load = self.registry.upstreams().service_load(&call.service);
         let upstream = self.registry.upstreams_mut().at_mut(chosen.position);
         let load = upstream.known.estimate(now, &service_load);
+        let estimate = WorkEstimate::new(prefill_tokens, outlook);
+        let new_work = |engine: EngineSpec| {
+            RequestWork::new(call, *outlook, estimate, engine.tokens_per_event, expected_delay)
+        };
+        let work = engine.map(new_work);
+        if let Some(work) = &work {
+            upstream.work.on_sent(work);
+        }
         upstream.known.on_sent(now);
         upstream.load.on_sent(now, prefill_tokens);
         upstream.send_limiter.record(now);
@@ -387,6 +428,7 @@
                 identity: call.identity,
                 prefill_tokens,
                 queued_tokens,
+                work,
                 load,
                 placed_at: now,
                 is_framed: false,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -83,8 +83,9 @@
     /// Creates the next report to the other routers and resets what has been reported.
     pub fn report(&mut self, now: Time) -> PeerReport {
         self.sequence += 1;
-        let upstreams = self.registry.upstreams_mut().iter_mut().filter_map(Upstream::report);
-        let upstreams = upstreams.collect();
+        let uses_work = self.settings.uses_work_estimates;
+        let load = |upstream: &mut Upstream| upstream.report(uses_work);
+        let upstreams = self.registry.upstreams_mut().iter_mut().filter_map(load).collect();
         let reads = self.prefilled.drain();
         let reads = reads.map(|(upstream, parts)| PrefilledSegments { upstream, parts }).collect();
 
--- a/sapphirespur_core/src/edge/router/responses.rs
+++ b/sapphirespur_core/src/edge/router/responses.rs
@@ -17,6 +17,9 @@
         request.events += count;
         request.last_event_at = now;
         if let Some(upstream) = self.find_upstream(request) {
+            if let Some(work) = &mut request.work {
+                upstream.work.on_events(work, request.events);
+            }
             if is_first {
                 upstream.load.on_received();
             } else {
@@ -76,12 +79,8 @@
 
     /// Records the end of a request.
     pub fn finish(&mut self, now: Time, request: &InFlightRequest, outcome: SendOutcome) {
-        let engine = self.registry.service_spec(&request.service).and_then(|spec| spec.engine);
-        if outcome == SendOutcome::Answered
-            && let Some(engine) = engine
-        {
-            let tokens = f64::from(request.events * engine.tokens_per_event);
-            self.output_lengths.record(&request.route, tokens);
+        if outcome == SendOutcome::Answered {
+            self.work.record(request);
         }
         if outcome == SendOutcome::Answered && request.proves_survival() {
             self.quarantine.on_answered(now, request.quarantine_keys());
--- a/sapphirespur_core/src/edge/router_settings.rs
+++ b/sapphirespur_core/src/edge/router_settings.rs
@@ -22,4 +22,7 @@
     pub cold_allowance: f64,
     /// Window over which the usage of workspaces is compared with their shares.
     pub share_window: Duration,
+    /// Whether placement and shares count the expected work of each request, and the work that is left
+    /// at each upstream.
+    pub uses_work_estimates: bool,
 }
--- a/sapphirespur_core/src/edge/table_index.rs
+++ b/sapphirespur_core/src/edge/table_index.rs
@@ -13,6 +13,10 @@
     pub timeouts: HashMap<Name, Duration>,
     /// Mean target latency of the routes.
     pub mean_target: Duration,
+    /// Mean of the longest times until the final response.
+    pub mean_timeout: Duration,
+    /// Shortest limit on the time between two events of a stream; none without one.
+    pub gap_limit: Option<Duration>,
     /// Whether streams of a route can be taken up.
     pub is_resumable: bool,
 }
@@ -26,22 +30,25 @@
 impl TableIndex {
     /// Creates the index of a configuration.
     pub fn new(table: &RouteTable) -> Self {
-        let mut targets: HashMap<Name, (Duration, u32)> = HashMap::default();
+        let mut sums: HashMap<Name, (Duration, Duration, u32)> = HashMap::default();
         let mut services: HashMap<Name, ServiceRoutes> = HashMap::default();
         for route in table.hosts.values().flatten() {
             for split in &route.splits {
                 let routes = services.entry(split.service.clone()).or_default();
                 routes.timeouts.insert(route.name.clone(), route.timeout);
                 routes.is_resumable |= route.kind == RouteKind::Stream { resumable: true };
-                let (sum, count) = targets.entry(split.service.clone()).or_default();
-                *sum += route.target;
+                routes.gap_limit = routes.gap_limit.into_iter().chain(route.gap_limit).min();
+                let (target, timeout, count) = sums.entry(split.service.clone()).or_default();
+                *target += route.target;
+                *timeout += route.timeout;
                 *count += 1;
             }
         }
 
-        for (service, (sum, count)) in targets {
+        for (service, (target, timeout, count)) in sums {
             if let Some(routes) = services.get_mut(&service) {
-                routes.mean_target = sum / count;
+                routes.mean_target = target / count;
+                routes.mean_timeout = timeout / count;
             }
         }
         Self { services }
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::edge::{
-    InFlightRequest, KnownLoad, LimitReport, Load, NamedLimit, PrefixCache, SendOutcome,
-    UpstreamEntry, UpstreamLoad, UpstreamState, WindowLimiter,
+    BatchMean, InFlightRequest, KnownLoad, LimitReport, Load, NamedLimit, PrefixCache,
+    RemainingWork, SendOutcome, UpstreamEntry, UpstreamLoad, UpstreamState, WindowLimiter,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -57,6 +57,10 @@
     pub key: u32,
     /// Work of this router at the upstream, and its speed.
     pub load: Load,
+    /// Remaining work of this router's requests.
+    pub work: RemainingWork,
+    /// Requests and times between events of recent ticks.
+    pub(super) batch: BatchMean,
     /// Load that the upstream reports of itself.
     pub known: KnownLoad,
     /// Prompt segments that the upstream is expected to have cached.
@@ -93,6 +97,8 @@
             key: Self::hash_id(&entry.id),
             entry,
             load,
+            work: RemainingWork::default(),
+            batch: BatchMean::default(),
             known: KnownLoad::new(now),
             cache: PrefixCache::default(),
             send_limiter: WindowLimiter::new(COLD_WINDOW),
@@ -169,6 +175,9 @@
         let started_at = request.first_event_at.unwrap_or(request.placed_at);
         let service_time = (outcome == SendOutcome::Answered).then(|| now.since(started_at));
         self.load.on_end(pending, service_time);
+        if let Some(work) = &request.work {
+            self.work.on_end(work);
+        }
         match outcome {
             SendOutcome::Answered => self.load.record_outcome(false),
             SendOutcome::Rejected if is_plain && self.known.on_refused(now) => {}
@@ -185,8 +194,9 @@
     }
 
     /// Returns the load to report to the other routers, and resets the unshared tokens; none when
-    /// there is nothing to report.
-    pub fn report(&mut self) -> Option<UpstreamLoad> {
+    /// there is nothing to report. The remaining work is part of it where routers use it.
+    pub fn report(&mut self, uses_work_estimates: bool) -> Option<UpstreamLoad> {
+        let work = if uses_work_estimates { self.work } else { RemainingWork::default() };
         let load = &mut self.load;
         if load.in_flight == 0 && load.unshared_tokens == 0 {
             return None;
@@ -198,6 +208,8 @@
             pending_tokens: load.pending_tokens,
             event_ms: load.event_interval_ms as u32,
             unshared_tokens: std::mem::take(&mut load.unshared_tokens),
+            decode_tokens: work.decode_tokens() as u64,
+            memory_tokens: work.memory_tokens() as u64,
         })
     }
 
--- a/sapphirespur_core/src/edge/output_lengths.rs
+++ b/sapphirespur_core/src/edge/work/output_lengths.rs
@@ -1,13 +1,16 @@
 //! Estimates of response lengths by route.
 
 use crate::collections::HashMap;
+use crate::edge::work::{LengthOutlook, LogHistogram, WorkEstimate};
 use crate::edge::{CallInfo, Prompt, ServiceRoutes, ServiceSpec};
 use crate::name::Name;
 
-/// Moving average of the tokens per response, by route.
+/// Moving average and distribution of the tokens per response, by route.
 #[derive(Clone, Debug, Default)]
 pub struct OutputLengths {
     by_route: HashMap<Name, f64>,
+    /// Lengths of whole responses.
+    distributions: HashMap<Name, LogHistogram>,
 }
 
 impl OutputLengths {
@@ -21,8 +24,8 @@
     /// Length of a long response relative to the mean of its route.
     const LONG_RESPONSE_FACTOR: f64 = 3.0;
 
-    /// Cost of a generated token relative to a prompt token, in upstream capacity.
-    const OUTPUT_WEIGHT: f64 = 2.0;
+    /// Shortest length that is distinguished, as a power of two.
+    const SHORTEST: i8 = 0;
 
     /// Records the length of a response that has ended.
     pub fn record(&mut self, route: &Name, tokens: f64) {
@@ -34,6 +37,20 @@
         }
     }
 
+    /// Records the length of a response that did not begin as the rest of a stream.
+    pub fn record_whole(&mut self, route: &Name, tokens: f64) {
+        let new = || LogHistogram::new(Self::SHORTEST);
+        self.distributions.entry(route.clone()).or_insert_with(new).record(tokens as f32);
+    }
+
+    /// Returns the distribution of the length of a response without a hint; the expected length
+    /// without samples.
+    pub fn outlook(&self, route: &Name, prompt: &Prompt) -> LengthOutlook {
+        let max = f64::from(prompt.max_output_tokens);
+        let known = self.distributions.get(route).and_then(|known| known.outlook(1.0, max as f32));
+        known.unwrap_or_else(|| LengthOutlook::certain(self.expected_tokens(route, prompt), max))
+    }
+
     /// Returns the expected number of events of the response to a call; zero for plain calls.
     pub fn expected_events(&self, call: &CallInfo, spec: Option<&ServiceSpec>) -> f64 {
         let Some(prompt) = &call.prompt else { return 0.0 };
@@ -76,7 +93,6 @@
 
     /// Returns the tokens of a request that are charged to the workspace's share.
     pub fn charged_tokens(&self, route: &Name, prompt: &Prompt) -> u64 {
-        let output = Self::OUTPUT_WEIGHT * self.expected_tokens(route, prompt);
-        u64::from(prompt.input_tokens) + output as u64
+        WorkEstimate::total_cost(prompt, self.expected_tokens(route, prompt)) as u64
     }
 }
--- a/sapphirespur_core/tests/edge/fleet_sums.rs
+++ b/sapphirespur_core/tests/edge/fleet_sums.rs
@@ -15,6 +15,8 @@
         pending_tokens: u64::from(seed) * 100,
         event_ms: seed % 3 * 10,
         unshared_tokens: seed,
+        decode_tokens: u64::from(seed) * 30,
+        memory_tokens: u64::from(seed) * 900,
     };
     let usage = |workspace| WorkspaceUsage {
         workspace,
@@ -60,6 +62,11 @@
                 if (sum.in_flight, sum.pending_tokens) != (in_flight, pending) {
                     return false;
                 }
+                let decode: u64 = loads(upstream).map(|load| load.decode_tokens).sum();
+                let memory: u64 = loads(upstream).map(|load| load.memory_tokens).sum();
+                if (sum.decode_tokens, sum.memory_tokens) != (decode, memory) {
+                    return false;
+                }
             }
             for workspace in 0..4 {
                 let matches = |usage: &&WorkspaceUsage| usage.workspace == workspace;
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -37,3 +37,4 @@
 mod stream_store;
 mod stream_version;
 mod support;
+mod work_estimates;
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -30,6 +30,7 @@
         cold_overshoot: OVERSHOOT,
         cold_allowance: ALLOWANCE,
         share_window: Duration::from_secs(4),
+        uses_work_estimates: false,
     }
 }
 
@@ -40,6 +41,7 @@
         kind,
         timeout: TIMEOUT,
         target: TARGET,
+        gap_limit: None,
         splits: vec![Split { service: Name::new("pool"), weight: 1 }],
         attempts: 2,
         is_open: false,
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -165,6 +165,9 @@
                     }
                     Ok(response) => {
                         let load = reservation.load();
+                        let predicted_tokens = reservation.predicted_tokens();
+                        let output_tokens = reservation.output_tokens();
+                        let predicted_ms = reservation.predicted_ms();
                         reservation.finish(SendOutcome::Answered);
                         let workspace = call.info.workspace.as_ref().map(Name::as_str);
                         let total = cx.now().since(call.arrived_at);
@@ -175,6 +178,9 @@
                                 route = call.route.name.as_str(),
                                 upstream = placement.instance.as_str(),
                                 load = load.as_str(),
+                                predicted_tokens = predicted_tokens,
+                                output_tokens = output_tokens,
+                                predicted_ms = predicted_ms,
                                 status = response.status().as_u16(),
                                 sends = sends.tried.len() + 1,
                                 total_ms = total.as_millis() as u64;
--- a/sapphirespur_node/src/edge/dialect.rs
+++ b/sapphirespur_node/src/edge/dialect.rs
@@ -19,6 +19,9 @@
     pub key: Option<String>,
     /// Token counts and segments of the prompt; absent for requests that run no model.
     pub prompt: Option<Prompt>,
+    /// Whether the client's estimate of the output tokens was ignored, because it is malformed or
+    /// absurd.
+    pub is_hint_malformed: bool,
     /// Last event that the client received; present when it resumes a stream.
     pub last_event_id: Option<u64>,
     /// Identifier of the attempt that brought the first event of the stream that is resumed.
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use sapphirespur_core::edge::{InFlightRequest, Placement, SendOutcome};
+use sapphirespur_core::edge::{InFlightRequest, Placement, RequestWork, SendOutcome};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
@@ -61,6 +61,22 @@
         &self.request.version
     }
 
+    /// Returns the predicted output tokens of the request; zero for a plain call.
+    pub fn predicted_tokens(&self) -> u64 {
+        self.request.work.as_ref().map_or(0, |work| work.predicted_tokens() as u64)
+    }
+
+    /// Returns the output tokens that have arrived; zero for a plain call.
+    pub fn output_tokens(&self) -> u64 {
+        self.request.work.as_ref().map_or(0, |work| work.tokens(self.request.events) as u64)
+    }
+
+    /// Returns the predicted time to the first event, in milliseconds; zero for a plain call.
+    pub fn predicted_ms(&self) -> u64 {
+        let predicted = |work: &RequestWork| work.first_event.as_millis() as u64;
+        self.request.work.as_ref().map_or(0, predicted)
+    }
+
     /// Returns the reported load on which the placement was based, as the log shows it; empty when the
     /// upstream reported none.
     pub fn load(&self) -> String {
@@ -149,6 +165,11 @@
 
         let now = self.cx.now();
         self.cx.router.borrow_mut().finish(now, &self.request, outcome);
+        let whole = self.request.work.as_ref().filter(|work| work.is_whole);
+        if let Some(work) = whole.filter(|_| outcome == SendOutcome::Answered) {
+            let ratio = work.error(self.request.events);
+            self.cx.metrics.record_cost_error(self.request.route.as_str(), ratio);
+        }
         if outcome == SendOutcome::Disconnected && self.request.has_just_begun() {
             let identity = Some(self.identity.get());
             let (cx, request) =
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -48,6 +48,9 @@
         }
     };
 
+    if head.is_hint_malformed {
+        cx.metrics.record_malformed_hint();
+    }
     hop_headers::remove_hop_by_hop(&mut parts.headers);
     let id = head.attempt_id.clone();
     match route_request(&cx, parts, head, body, &mut request_guard).await {
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -52,6 +52,12 @@
     service: String,
 }
 
+/// Name of a route as a label.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabel {
+    route: String,
+}
+
 /// Service and condition of upstreams as labels.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct UpstreamLabels {
@@ -92,6 +98,8 @@
     reporting_upstreams: Gauge,
     full_upstreams: Gauge,
     malformed_loads: Counter,
+    malformed_hints: Counter,
+    cost_errors: Family<RouteLabel, Histogram>,
 }
 
 impl Metrics {
@@ -128,6 +136,8 @@
             reporting_upstreams: Gauge::default(),
             full_upstreams: Gauge::default(),
             malformed_loads: Counter::default(),
+            malformed_hints: Counter::default(),
+            cost_errors: Family::new_with_constructor(ratio_histogram),
             registry: Registry::default(),
         };
 
@@ -188,6 +198,16 @@
             "Reported loads that were ignored",
             metrics.malformed_loads.clone(),
         );
+        r.register(
+            "malformed_hints",
+            "Hints of output lengths that were ignored",
+            metrics.malformed_hints.clone(),
+        );
+        r.register(
+            "cost_error",
+            "Actual cost of a request relative to the predicted one",
+            metrics.cost_errors.clone(),
+        );
         Self { registry, ..metrics }
     }
 
@@ -227,6 +247,17 @@
         self.declines.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a hint of an output length that is malformed.
+    pub fn record_malformed_hint(&self) {
+        self.malformed_hints.inc();
+    }
+
+    /// Records the ratio of the actual cost of a request to the predicted one.
+    pub fn record_cost_error(&self, route: &str, ratio: f64) {
+        let label = RouteLabel { route: route.to_owned() };
+        self.cost_errors.get_or_create(&label).observe(ratio);
+    }
+
     /// Counts a reported load that is malformed.
     pub fn record_malformed_load(&self) {
         self.malformed_loads.inc();
@@ -341,3 +372,8 @@
 fn duration_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.005, 2.0, 13))
 }
+
+/// Returns a histogram of ratios around one.
+fn ratio_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.0625, 2.0_f64.sqrt(), 17))
+}
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -46,7 +46,7 @@
 pub use record_store::{RecordStore, Stored, StoredItem, Transaction, WriteOutcome};
 pub use registry::{Registry, RegistryError, RegistryListing};
 use shared::Shared;
-pub use status::{EdgeStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
+pub use status::{EdgeStatus, PredictionStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
 pub use stream_keys::RECORDS_PREFIX;
 
 use crate::settings::EdgeSettings;
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -147,7 +147,8 @@
     let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
     let bytes = postcard::to_extend(&message.extension(), bytes)?;
     let bytes = postcard::to_extend(&message.news.requests, bytes)?;
-    Ok(postcard::to_extend(&message.news.loads, bytes)?)
+    let bytes = postcard::to_extend(&message.news.loads, bytes)?;
+    Ok(postcard::to_extend(&message.work_values(), bytes)?)
 }
 
 /// Decodes a datagram of another router.
@@ -158,8 +159,7 @@
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
     let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
     let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
-    // Builds that know nothing of the extension, or of requests or loads in the news, end the datagram
-    // before.
+    // Builds that know nothing of the extension, or of a part that came later, end the datagram before.
     if !rest.is_empty() {
         let (extension, rest) = postcard::take_from_bytes(rest)?;
         message.apply_extension(extension);
@@ -167,7 +167,11 @@
             let (requests, rest) = postcard::take_from_bytes(rest)?;
             message.news.requests = requests;
             if !rest.is_empty() {
-                message.news.loads = postcard::from_bytes(rest)?;
+                let (loads, rest) = postcard::take_from_bytes(rest)?;
+                message.news.loads = loads;
+                if !rest.is_empty() {
+                    message.apply_work_values(postcard::from_bytes::<Vec<_>>(rest)?);
+                }
             }
         }
     }
--- a/sapphirespur_node/src/edge/snapshot.rs
+++ b/sapphirespur_node/src/edge/snapshot.rs
@@ -12,7 +12,7 @@
 use super::shared::Shared;
 
 /// Path on which a router serves its snapshot; builds with another format have another path.
-pub(super) const PATH: &str = "/snapshot/2";
+pub(super) const PATH: &str = "/snapshot/3";
 
 /// Interval between checks for whether a snapshot is needed.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::edge::{BaseVersion, KnownLoad, QuarantineKey, ToldLoad, Upstream};
+use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
@@ -51,10 +52,22 @@
     /// Streams of which this router knows the version that began them.
     #[serde(default)]
     pub known_streams: usize,
+    /// Accuracy of predicted costs by route, sorted by route.
+    #[serde(default)]
+    pub predictions: Vec<PredictionStatus>,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
 
+/// Accuracy of the predicted costs of a route's requests.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PredictionStatus {
+    /// Name of the route.
+    pub route: String,
+    /// Percentage of the recent requests whose cost was within a factor of two of the prediction.
+    pub within_two_percent: f64,
+}
+
 /// State of an upstream as observed by one router.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct UpstreamStatus {
@@ -133,6 +146,12 @@
     let relay = router.exchange().sums_source(now);
     let mut base_versions: Vec<_> = router.streams().bases.iter().cloned().collect();
     base_versions.sort_by(|a, b| a.service.cmp(&b.service));
+    let prediction = |(route, fraction): (&Name, f64)| PredictionStatus {
+        route: route.to_string(),
+        within_two_percent: fraction * 100.0,
+    };
+    let mut predictions: Vec<_> = router.work().errors.within_two().map(prediction).collect();
+    predictions.sort_by(|a, b| a.route.cmp(&b.route));
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
         version: registry.table().map(|table| table.version),
@@ -150,6 +169,7 @@
         quarantined_requests: to_text(requests),
         base_versions,
         known_streams: router.streams().memory.len(),
+        predictions,
         upstreams,
     }
 }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -447,6 +447,9 @@
                 sends = self.sends.tried.len() + 1,
                 last_event = self.last_id.unwrap_or_default(),
                 max_output_tokens = self.call.info.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens),
+                predicted_tokens = self.reservation.as_ref().map_or(0, UpstreamReservation::predicted_tokens),
+                output_tokens = self.reservation.as_ref().map_or(0, UpstreamReservation::output_tokens),
+                predicted_ms = self.reservation.as_ref().map_or(0, UpstreamReservation::predicted_ms),
                 first_event_ms = self.first_event_after.map_or(0, |span| span.as_millis() as u64),
                 total_ms = total.as_millis() as u64;
                 "stream completed"
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -94,6 +94,7 @@
         ("repeats", &["ratio", "allowance", "window-s"]),
         ("cold", &["overshoot", "allowance"]),
         ("shares", &["window-s"]),
+        ("placement", &["work-estimates"]),
         ("log", LogSettings::KEYS),
     ];
 
@@ -164,6 +165,7 @@
                     SPAN_RANGE_S,
                     Duration::from_secs(4),
                 )?,
+                uses_work_estimates: f.switch("placement", "work-estimates", false)?,
             },
             node,
             listen,
--- a/sapphirespur_node/src/settings/settings_file.rs
+++ b/sapphirespur_node/src/settings/settings_file.rs
@@ -189,6 +189,17 @@
         })
     }
 
+    /// Returns whether a key is `true`, or `default` when it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the value is neither `true` nor `false`.
+    pub fn switch(&self, section: &str, key: &str, default: bool) -> Result<bool, SettingsError> {
+        let Some(text) = self.optional(section, key) else { return Ok(default) };
+
+        text.parse().map_err(|_| self.invalid_value(section, key, "true or false"))
+    }
+
     /// Returns a comma-separated list of socket addresses; empty when the key is missing or empty.
     ///
     /// # Errors
--- a/sapphirespur_node/tests/edge/settings.rs
+++ b/sapphirespur_node/tests/edge/settings.rs
@@ -31,6 +31,8 @@
 allowance = 5
 [shares]
 window-s = 4
+[placement]
+work-estimates = true
 ";
 
 fn parse(text: &str) -> Result<EdgeSettings, String> {
@@ -44,6 +46,7 @@
     assert_eq!(settings.limits.grace, Duration::from_secs(8));
     assert_eq!(settings.limits.max_buffered_bytes, 65 * 1024 * 1024);
     assert_eq!(settings.decisions.retries.allowance, 52.0);
+    assert!(settings.decisions.uses_work_estimates);
     assert_eq!((settings.decisions.cold_overshoot, settings.decisions.cold_allowance), (1.5, 5.0));
 }
 
@@ -58,6 +61,7 @@
     let end = VALID.find("[limits]").expect("present");
     let settings = parse(&VALID[..end]).expect("valid settings");
     assert_eq!(settings.limits.grace, Duration::from_secs(30));
+    assert!(!settings.decisions.uses_work_estimates);
 }
 
 macro_rules! rejected_settings {
@@ -82,6 +86,7 @@
     non_numeric_grace_is_rejected: "grace-s = 8", "grace-s = often" => ["grace-s", "from 0.1 to 3600"];
     unknown_key_is_rejected: "allowance = 52", "alowance = 52" => ["alowance", "allowance"];
     unknown_section_is_rejected: "[shares]", "[share]" => ["[share]"];
+    work_estimates_other_than_true_or_false_is_rejected: "work-estimates = true", "work-estimates = yes" => ["work-estimates", "true or false"];
     zero_memory_is_rejected: "memory-mb = 260", "memory-mb = 0" => ["memory-mb"];
 }
 
