--- a/sapphirespur_bench/src/placement/outcome.rs
+++ b/sapphirespur_bench/src/placement/outcome.rs
@@ -38,6 +38,8 @@
     pub counts: [u32; 4],
     /// Time from arrival to the first event of each completed request.
     pub first_events: Vec<Duration>,
+    /// Requests whose outcome is `InTime`, but with a time between two events beyond the limit.
+    pub paused_streams: u32,
     /// Tokens of shared prompt segments: in all admitted requests, and of these the tokens that were
     /// not cached and had to be prefilled.
     pub shared_totals: (u64, u64),
--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -35,6 +35,8 @@
     pub tokens_per_s: u64,
     /// Whether the routers estimate the work of requests.
     pub uses_work_estimates: bool,
+    /// Longest time between two events of a stream, beyond which it counts as late.
+    pub gap_limit: Duration,
     /// Kinds of request, at the usual rates.
     pub request_kinds: Vec<RequestKind>,
 }
@@ -92,6 +94,7 @@
             step_time_factors: vec![1.0, 1.0, 1.3],
             tokens_per_s: 320_000,
             uses_work_estimates: false,
+            gap_limit: Duration::from_millis(200),
             request_kinds: vec![
                 kind("dossier", 48.5, [512, 4_870], [3, 76], 6_610, (384, 1_120), 1_200, 12_000),
                 kind("tuning-note", 86.3, [119, 79], [20, 305], 628, (288, 952), 1_000, 10_000),
@@ -128,7 +131,7 @@
                 kind: RouteKind::Stream { resumable: false },
                 timeout: kind.timeout,
                 target: kind.target_latency,
-                gap_limit: None,
+                gap_limit: Some(self.gap_limit),
                 splits: vec![Split { service: Name::new("pool"), weight: 1 }],
                 attempts: 1,
                 is_open: false,
@@ -192,6 +195,9 @@
     in_flight: Option<InFlightRequest>,
     /// Time of the first event, when there was one.
     first_event_us: Option<u64>,
+    /// Time of the latest event, and the longest time between two.
+    last_event_us: u64,
+    longest_pause_us: u64,
     /// Whether the request has completed or timed out.
     is_finished: bool,
 }
@@ -314,6 +320,8 @@
             engine,
             in_flight: placement.map(|placement: Placement| placement.request),
             first_event_us: None,
+            last_event_us: 0,
+            longest_pause_us: 0,
             is_finished: false,
         });
         self.engines[engine].enqueue(index, request.prompt, request.output_tokens);
@@ -354,6 +362,12 @@
             self.routers[router].on_events(router_time(now_us), in_flight, 1);
         }
         let first_event_us = *placed.first_event_us.get_or_insert(now_us);
+        if first_event_us < now_us {
+            let pause_us = now_us - placed.last_event_us;
+            placed.longest_pause_us = placed.longest_pause_us.max(pause_us);
+        }
+        placed.last_event_us = now_us;
+        let longest_pause = Duration::from_micros(placed.longest_pause_us);
         if !is_last {
             return;
         }
@@ -362,6 +376,8 @@
             Duration::from_micros(first_event_us - self.requests[index].arrival_us);
         self.summary.first_events.push(time_to_first_event);
         let is_in_time = time_to_first_event <= self.request_kind(index).target_latency;
+        let is_paused = longest_pause > self.deployment.gap_limit;
+        self.summary.paused_streams += u32::from(is_in_time && is_paused);
         self.finish(now_us, index, SendOutcome::Answered);
         self.record(index, if is_in_time { Outcome::InTime } else { Outcome::Late });
     }
--- a/sapphirespur_bench/src/placement/workload.rs
+++ b/sapphirespur_bench/src/placement/workload.rs
@@ -158,13 +158,16 @@
         ];
         let input = shared_tokens[0] + shared_tokens[1] + own_tokens;
 
+        let output_tokens = log_uniform_size(rng, spec.output_tokens.0).min(spec.output_tokens.1);
+        let output_hint = Some(hint(&mut Rng::new(rng.clone().next_u64()), output_tokens));
+
         Request {
             arrival_us,
             kind,
             workspace,
             router: self.router(workspace, routers, rng),
-            prompt: Prompt::new(&segments, input, spec.output_tokens.1),
-            output_tokens: log_uniform_size(rng, spec.output_tokens.0).min(spec.output_tokens.1),
+            prompt: Prompt { output_hint, ..Prompt::new(&segments, input, spec.output_tokens.1) },
+            output_tokens,
         }
     }
 
@@ -207,6 +210,13 @@
     }
 }
 
+/// Draws a client's estimate of an answer's length: right at the median, and more than two times off in
+/// about one of four.
+fn hint(rng: &mut Rng, output_tokens: u32) -> u32 {
+    let exponent = (rng.below(2_001) as f64 - 1_000.0) / 1_000.0 * 0.9;
+    ((f64::from(output_tokens) * exponent.exp()) as u32).max(1)
+}
+
 /// Draws the time to the next event of a Poisson process, in microseconds.
 fn exponential_us(rng: &mut Rng, rate_per_s: f64) -> u64 {
     let uniform = (rng.below(1 << 32) + 1) as f64 / (1_u64 << 32) as f64;
--- a/sapphirespur_bench/tests/placement.rs
+++ b/sapphirespur_bench/tests/placement.rs
@@ -11,6 +11,9 @@
 /// Seed of all runs.
 const SEED: u64 = 11;
 
+/// Index of the requests in time among the counts.
+const IN_TIME: usize = 1;
+
 /// Runs 20 seconds of load on the Agenzia's deployment.
 fn run_agenzia(pattern: TrafficPattern, rate_factor: f64, policy: Policy) -> RunSummary {
     let deployment = Deployment::agenzia();
@@ -58,6 +61,52 @@
     goals_hold_during_a_burst_at_1_5_times_the_rate: TrafficPattern::Burst, 1.5;
 }
 
+macro_rules! estimates_pause_fewer_streams {
+    ($($name:ident: $pattern:expr, $rate_factor:expr;)*) => {
+        $(
+            /// With work estimates, no fewer requests are served with the first event in time and without
+            /// a pause beyond the limit, and fewer have such a pause.
+            #[test]
+            fn $name() {
+                let present = Deployment::agenzia();
+                let estimating = Deployment { uses_work_estimates: true, ..present.clone() };
+                let workload = Workload {
+                    request_kinds: present.request_kinds.clone(),
+                    workspaces: 16,
+                    rate_factor: $rate_factor,
+                    pattern: $pattern,
+                    duration: Duration::from_secs(20),
+                };
+                let present = run(&present, &workload, Policy::EdgeRouter, SEED);
+                let estimating = run(&estimating, &workload, Policy::EdgeRouter, SEED);
+                let figures = |summary: &RunSummary| {
+                    (
+                        summary.counts,
+                        summary.paused_streams,
+                        summary.goodput_kilotokens_per_s(),
+                        summary.min_share_fraction(),
+                    )
+                };
+                println!("present: {:?}, estimates: {:?}", figures(&present), figures(&estimating));
+                assert!(estimating.fraction(Outcome::Failed) < 0.02, "{:?}", estimating.counts);
+                assert!(estimating.min_share_fraction() >= 0.5);
+                let smooth = |summary: &RunSummary| {
+                    summary.counts[IN_TIME] - summary.paused_streams
+                };
+                assert!(smooth(&estimating) >= smooth(&present));
+                assert!(estimating.paused_streams <= present.paused_streams);
+            }
+        )*
+    };
+}
+
+estimates_pause_fewer_streams! {
+    estimates_pause_fewer_streams_under_steady_load: TrafficPattern::Steady, 1.0;
+    estimates_pause_fewer_streams_at_twice_the_rate: TrafficPattern::Steady, 2.0;
+    estimates_pause_fewer_streams_with_a_hot_workspace: TrafficPattern::HotWorkspace, 1.0;
+    estimates_pause_fewer_streams_during_a_burst: TrafficPattern::Burst, 1.5;
+}
+
 #[test]
 fn hot_workspaces_are_served_similarly_at_one_router_and_at_all() {
     let deployment = Deployment::agenzia().scaled(3);
--- a/sapphirespur_core/tests/edge/placement_reference.rs
+++ b/sapphirespur_core/tests/edge/placement_reference.rs
@@ -188,6 +188,7 @@
         pending_tokens: draws.below(4_000),
         event_ms: draws.below(60) as u32,
         unshared_tokens: draws.below(3_000) as u32,
+        ..UpstreamLoad::default()
     };
     let upstreams = (0..UPSTREAMS).map(&mut load).collect();
     PeerReport {
