--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -28,6 +28,7 @@
 mod over_share;
 mod placement_reference;
 mod prefix_fetch;
+mod reader_watch;
 mod registry_outage;
 mod reported_load;
 mod restored_registry;
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -6,6 +6,9 @@
 mod buffered;
 pub mod client_stream;
 mod connect;
+mod delivered_body;
+mod delivery;
+mod delivery_stream;
 mod dialect;
 pub mod event_buffer;
 mod guards;
@@ -21,7 +24,7 @@
 mod record_store;
 mod registry;
 mod registry_sync;
-mod response;
+pub mod response;
 mod send;
 mod server;
 mod shared;
