--- a/sapphirespur_bench/src/placement/simulation.rs
+++ b/sapphirespur_bench/src/placement/simulation.rs
@@ -169,6 +169,7 @@
             cold_allowance: 5.0,
             share_window: Duration::from_secs(4),
             uses_work_estimates: self.uses_work_estimates,
+            rollouts: None,
         }
     }
 }
--- a/sapphirespur_core/benches/scene/mod.rs
+++ b/sapphirespur_core/benches/scene/mod.rs
@@ -287,6 +287,7 @@
         cold_allowance: 5.0,
         share_window: Duration::from_secs(4),
         uses_work_estimates: false,
+        rollouts: None,
     }
 }
 
--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::edge::{LoadUse, LossEvidence, QuarantineKey, RequestIdentity, RequestWork};
+use crate::edge::{
+    Judged, LoadUse, LossEvidence, QuarantineKey, RequestIdentity, RequestWork, RolloutMark,
+};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -42,6 +44,10 @@
     pub events: u32,
     /// When the latest event arrived; the placement time before the first one.
     pub last_event_at: Time,
+    /// Roll-out that was running when the request was placed.
+    pub rollout: RolloutMark,
+    /// How far the response has been judged for that roll-out.
+    pub judged: Judged,
 }
 
 impl InFlightRequest {
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -41,6 +41,7 @@
 mod report_store;
 mod request_identity;
 mod retry_budget;
+mod rollout;
 mod route;
 mod route_table;
 mod router;
@@ -105,6 +106,12 @@
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub(crate) use rollout::{DutyView, EvidenceKey, Fallback, VersionChoice, VersionPlan};
+pub use rollout::{
+    Judged, RolloutDuty, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutRole, RolloutSettings, RolloutSnapshot,
+    RolloutState, RolloutSummary, RolloutVerdict, Rollouts,
+};
 pub use route::{Route, RouteKind, Split};
 pub use route_table::{ClientLimits, RouteError, RouteTable, WorkspaceKeys};
 pub use router::Router;
--- a/sapphirespur_core/src/edge/placement/filter.rs
+++ b/sapphirespur_core/src/edge/placement/filter.rs
@@ -15,7 +15,7 @@
     Cold,
     /// It was tried for the request before.
     Tried,
-    /// It runs another version than the one that the request needs.
+    /// It runs a version at which the request may not be placed.
     OtherVersion,
 }
 
@@ -70,7 +70,7 @@
     }
 
     fn check_version(&self, upstream: &Upstream) -> Result<(), Exclusion> {
-        let fits = self.request.call.fits_version(&upstream.entry);
+        let fits = self.request.fits_version(upstream);
         if fits { Ok(()) } else { Err(Exclusion::OtherVersion) }
     }
 }
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -3,6 +3,7 @@
 mod placement;
 mod reports;
 mod responses;
+mod rollouts;
 mod streams;
 
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
     Backoff, BatchEffect, Exchange, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, RouterSettings, Shares, StreamOrigins, WorkEstimator,
+    RetryBudget, RetryLimits, Rollouts, RouterSettings, Shares, StreamOrigins, WorkEstimator,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -36,6 +37,7 @@
     quarantine: Quarantine,
     work: WorkEstimator,
     streams: StreamOrigins,
+    rollouts: Rollouts,
     /// Shared segments sent since the last report, by upstream key.
     prefilled: HashMap<u32, Vec<PromptSegment>>,
     sequence: u64,
@@ -67,6 +69,8 @@
         let name_hash = stable_hash(&[settings.name.as_str().as_bytes()]);
         let shares = Shares::new(settings.share_window, name_hash);
 
+        let rollouts = Rollouts::new(settings.rollouts);
+
         Self {
             settings,
             name_hash,
@@ -81,6 +85,7 @@
             quarantine: Quarantine::default(),
             work: WorkEstimator::default(),
             streams: StreamOrigins::default(),
+            rollouts,
             prefilled: HashMap::default(),
             sequence: 0,
             is_registry_fresh: false,
@@ -111,6 +116,7 @@
 
     /// Replaces the settings; name, data centre and start time stay.
     pub fn update_settings(&mut self, settings: &RouterSettings) {
+        self.rollouts.update_settings(settings.rollouts);
         self.settings = RouterSettings {
             name: self.settings.name.clone(),
             data_centre: self.settings.data_centre.clone(),
@@ -136,6 +142,7 @@
         self.last_tick = now;
 
         self.registry.tick(now);
+        self.observe_rollouts(now);
         self.quarantine.expire(now);
         for upstream in self.registry.upstreams_mut().iter_mut() {
             upstream.load.decay(elapsed.min(Self::MAX_DECAY_STEP));
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -8,9 +8,9 @@
 };
 use crate::edge::quarantine::QuarantineVerdict;
 use crate::edge::{
-    Admission, BatchEffect, CallInfo, Decline, DeclineReason, EngineSpec, InFlightRequest,
-    LengthOutlook, Placement, Prompt, QuarantineKey, RequestWork, Router, Shares, UsageKey,
-    WorkEstimate,
+    Admission, BatchEffect, CallInfo, Decline, DeclineReason, EngineSpec, InFlightRequest, Judged,
+    LengthOutlook, Placement, Prompt, QuarantineKey, RequestWork, RolloutMark, Router, Shares,
+    UsageKey, VersionChoice, WorkEstimate,
 };
 use crate::name::Name;
 use crate::time::Time;
@@ -31,8 +31,15 @@
             let (usage, lag) = (self.exchange.peers().usage(), self.exchange.report_lag());
             self.shares.recent_share_usage(now, key, tokens, capacity, usage, lag)
         });
-        let request = PlacementRequest { call, tried: &[], share_usage, trial, outlook };
-        let decision = self.choose_upstream(now, request);
+        let request = PlacementRequest {
+            call,
+            tried: &[],
+            share_usage,
+            trial,
+            outlook,
+            versions: &VersionChoice::Any,
+        };
+        let decision = self.place_by_version(now, request);
         if let Some((key, tokens, _)) = charge {
             self.shares.charge(now, key, tokens, decision.is_ok());
         }
@@ -57,8 +64,15 @@
         }
 
         let outlook = self.work.outlook(call);
-        let request = PlacementRequest { call, tried, share_usage: 0.0, trial, outlook };
-        let admission = self.choose_upstream(now, request);
+        let request = PlacementRequest {
+            call,
+            tried,
+            share_usage: 0.0,
+            trial,
+            outlook,
+            versions: &VersionChoice::Any,
+        };
+        let admission = self.place_by_version(now, request);
         if reached_upstream
             && admission.is_err()
             && let Some(budget) = self.retry_budgets.get_mut(&call.service)
@@ -145,7 +159,11 @@
     /// Places a request on the upstream with the lowest score among those without a reason to decline
     /// it. A request that tries something that is quarantined goes to the one with the fewest requests,
     /// which it may cut.
-    fn choose_upstream(&mut self, now: Time, request: PlacementRequest<'_>) -> Admission {
+    pub(super) fn choose_upstream(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+    ) -> Admission {
         if let Some(decline) = self.refuse_over_share(now, request) {
             return Err(decline);
         }
@@ -157,7 +175,7 @@
         let admission = match (drawn, choice.best()) {
             (Err(decline), _) => Err(decline),
             (Ok(()), Some(best)) => self.place(now, request, &choice, best),
-            (Ok(()), None) => Err(self.decline_unselected(now, request.call, &selection)),
+            (Ok(()), None) => Err(self.decline_unselected(now, request, &selection)),
         };
         self.selection = selection;
         self.choice = choice;
@@ -334,7 +352,13 @@
     }
 
     /// Declines a request that no upstream may get.
-    fn decline_unselected(&mut self, now: Time, call: &CallInfo, selection: &Selection) -> Decline {
+    fn decline_unselected(
+        &mut self,
+        now: Time,
+        request: PlacementRequest<'_>,
+        selection: &Selection,
+    ) -> Decline {
+        let call = request.call;
         let upstreams = self.registry.upstreams();
         if call.goes_on && !upstreams.may_serve_version(call) {
             return self.backoff.decline(call, DeclineReason::VersionGone, None);
@@ -347,7 +371,7 @@
             return self.backoff.decline(call, DeclineReason::Limited, Some(wait));
         }
         let mut available = upstreams.available(now, &call.service);
-        if available.any(|upstream| call.fits_version(&upstream.entry)) {
+        if available.any(|upstream| request.fits_version(upstream)) {
             return self.backoff.decline(call, DeclineReason::Cold, None);
         }
         match upstreams.shortest_pause(now, &call.service) {
@@ -413,33 +437,29 @@
             }
         }
         let id = &upstream.entry.id;
-        Placement {
-            request: InFlightRequest {
-                upstream: id.clone(),
-                started_ms: upstream.entry.started_ms,
-                version: upstream.entry.version.clone(),
-                route: call.route.clone(),
-                service: call.service.clone(),
-                segments: call
-                    .prompt
-                    .as_ref()
-                    .map(|prompt| prompt.shared_ids.clone())
-                    .unwrap_or_default(),
-                identity: call.identity,
-                prefill_tokens,
-                queued_tokens,
-                work,
-                load,
-                placed_at: now,
-                is_framed: false,
-                first_event_at: None,
-                events: 0,
-                last_event_at: now,
-            },
-            address: upstream.entry.address,
-            instance: id.clone(),
-            fetch_from,
-            expected_delay,
-        }
+        let (address, instance) = (upstream.entry.address, id.clone());
+        let segments = call.prompt.as_ref().map(|prompt| prompt.shared_ids.clone());
+        let mut request = InFlightRequest {
+            upstream: id.clone(),
+            started_ms: upstream.entry.started_ms,
+            version: upstream.entry.version.clone(),
+            route: call.route.clone(),
+            service: call.service.clone(),
+            segments: segments.unwrap_or_default(),
+            identity: call.identity,
+            prefill_tokens,
+            queued_tokens,
+            work,
+            load,
+            placed_at: now,
+            is_framed: false,
+            first_event_at: None,
+            events: 0,
+            last_event_at: now,
+            rollout: RolloutMark::default(),
+            judged: Judged::default(),
+        };
+        self.record_version(now, &mut request);
+        Placement { request, address, instance, fetch_from, expected_delay }
     }
 }
--- a/sapphirespur_core/src/edge/router_settings.rs
+++ b/sapphirespur_core/src/edge/router_settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::edge::RetryLimits;
+use crate::edge::{RetryLimits, RolloutSettings};
 use crate::name::Name;
 
 /// Settings of a router and the fleet-wide limits that it enforces.
@@ -25,4 +25,6 @@
     /// Whether placement and shares count the expected work of each request, and the work that is left
     /// at each upstream.
     pub uses_work_estimates: bool,
+    /// Bounds of roll-outs; none where there are no roll-outs.
+    pub rollouts: Option<RolloutSettings>,
 }
--- a/sapphirespur_core/tests/edge/support.rs
+++ b/sapphirespur_core/tests/edge/support.rs
@@ -31,6 +31,7 @@
         cold_allowance: ALLOWANCE,
         share_window: Duration::from_secs(4),
         uses_work_estimates: false,
+        rollouts: None,
     }
 }
 
--- a/sapphirespur_node/benches/edge.rs
+++ b/sapphirespur_node/benches/edge.rs
@@ -90,6 +90,7 @@
         pending_tokens: 900,
         event_ms: 41,
         unshared_tokens: 120,
+        ..UpstreamLoad::default()
     });
     let workspaces = (0..WORKSPACE_ROWS).map(|index| WorkspaceUsage {
         workspace: index.wrapping_mul(0x85eb_ca6b),
--- a/sapphirespur_node/src/edge/peer_link.rs
+++ b/sapphirespur_node/src/edge/peer_link.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use sapphirespur_core::edge::{ExchangeRole, OutgoingMessage, PeerMessage};
+use sapphirespur_core::edge::{ExchangeRole, MessageExtension, OutgoingMessage, PeerMessage};
+use serde::Deserialize;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
@@ -145,10 +146,15 @@
 /// Returns an error when the message cannot be encoded.
 pub fn encode_datagram(message: &PeerMessage) -> Result<Vec<u8>, DatagramError> {
     let bytes = postcard::to_extend(message, FORMAT.to_vec())?;
-    let bytes = postcard::to_extend(&message.extension(), bytes)?;
+    let extension = message.extension();
+    let bytes = postcard::to_extend(&extension, bytes)?;
     let bytes = postcard::to_extend(&message.news.requests, bytes)?;
     let bytes = postcard::to_extend(&message.news.loads, bytes)?;
-    Ok(postcard::to_extend(&message.work_values(), bytes)?)
+    let bytes = postcard::to_extend(&message.work_values(), bytes)?;
+    if extension.rollouts.is_empty() {
+        return Ok(bytes);
+    }
+    Ok(postcard::to_extend(&extension.rollouts, bytes)?)
 }
 
 /// Decodes a datagram of another router.
@@ -159,22 +165,28 @@
 pub fn decode_datagram(bytes: &[u8]) -> Result<PeerMessage, DatagramError> {
     let encoded = bytes.strip_prefix(&FORMAT).ok_or(DatagramError::UnknownFormat)?;
     let (mut message, rest) = postcard::take_from_bytes::<PeerMessage>(encoded)?;
-    // Builds that know nothing of the extension, or of a part that came later, end the datagram before.
+    // Builds that know nothing of the extension, or of its later parts, end the datagram before.
     if !rest.is_empty() {
-        let (extension, rest) = postcard::take_from_bytes(rest)?;
+        let (mut extension, rest) = postcard::take_from_bytes::<MessageExtension>(rest)?;
+        let (requests, rest) = take_list(rest)?;
+        let (loads, rest) = take_list(rest)?;
+        let (work, rest) = take_list(rest)?;
+        (extension.rollouts, _) = take_list(rest)?;
         message.apply_extension(extension);
-        if !rest.is_empty() {
-            let (requests, rest) = postcard::take_from_bytes(rest)?;
-            message.news.requests = requests;
-            if !rest.is_empty() {
-                let (loads, rest) = postcard::take_from_bytes(rest)?;
-                message.news.loads = loads;
-                if !rest.is_empty() {
-                    message.apply_work_values(postcard::from_bytes::<Vec<_>>(rest)?);
-                }
-            }
-        }
+        message.news.requests = requests;
+        message.news.loads = loads;
+        message.apply_work_values(work);
     }
 
     Ok(message)
 }
+
+/// Reads a list that may be missing at the end of a datagram. Returns it with the bytes after it.
+fn take_list<'a, T: Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<(Vec<T>, &'a [u8]), postcard::Error> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), bytes));
+    }
+    postcard::take_from_bytes(bytes)
+}
--- a/sapphirespur_node/src/edge/status.rs
+++ b/sapphirespur_node/src/edge/status.rs
@@ -7,6 +7,7 @@
 use sapphirespur_core::time::Time;
 use serde::{Deserialize, Serialize};
 
+use super::rollout_status::RolloutStatus;
 use super::shared::Shared;
 
 /// Path on which a router serves its state.
@@ -55,6 +56,9 @@
     /// Accuracy of predicted costs by route, sorted by route.
     #[serde(default)]
     pub predictions: Vec<PredictionStatus>,
+    /// Roll-outs, sorted by service.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutStatus>,
     /// Upstreams, sorted by name.
     pub upstreams: Vec<UpstreamStatus>,
 }
@@ -152,6 +156,9 @@
     };
     let mut predictions: Vec<_> = router.work().errors.within_two().map(prediction).collect();
     predictions.sort_by(|a, b| a.route.cmp(&b.route));
+    let summaries = router.rollouts().summaries(now);
+    let mut rollouts: Vec<RolloutStatus> = summaries.iter().map(RolloutStatus::new).collect();
+    rollouts.sort_by(|a, b| a.service.cmp(&b.service));
     EdgeStatus {
         name: cx.settings().node.name.to_string(),
         version: registry.table().map(|table| table.version),
@@ -170,6 +177,7 @@
         base_versions,
         known_streams: router.streams().memory.len(),
         predictions,
+        rollouts,
         upstreams,
     }
 }
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -7,6 +7,7 @@
 
 use sapphirespur_core::edge::{RetryLimits, RouterSettings};
 
+use super::rollouts::{ROLLOUTS_KEYS, read_rollouts};
 use crate::settings::{LogSettings, NodeSettings, SectionSchema, SettingsError, SettingsFile};
 
 /// Addresses on which the router listens.
@@ -95,6 +96,7 @@
         ("cold", &["overshoot", "allowance"]),
         ("shares", &["window-s"]),
         ("placement", &["work-estimates"]),
+        ("rollouts", ROLLOUTS_KEYS),
         ("log", LogSettings::KEYS),
     ];
 
@@ -166,6 +168,7 @@
                     Duration::from_secs(4),
                 )?,
                 uses_work_estimates: f.switch("placement", "work-estimates", false)?,
+                rollouts: read_rollouts(f)?,
             },
             node,
             listen,
