--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -60,7 +60,7 @@
 pub use rollout_keys::{ROLLOUT_LEADER, ROLLOUTS_PREFIX};
 pub use rollout_status::RolloutStatus;
 use shared::Shared;
-pub use status::{EdgeStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
+pub use status::{EdgeStatus, PredictionStatus, ReportedLoad, STATUS_PATH, UpstreamStatus};
 pub use stream_keys::RECORDS_PREFIX;
 
 use crate::settings::EdgeSettings;
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -95,6 +95,7 @@
         ("repeats", &["ratio", "allowance", "window-s"]),
         ("cold", &["overshoot", "allowance"]),
         ("shares", &["window-s"]),
+        ("placement", &["work-estimates"]),
         ("rollouts", ROLLOUTS_KEYS),
         ("log", LogSettings::KEYS),
     ];
@@ -166,6 +167,7 @@
                     SPAN_RANGE_S,
                     Duration::from_secs(4),
                 )?,
+                uses_work_estimates: f.switch("placement", "work-estimates", false)?,
                 rollouts: read_rollouts(f)?,
             },
             node,
