--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -24,7 +24,7 @@
 mod record_store;
 mod registry;
 mod registry_sync;
-mod registry_thread;
+pub mod registry_thread;
 pub mod response;
 mod rollout_keeper;
 mod rollout_keys;
--- a/sapphirespur_node/src/edge/registry_thread.rs
+++ b/sapphirespur_node/src/edge/registry_thread.rs
@@ -10,6 +10,7 @@
 use crate::start::StartError;
 
 /// Call to the registry, with the channel of its result.
+#[derive(Debug)]
 enum RegistryCall {
     /// Reads all entries.
     List(oneshot::Sender<Result<RegistryListing, RegistryError>>),
@@ -22,7 +23,8 @@
 /// A call passes through the queue of tasks several times. With hundreds of connections in a flood, each
 /// pass takes a few hundred milliseconds, so that calls on the thread of the traffic time out, and the
 /// router misses changes for seconds.
-pub(super) struct RegistryThread {
+#[derive(Debug)]
+pub struct RegistryThread {
     calls: mpsc::UnboundedSender<RegistryCall>,
 }
 
--- a/sapphirespur_node/tests/edge/main.rs
+++ b/sapphirespur_node/tests/edge/main.rs
@@ -10,4 +10,5 @@
 mod event_buffer;
 mod hop_headers;
 mod log;
+mod registry_thread;
 mod settings;
