Reported load and work estimates: one way to learn a pace, no confidence that nobody reads

Cause: read-through. on_told and merge_loads learned a step between two paces in the same lines, and copied the service's name for each row even without a step. WorkEstimate::confidence was computed for each placement and read nowhere; the share within a factor of two is measured by PredictionErrors. Change: record_pace_step; the field and its method are gone. Behaviour is the same.

--- a/sapphirespur_core/src/edge/load/upstream_loads.rs
+++ b/sapphirespur_core/src/edge/load/upstream_loads.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::edge::load::PaceStep;
 use crate::edge::{
     CallInfo, ExchangeRole, InFlightRequest, LoadReport, LoadUse, ServiceLoad, ToldLoad, Upstream,
     Upstreams,
@@ -37,9 +38,14 @@
     /// Records the load that the upstream of a request told in its response.
     pub(in crate::edge) fn on_told(&mut self, now: Time, id: &str, told: ToldLoad) {
         let Some(upstream) = self.get_mut(id) else { return };
-        let step = upstream.known.on_told(now, told);
-        let service = upstream.entry.service.clone();
-        if let Some(step) = step.filter(|_| told.pace.is_some()) {
+        let step = upstream.known.on_told(now, told).filter(|_| told.pace.is_some());
+        let learned = step.map(|step| (upstream.entry.service.clone(), step));
+        self.record_pace_step(learned);
+    }
+
+    /// Learns from a step between two paces of an upstream of a service, if there is one.
+    fn record_pace_step(&mut self, learned: Option<(Name, PaceStep)>) {
+        if let Some((service, step)) = learned {
             self.service_loads.entry(service).or_default().pace_time.record(step);
         }
     }
@@ -81,10 +87,9 @@
         for report in reports {
             let Some(upstream) = self.get_by_key_mut(report.upstream) else { continue };
             let step = upstream.known.merge(now, report);
-            let service = upstream.entry.service.clone();
-            if let Some(step) = step.filter(|_| report.pace_percent.is_some()) {
-                self.service_loads.entry(service).or_default().pace_time.record(step);
-            }
+            let step = step.filter(|_| report.pace_percent.is_some());
+            let learned = step.map(|step| (upstream.entry.service.clone(), step));
+            self.record_pace_step(learned);
         }
     }
 
--- a/sapphirespur_core/src/edge/work/length_outlook.rs
+++ b/sapphirespur_core/src/edge/work/length_outlook.rs
@@ -36,13 +36,6 @@
         f64::from(self.points[middle - 1] + self.points[middle]) / 2.0
     }
 
-    /// Returns the probability that the length is within a factor of two of the median.
-    pub fn confidence(&self) -> f64 {
-        let median = self.median() as f32;
-        let is_near = |point: &&f32| (median / 2.0..=median * 2.0).contains(*point);
-        self.points.iter().filter(is_near).count() as f64 / Self::POINTS as f64
-    }
-
     /// Returns the tokens that a response is expected to have yet, of which `done` have arrived.
     ///
     /// It is the mean over the lengths that are still possible. Near the end of the distribution and
--- a/sapphirespur_core/src/edge/work/work_estimate.rs
+++ b/sapphirespur_core/src/edge/work/work_estimate.rs
@@ -12,8 +12,6 @@
     pub decode_tokens: f64,
     /// Expected memory at the end of the response beyond what is cached, in tokens.
     pub memory_tokens: f64,
-    /// Probability that the output tokens are within a factor of two of the prediction.
-    pub confidence: f64,
 }
 
 impl WorkEstimate {
@@ -24,12 +22,7 @@
     pub fn new(prefill_tokens: u64, outlook: &LengthOutlook) -> Self {
         let decode_tokens = outlook.mean();
 
-        Self {
-            prefill_tokens,
-            decode_tokens,
-            memory_tokens: prefill_tokens as f64 + decode_tokens,
-            confidence: outlook.confidence(),
-        }
+        Self { prefill_tokens, decode_tokens, memory_tokens: prefill_tokens as f64 + decode_tokens }
     }
 
     /// Returns the cost of a request with `output_tokens` of output in prompt tokens, wherever it
