--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -60,18 +60,40 @@
         && UdpSocket::bind((ip, INTERNAL_PORT)).is_ok()
 }
 
-/// Figures of a machine, as the sheet of the deployment has them.
+/// Figures of a machine and bounds, as the sheet of a deployment has them.
 #[derive(Clone, Debug)]
-pub struct Machine {
+pub struct Sheet {
     pub memory_mb: u32,
     pub descriptors: u32,
     pub retry_allowance: u32,
+    pub drain_ms: u32,
+    pub config_propagation_ms: u32,
+    pub delivery_slack_ms: u32,
 }
 
-impl Default for Machine {
+impl Sheet {
     /// Returns the figures of the sheet `katharotis-rounds`.
-    fn default() -> Self {
-        Self { memory_mb: 110, descriptors: 4_100, retry_allowance: 54 }
+    pub fn katharotis() -> Self {
+        Self {
+            memory_mb: 110,
+            descriptors: 4_100,
+            retry_allowance: 54,
+            drain_ms: 2_000,
+            config_propagation_ms: 2_000,
+            delivery_slack_ms: 120,
+        }
+    }
+
+    /// Returns the figures of the sheet `ihuriro-alumni-grown`, those of its smallest machines.
+    pub fn ihuriro() -> Self {
+        Self {
+            memory_mb: 112,
+            descriptors: 2_870,
+            retry_allowance: 151,
+            drain_ms: 3_000,
+            config_propagation_ms: 3_000,
+            delivery_slack_ms: 200,
+        }
     }
 }
 
@@ -92,7 +114,7 @@
         place: &Place,
         (host, zone, routers): (u8, &str, u8),
         store: SocketAddr,
-        machine: &Machine,
+        sheet: &Sheet,
     ) -> io::Result<Self> {
         let ip = place.ip(host);
         let name = format!("edge-{zone}-{host}");
@@ -108,15 +130,15 @@
             ("seed_nodes", seeds.join(",")),
             ("platform.address", store.to_string()),
             ("platform.writes_per_s", "400".to_owned()),
-            ("bounds.drain_ms", "2000".to_owned()),
-            ("bounds.config_propagation_ms", "2000".to_owned()),
+            ("bounds.drain_ms", sheet.drain_ms.to_string()),
+            ("bounds.config_propagation_ms", sheet.config_propagation_ms.to_string()),
             ("bounds.evacuation_ms", "5000".to_owned()),
-            ("bounds.delivery_slack_ms", "120".to_owned()),
-            ("limits.memory_mb", machine.memory_mb.to_string()),
-            ("limits.file_descriptors", machine.descriptors.to_string()),
+            ("bounds.delivery_slack_ms", sheet.delivery_slack_ms.to_string()),
+            ("limits.memory_mb", sheet.memory_mb.to_string()),
+            ("limits.file_descriptors", sheet.descriptors.to_string()),
             ("bounds.grace_period_s", "8".to_owned()),
             ("bounds.retry_budget_ratio", "0.2".to_owned()),
-            ("bounds.retry_allowance", machine.retry_allowance.to_string()),
+            ("bounds.retry_allowance", sheet.retry_allowance.to_string()),
             ("bounds.retry_window_s", "10".to_owned()),
             ("bounds.cold_overshoot", "1.5".to_owned()),
             ("bounds.cold_allowance", "5".to_owned()),
--- a/review/standin/scene.rs
+++ b/review/standin/scene.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::fleet::{Machine, Place, Router};
+use crate::fleet::{Place, Router, Sheet};
 use crate::runner::Runner;
 use crate::store::Store;
 
@@ -73,7 +73,7 @@
 impl Scene {
     /// Starts a store with the configuration and the runners' entries, and the routers; waits until all
     /// of them are ready.
-    pub fn start(place: Place, runners: &[Arc<Runner>], machine: &Machine) -> io::Result<Self> {
+    pub fn start(place: Place, runners: &[Arc<Runner>], sheet: &Sheet) -> io::Result<Self> {
         let store = Store::start(&place.ip(200))?;
         store.put("op/config", &config(7));
         for runner in runners {
@@ -83,7 +83,7 @@
         for (zone, count) in ZONES {
             for _ in 0..count {
                 let host = routers.len() as u8 + 1;
-                routers.push(Router::start(&place, (host, zone, 3), store.address, machine)?);
+                routers.push(Router::start(&place, (host, zone, 3), store.address, sheet)?);
             }
         }
         if !routers.iter().all(Router::wait_until_ready) {
