--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -17,6 +17,7 @@
 /// Ports that are the same on all machines of a deployment.
 const FRONTEND_PORT: u16 = 18_783;
 const READY_PORT: u16 = 18_780;
+const CONTROL_PORT: u16 = 18_785;
 const INTERNAL_PORT: u16 = 17_400;
 const METRICS_PORT: u16 = 9_464;
 
@@ -109,17 +110,16 @@
 }
 
 impl Router {
-    /// Starts the router of machine `host` in a zone; `routers` machines are seeds.
+    /// Starts the router of machine `host` in a zone; `seeds` are addresses of machines.
     pub fn start(
         place: &Place,
-        (host, zone, routers): (u8, &str, u8),
+        (host, zone): (u8, &str),
+        seeds: &[String],
         store: SocketAddr,
         sheet: &Sheet,
     ) -> io::Result<Self> {
         let ip = place.ip(host);
         let name = format!("edge-{zone}-{host}");
-        let seeds: Vec<String> =
-            (1..=routers.min(3)).map(|seed| format!("{}:18785", place.ip(seed))).collect();
         let values = [
             ("node_name", name.clone()),
             ("zone", zone.to_owned()),
@@ -127,7 +127,7 @@
             ("listen_addresses.ready", format!("{ip}:{READY_PORT}")),
             ("ip_address", ip.clone()),
             ("internal_port_range.0", INTERNAL_PORT.to_string()),
-            ("seed_nodes", seeds.join(",")),
+            ("seed_nodes", seed_list(seeds)),
             ("platform.address", store.to_string()),
             ("platform.writes_per_s", "400".to_owned()),
             ("bounds.drain_ms", sheet.drain_ms.to_string()),
@@ -166,6 +166,20 @@
         })
     }
 
+    /// Writes the settings file with other seeds, and tells the process so with SIGHUP.
+    pub fn change_seeds(&self, seeds: &[String]) -> io::Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let changed: Vec<String> = text
+            .lines()
+            .map(|line| match line.starts_with("seeds = ") {
+                true => format!("seeds = {}", seed_list(seeds)),
+                false => line.to_owned(),
+            })
+            .collect();
+        fs::write(&self.settings, changed.join("\n") + "\n")?;
+        self.signal("HUP")
+    }
+
     /// Returns whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         let request = Request {
@@ -225,6 +239,11 @@
     }
 }
 
+/// Returns the addresses of machines as seeds.
+fn seed_list(seeds: &[String]) -> String {
+    seeds.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect::<Vec<_>>().join(",")
+}
+
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let out = fs::OpenOptions::new().create(true).append(true).open(log)?;
     Command::new(PROGRAM)
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -2,11 +2,11 @@
 //! and leaves the answer to the case.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Connection, Message};
 
@@ -35,6 +35,12 @@
     runs: Mutex<Vec<String>>,
     /// Whether its heartbeats go on.
     is_listed: AtomicBool,
+    /// Until when it is cold.
+    cold_until: Mutex<Option<Instant>>,
+    /// Whether it has crashed.
+    has_crashed: AtomicBool,
+    /// Open connections, closed by a crash.
+    connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Runner {
@@ -56,10 +62,20 @@
             sequence: AtomicUsize::new(0),
             runs: Mutex::default(),
             is_listed: AtomicBool::new(true),
+            cold_until: Mutex::default(),
+            has_crashed: AtomicBool::new(false),
+            connections: Mutex::default(),
         });
         let (serving, answer): (_, Arc<Answer>) = (Arc::clone(&runner), Arc::new(answer));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if serving.has_crashed() {
+                    // The listener closes, and refuses further connections.
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    serving.connections.lock().expect("not poisoned").push(copy);
+                }
                 let (runner, answer) = (Arc::clone(&serving), Arc::clone(&answer));
                 thread::spawn(move || {
                     // Fails when the router closes the connection.
@@ -115,6 +131,34 @@
         self.is_listed.store(is_listed, Ordering::Relaxed);
     }
 
+    /// Makes it cold for a while, as its entries say from now on.
+    pub fn set_cold(&self, span: Duration) {
+        *self.cold_until.lock().expect("not poisoned") = Some(Instant::now() + span);
+    }
+
+    /// Returns how much longer it stays cold.
+    pub fn cold_remaining(&self) -> Duration {
+        let until = *self.cold_until.lock().expect("not poisoned");
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Crashes: all connections close, and no further one is accepted; its heartbeats end.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        self.set_listed(false);
+        for connection in self.connections.lock().expect("not poisoned").drain(..) {
+            // Fails for connections that have ended.
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Returns whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::Relaxed)
+    }
+
     /// Returns whether its heartbeats go on.
     pub fn is_listed(&self) -> bool {
         self.is_listed.load(Ordering::Relaxed)
@@ -130,8 +174,13 @@
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-             \"state\":\"{state}\",\"cold_remaining_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
-            self.service, self.address, self.zone, self.slots, self.born
+             \"state\":\"{state}\",\"cold_remaining_ms\":{},\"sequence\":{sequence},\"born\":{}}}",
+            self.service,
+            self.address,
+            self.zone,
+            self.slots,
+            self.cold_remaining().as_millis(),
+            self.born
         )
     }
 }
--- a/review/standin/scene.rs
+++ b/review/standin/scene.rs
@@ -12,6 +12,9 @@
 /// Zones of the sheet, and how many routers each has.
 pub const ZONES: [(&str, u8); 3] = [("piraeus", 2), ("marousi", 1), ("glyfada", 1)];
 
+/// Machines whose addresses are seeds, counted from the first.
+pub const SEEDS: u8 = 3;
+
 /// Host of all routes.
 pub const HOST: &str = "ficu95.example";
 
@@ -74,6 +77,17 @@
     /// Starts a store with the configuration and the runners' entries, and the routers; waits until all
     /// of them are ready.
     pub fn start(place: Place, runners: &[Arc<Runner>], sheet: &Sheet) -> io::Result<Self> {
+        let seeds: Vec<String> = (1..=SEEDS).map(|host| place.ip(host)).collect();
+        Self::start_with_seeds(place, runners, sheet, &seeds)
+    }
+
+    /// Starts the same with other seeds, which may be stale or down.
+    pub fn start_with_seeds(
+        place: Place,
+        runners: &[Arc<Runner>],
+        sheet: &Sheet,
+        seeds: &[String],
+    ) -> io::Result<Self> {
         let store = Store::start(&place.ip(200))?;
         store.put("op/config", &config(7));
         for runner in runners {
@@ -83,7 +97,7 @@
         for (zone, count) in ZONES {
             for _ in 0..count {
                 let host = routers.len() as u8 + 1;
-                routers.push(Router::start(&place, (host, zone, 3), store.address, sheet)?);
+                routers.push(Router::start(&place, (host, zone), seeds, store.address, sheet)?);
             }
         }
         if !routers.iter().all(Router::wait_until_ready) {
