--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -55,6 +55,18 @@
         Ok(count > 0)
     }
 
+    /// Waits until the other side has sent something that is not used yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it closes the connection instead.
+    pub fn wait_for_bytes(&mut self) -> io::Result<()> {
+        if self.buf.is_empty() && !self.fill()? {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(())
+    }
+
     /// Reads a head; returns none at the end of the connection.
     pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
