--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -142,6 +142,7 @@
                         headers: &headers,
                         body: "{}",
                     };
+                    record.line(&format!("client sends {id}"));
                     let reply = client::send(address, &request);
                     let pieces = pieces_of(&reply.body(), &id);
                     let is_whole = pieces.iter().copied().eq(1..=PIECES);
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -130,7 +130,13 @@
     let mut runners = Vec::new();
     for index in 0..RUNNERS {
         let told = (&*format!("i-{index}"), "drafting", ZONES[index % 3].0, 64);
-        runners.push(Runner::start(told, &ip, stream)?);
+        let record = Arc::clone(&record);
+        let runner = Runner::start(told, &ip, move |runner, request, connection| {
+            let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
+            record.line(&format!("runner {} runs {id}", runner.id));
+            stream(runner, request, connection)
+        })?;
+        runners.push(runner);
     }
     let seeds: Vec<String> = (1..=SEEDS).map(|host| place.ip(host)).collect();
     // Addresses of machines that are gone.
@@ -177,6 +183,7 @@
                         body: "{}",
                     };
                     sent.lock().expect("not poisoned").insert(id.clone(), Instant::now());
+                    record.line(&format!("client sends {id}"));
                     let reply = client::send(address, &request);
                     let index = match reply.status() {
                         200 if reply.is_complete => 0,
@@ -184,13 +191,11 @@
                         _ => 2,
                     };
                     counts[index] += 1;
-                    if index != 0 {
-                        record.line(&format!(
-                            "client got {id}: status {}, complete {}",
-                            reply.status(),
-                            reply.is_complete
-                        ));
-                    }
+                    record.line(&format!(
+                        "client got {id}: status {}, complete {}",
+                        reply.status(),
+                        reply.is_complete
+                    ));
                     thread::sleep(CLIENT_PAUSE);
                 }
                 counts
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -130,6 +130,7 @@
         headers: &headers,
         body: "{}",
     };
+    record.line(&format!("client sends {id} on a kept connection"));
     connection.write(request.encode().as_bytes())?;
     let sent = Instant::now();
     let stream = &mut connection.stream;
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -85,6 +86,18 @@
         }
     }
 
+    /// Returns the figures of the sheet `arpa-sonora-large`, those of its smallest machines.
+    pub fn arpa_large() -> Self {
+        Self {
+            memory_mb: 160,
+            descriptors: 4_100,
+            retry_allowance: 246,
+            drain_ms: 4_000,
+            config_propagation_ms: 4_000,
+            delivery_slack_ms: 200,
+        }
+    }
+
     /// Returns the figures of the sheet `ihuriro-alumni-grown`, those of its smallest machines.
     pub fn ihuriro() -> Self {
         Self {
@@ -248,9 +261,28 @@
     seeds.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect::<Vec<_>>().join(",")
 }
 
+/// Has the system end this process when its parent ends, however that ends.
+fn end_with_parent() -> io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+
+    unsafe extern "C" {
+        fn prctl(option: i32, value: u64) -> i32;
+    }
+
+    // SAFETY: this option takes a number only.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(io::Error::last_os_error()),
+    }
+}
+
 fn spawn(settings: &Path, log: &Path) -> io::Result<Child> {
     let out = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new(PROGRAM)
+    let mut command = Command::new(PROGRAM);
+    // SAFETY: the call between fork and exec is async-signal-safe.
+    unsafe { command.pre_exec(end_with_parent) };
+    command
         .arg("--settings")
         .arg(settings)
         .env_clear()
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a runner: it accepts connections, checks the expected instance, counts what it runs
 //! and leaves the answer to the case.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -10,6 +11,9 @@
 
 use crate::http::{Connection, Message};
 
+/// Number of the next connection to a runner.
+static NEXT_CONNECTION: AtomicUsize = AtomicUsize::new(0);
+
 /// What a runner does after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Then {
@@ -40,17 +44,26 @@
     /// Whether it has crashed.
     has_crashed: AtomicBool,
     /// Open connections, closed by a crash.
-    connections: Mutex<Vec<TcpStream>>,
+    connections: Mutex<HashMap<usize, TcpStream>>,
 }
 
 impl Runner {
     /// Starts a runner on a free port of a loopback address.
     pub fn start(
-        (id, service, zone, slots): (&str, &str, &str, u32),
+        told: (&str, &str, &str, u32),
         ip: &str,
         answer: impl Fn(&Runner, &Message, &mut Connection) -> io::Result<Then> + Send + Sync + 'static,
     ) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind((ip, 0))?;
+        Self::start_at(told, (ip, 0), answer)
+    }
+
+    /// Starts a runner at an address, given by its loopback address and port.
+    pub fn start_at(
+        (id, service, zone, slots): (&str, &str, &str, u32),
+        (ip, port): (&str, u16),
+        answer: impl Fn(&Runner, &Message, &mut Connection) -> io::Result<Then> + Send + Sync + 'static,
+    ) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind((ip, port))?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |span| span.as_millis());
         let runner = Arc::new(Self {
             id: id.to_owned(),
@@ -73,13 +86,15 @@
                     // The listener closes, and refuses further connections.
                     return;
                 }
+                let (runner, answer) = (Arc::clone(&serving), Arc::clone(&answer));
+                let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
                 if let Ok(copy) = stream.try_clone() {
-                    serving.connections.lock().expect("not poisoned").push(copy);
+                    runner.connections.lock().expect("not poisoned").insert(number, copy);
                 }
-                let (runner, answer) = (Arc::clone(&serving), Arc::clone(&answer));
                 thread::spawn(move || {
                     // Fails when the router closes the connection.
                     let _ = runner.serve(Connection::new(stream), &*answer);
+                    runner.connections.lock().expect("not poisoned").remove(&number);
                 });
             }
         });
@@ -147,7 +162,7 @@
     pub fn crash(&self) {
         self.has_crashed.store(true, Ordering::Relaxed);
         self.set_listed(false);
-        for connection in self.connections.lock().expect("not poisoned").drain(..) {
+        for (_, connection) in self.connections.lock().expect("not poisoned").drain() {
             // Fails for connections that have ended.
             let _ = connection.shutdown(Shutdown::Both);
         }
