--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -27,15 +27,16 @@
 /// before (writes may be done 1 to 6 s later), and end of the runner.
 const REMOVAL: Duration = Duration::from_millis(400);
 const LATE_HEARTBEAT: Duration = Duration::from_millis(5_000);
-const EXIT: Duration = Duration::from_millis(5_060);
+const EXIT: Duration = Duration::from_millis(5_120);
 
 /// Traffic before and after the start of the leaving.
 const TRAFFIC_BEFORE: Duration = Duration::from_secs(4);
 const TRAFFIC_AFTER: Duration = Duration::from_secs(7);
 
-/// Clients, and the pause of each after an answer.
-const CLIENTS: usize = 16;
-const CLIENT_PAUSE: Duration = Duration::from_millis(100);
+/// Clients, and the pause of each after an answer; together about as many requests a second as the sheet
+/// has for approvals (232).
+const CLIENTS: usize = 32;
+const CLIENT_PAUSE: Duration = Duration::from_millis(60);
 
 /// Request of a client, as both ends saw it.
 #[derive(Clone, Debug, Default)]
@@ -100,6 +101,7 @@
             let router = client % addresses.len();
             let address = addresses[router];
             thread::spawn(move || {
+                thread::sleep(Duration::from_millis(client as u64 * 5));
                 for number in 0.. {
                     if Instant::now() > end {
                         break;
