--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,190 +1,167 @@
-//! Runners hand out wrong bytes: in one answer of fifty, one event of a stream has a wrong digit in
-//! its `id`. The events before it are intact, and in the same chunk.
+//! Another writer leaves an entry among those of the runners whose bytes can't be read. Later all routers
+//! are killed, and start again.
 //!
-//! Checks ORDER: a stream that ends as complete has each piece once, in order.
+//! Checks RECOVER: of the requests sent later than `recovery_s` after the routers are back, a quarter or
+//! more is served.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
-use std::{io, thread};
+use std::{fs, io, thread};
 
 use standin::client::{self, Request};
-use standin::fleet::{Place, Sheet};
-use standin::http::{Connection, Message};
+use standin::fleet::{Place, Router, Sheet};
 use standin::record::Record;
 use standin::runner::{Runner, Then};
-use standin::scene::{HOST, Scene, model_headers};
+use standin::scene::{HOST, Scene, ZONES};
 use standin::{BROKEN, HELD, NOT_RUN, has_trouble};
 
-/// Pieces of a stream, and how many of them a runner writes at a time.
-const PIECES: u64 = 48;
-const PIECES_PER_CHUNK: u64 = 6;
+/// Entry of the other writer; a value has at most `max_value_bytes` 1,048,576.
+const FOREIGN_KEY: &str = "servers/R&D";
+const FOREIGN_BYTES: usize = 1_048_576;
 
-/// Pause between two chunks.
-const CHUNK_PAUSE: Duration = Duration::from_millis(15);
+/// `recovery_s`, and the time for which the routers are down.
+const RECOVERY: Duration = Duration::from_secs(12);
+const DOWN_TIME: Duration = Duration::from_secs(1);
 
-/// Model runners, and those of them that hand out wrong bytes; the site file has `garble` for a share
-/// of 0.35, an `x` of 0.02 and 5.5 s.
-const RUNNERS: usize = 9;
-const SPOILING_RUNNERS: usize = 3;
+/// Time in which requests are sent before the fault, and after the recovery.
+const TRAFFIC: Duration = Duration::from_secs(5);
 
-/// Answers of such a runner of which one is spoilt.
-const ANSWERS_PER_SPOILT: usize = 50;
+/// Pause between two requests to a router, and between two checks of the memory.
+const PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for which they do so, and pause before they do so again.
-const SPOILING_TIME: Duration = Duration::from_millis(5_500);
-const SPOILING_PAUSE: Duration = Duration::from_secs(2);
-
-/// Piece whose `id` has a wrong digit.
-const SPOILT_PIECE: u64 = 10;
-
-const CLIENTS: usize = 16;
-const REQUESTS_PER_CLIENT: usize = 160;
+/// Time between the entry and the fault.
+const QUIET: Duration = Duration::from_secs(3);
 
 fn main() {
     standin::main_of(run);
 }
 
-/// Writes the pieces after `Last-Event-Id`; `spoils` tells whether one has a wrong `id`.
-fn stream(
-    runner: &Runner,
-    request: &Message,
-    connection: &mut Connection,
-    spoils: bool,
-) -> io::Result<Then> {
-    let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
-    let last: u64 = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-        runner.headers(request)
-    );
-    connection.write(head.as_bytes())?;
-    let pieces: Vec<u64> = (last + 1..=PIECES).collect();
-    for group in pieces.chunks(PIECES_PER_CHUNK as usize) {
-        let mut chunk = String::new();
-        for piece in group {
-            let told = if spoils && *piece == SPOILT_PIECE { piece + 6 } else { *piece };
-            chunk.push_str(&format!("id: {told}\ndata: piece {piece} of {id}\n\n"));
+/// Requests that were served, and all that were sent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Served {
+    good: usize,
+    all: usize,
+}
+
+impl Served {
+    fn is_quarter(self) -> bool {
+        self.good * 4 >= self.all
+    }
+}
+
+/// Does what the platform does: a process that exceeds its memory is killed, and started again. Returns
+/// how many were.
+fn limit_memory(scene: &mut Scene, record: &Record, limit_mb: u64) -> io::Result<usize> {
+    let mut killed = 0;
+    for router in &mut scene.routers {
+        let memory = memory_mb(router);
+        if memory > limit_mb {
+            record.line(&format!("{} holds {memory} MB and is killed", router.name));
+            router.restart()?;
+            killed += 1;
         }
-        connection.write(format!("{:x}\r\n{chunk}\r\n", chunk.len()).as_bytes())?;
-        thread::sleep(CHUNK_PAUSE);
     }
-    connection.write(b"0\r\n\r\n")?;
-    Ok(Then::KeepOpen)
+    Ok(killed)
+}
+
+/// Sends a request to each router.
+fn send_requests(scene: &Scene, record: &Record, prefix: &str, served: &mut Served) {
+    for router in &scene.routers {
+        served.all += 1;
+        let id = format!("{prefix}{:07x}", served.all);
+        let request = Request {
+            method: "GET",
+            host: HOST,
+            path: "/lookup/2f",
+            id: &id,
+            remaining_ms: 1_000,
+            headers: "",
+            body: "",
+        };
+        record.line(&format!("client sends {id} to {}", router.name));
+        let reply = client::send(router.frontend, &request);
+        let status = reply.status();
+        record.line(&format!("client got {id}: status {status} {}", reply.error));
+        served.good += usize::from(status == 200 && reply.is_complete);
+    }
 }
 
-/// Returns the pieces in the body of a stream, in order.
-fn pieces_of(body: &str, id: &str) -> Vec<u64> {
-    let suffix = format!(" of {id}");
-    body.lines()
-        .filter_map(|line| line.strip_prefix("data: piece ")?.strip_suffix(&suffix)?.parse().ok())
-        .collect()
+/// Returns the resident memory of a router, in megabytes.
+fn memory_mb(router: &Router) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", router.pid())).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) / 1_024
 }
 
 fn run(folder: &Path) -> io::Result<i32> {
     let record = Arc::new(Record::create(folder)?);
     let place = Place::create()?;
-    let spoilt = Arc::new(Mutex::new(Vec::<String>::new()));
-    let started = Instant::now();
+    let ip = place.ip(100);
     let mut runners = Vec::new();
-    for index in 0..RUNNERS {
-        let zone = standin::scene::ZONES[index % 3].0;
-        let spoils = has_trouble() && index < SPOILING_RUNNERS;
-        let (answers, spoilt) = (AtomicUsize::new(0), Arc::clone(&spoilt));
+    for (index, (zone, _)) in ZONES.into_iter().enumerate() {
         let record = Arc::clone(&record);
-        let runner = Runner::start(
-            (&format!("i-{index}"), "drafting", zone, 64),
-            &place.ip(100),
-            move |runner, request, connection| {
-                let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
-                let after = request.header("last-event-id").unwrap_or("0");
-                let cycle = (SPOILING_TIME + SPOILING_PAUSE).as_millis();
-                let is_spoiling = started.elapsed().as_millis() % cycle < SPOILING_TIME.as_millis();
-                let count = answers.fetch_add(usize::from(is_spoiling), Ordering::Relaxed) + 1;
-                let is_spoilt = spoils
-                    && is_spoiling
-                    && after == "0"
-                    && count.is_multiple_of(ANSWERS_PER_SPOILT);
-                record.line(&format!(
-                    "runner {} runs {id} after event {after}{}",
-                    runner.id,
-                    if is_spoilt { ", answer spoilt" } else { "" }
-                ));
-                if is_spoilt {
-                    spoilt.lock().expect("not poisoned").push(id.to_owned());
-                }
-                stream(runner, request, connection, is_spoilt)
-            },
-        )?;
+        let told = (&*format!("i-{index}"), "office-app", zone, 6);
+        let runner = Runner::start(told, &ip, move |runner, request, connection| {
+            let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
+            record.line(&format!("runner {} runs {id}", runner.id));
+            thread::sleep(Duration::from_millis(30));
+            connection.respond("200 OK", &runner.headers(request), &format!("answer to {id}"))?;
+            Ok(Then::KeepOpen)
+        })?;
         runners.push(runner);
     }
-    let scene = Scene::start(place, &runners, &Sheet::katharotis())?;
+    let sheet = Sheet::katharotis();
+    let mut scene = Scene::start(place, &runners, &sheet)?;
     scene.keep_entries(&runners);
-    // Routers send little to cold runners in their first seconds.
-    thread::sleep(Duration::from_secs(4));
-
-    let addresses: Vec<_> = scene.routers.iter().map(|router| router.frontend).collect();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (record, address) = (Arc::clone(&record), addresses[client % addresses.len()]);
-            thread::spawn(move || {
-                let mut counts = [0; 3];
-                for number in 0..REQUESTS_PER_CLIENT {
-                    let id = format!("{client:02x}{number:06x}");
-                    let headers = model_headers((client * 1_000 + number) as u64);
-                    let request = Request {
-                        method: "POST",
-                        host: HOST,
-                        path: "/quote/2f",
-                        id: &id,
-                        remaining_ms: 12_000,
-                        headers: &headers,
-                        body: "{}",
-                    };
-                    record.line(&format!("client sends {id}"));
-                    let reply = client::send(address, &request);
-                    let pieces = pieces_of(&reply.body(), &id);
-                    let is_whole = pieces.iter().copied().eq(1..=PIECES);
-                    let is_success = reply.status() == 200 && reply.is_complete;
-                    let index = match (is_success, is_whole) {
-                        (true, true) => 0,
-                        (true, false) => 1,
-                        _ => 2,
-                    };
-                    counts[index] += 1;
-                    let text = format!(
-                        "client got {id}: status {}, complete {}, {} pieces",
-                        reply.status(),
-                        reply.is_complete,
-                        pieces.len()
-                    );
-                    if index == 1 {
-                        let missing: Vec<_> =
-                            (1..=PIECES).filter(|piece| !pieces.contains(piece)).collect();
-                        record.say(&format!("ORDER broken: {text}, missing {missing:?}"));
-                    } else {
-                        record.line(&text);
-                    }
-                    thread::sleep(Duration::from_millis(20));
-                }
-                counts
-            })
-        })
-        .collect();
-    let mut total = [0; 3];
-    for client in clients {
-        let counts = client.join().map_err(|_| io::Error::other("a client failed"))?;
-        (0..3).for_each(|index| total[index] += counts[index]);
+    thread::sleep(Duration::from_secs(2));
+
+    if has_trouble() {
+        scene.store.put(FOREIGN_KEY, &"\u{1}".repeat(FOREIGN_BYTES));
+        record.line(&format!("another writer has written {FOREIGN_KEY}"));
+    }
+    thread::sleep(QUIET);
+    let mut before = Served::default();
+    let end = Instant::now() + TRAFFIC;
+    while Instant::now() < end {
+        send_requests(&scene, &record, "a", &mut before);
+        thread::sleep(PAUSE);
+    }
+
+    for router in &mut scene.routers {
+        router.kill();
     }
-    let [whole, broken, other] = total;
-    let count = spoilt.lock().expect("not poisoned").len();
+    record.line("all routers are killed");
+    thread::sleep(DOWN_TIME);
+    for router in &mut scene.routers {
+        router.restart()?;
+    }
+    record.line("all routers are started");
+    let limit_mb = u64::from(sheet.memory_mb);
+    let mut killed = 0;
+    let recovered = Instant::now() + RECOVERY;
+    let mut after = Served::default();
+    while Instant::now() < recovered + TRAFFIC {
+        if Instant::now() >= recovered {
+            send_requests(&scene, &record, "b", &mut after);
+        }
+        killed += limit_memory(&mut scene, &record, limit_mb)?;
+        thread::sleep(PAUSE);
+    }
+
+    let ready = scene.routers.iter().filter(|router| router.is_ready()).count();
     record.say(&format!(
-        "{whole} streams whole, {broken} complete with pieces missing or twice, {other} others; \
-         {count} answers were spoilt"
+        "{} of {} requests served before the routers were killed, {} of {} later than {} s after they were \
+         back; {ready} routers are ready; {killed} times a router was killed for more than {limit_mb} MB",
+        before.good,
+        before.all,
+        after.good,
+        after.all,
+        RECOVERY.as_secs(),
     ));
-    if whole == 0 || (has_trouble() && count == 0) {
+    if !before.is_quarter() {
         return Ok(NOT_RUN);
     }
-    Ok(if broken > 0 { BROKEN } else { HELD })
+    Ok(if after.is_quarter() { HELD } else { BROKEN })
 }
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,195 +1,190 @@
-//! A runner leaves: it says so in all its answers, removes its entry, and serves for some seconds more.
-//! The last of its heartbeats is lost on the way and done by the store seconds later, after the removal.
+//! Runners hand out wrong bytes: in one answer of fifty, one event of a stream has a wrong digit in
+//! its `id`. The events before it are intact, and in the same chunk.
 //!
-//! Checks DRAIN: a request that a client sent later than `drain_ms` after a router had passed on an answer
-//! with `Server-Leaving` doesn't reach that runner from that router.
+//! Checks ORDER: a stream that ends as complete has each piece once, in order.
 
-use std::collections::HashMap;
 use std::path::Path;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
 use standin::client::{self, Request};
 use standin::fleet::{Place, Sheet};
+use standin::http::{Connection, Message};
 use standin::record::Record;
 use standin::runner::{Runner, Then};
-use standin::scene::{HOST, Scene, ZONES};
+use standin::scene::{HOST, Scene, model_headers};
 use standin::{BROKEN, HELD, NOT_RUN, has_trouble};
 
-/// `drain_ms` of the sheet.
-const DRAIN: Duration = Duration::from_millis(4_000);
+/// Pieces of a stream, and how many of them a runner writes at a time.
+const PIECES: u64 = 48;
+const PIECES_PER_CHUNK: u64 = 6;
 
-/// Time in which a runner runs a request.
-const WORK: Duration = Duration::from_millis(60);
+/// Pause between two chunks.
+const CHUNK_PAUSE: Duration = Duration::from_millis(15);
 
-/// From the start of the leaving: removal of the entry, execution of the late heartbeat, which was sent just
-/// before (writes may be done 1 to 6 s later), and end of the runner.
-const REMOVAL: Duration = Duration::from_millis(400);
-const LATE_HEARTBEAT: Duration = Duration::from_millis(5_000);
-const EXIT: Duration = Duration::from_millis(5_120);
+/// Model runners, and those of them that hand out wrong bytes; the site file has `garble` for a share
+/// of 0.35, an `x` of 0.02 and 5.5 s.
+const RUNNERS: usize = 9;
+const SPOILING_RUNNERS: usize = 3;
 
-/// Traffic before and after the start of the leaving.
-const TRAFFIC_BEFORE: Duration = Duration::from_secs(4);
-const TRAFFIC_AFTER: Duration = Duration::from_secs(7);
+/// Answers of such a runner of which one is spoilt.
+const ANSWERS_PER_SPOILT: usize = 50;
 
-/// Clients, and the pause of each after an answer; together about as many requests a second as the sheet
-/// has for approvals (232).
-const CLIENTS: usize = 32;
-const CLIENT_PAUSE: Duration = Duration::from_millis(60);
+/// Time for which they do so, and pause before they do so again.
+const SPOILING_TIME: Duration = Duration::from_millis(5_500);
+const SPOILING_PAUSE: Duration = Duration::from_secs(2);
 
-/// Request of a client, as both ends saw it.
-#[derive(Clone, Debug, Default)]
-struct Seen {
-    router: usize,
-    sent: Option<Instant>,
-    /// Arrival at the runner that leaves.
-    arrived: Option<Instant>,
-    /// When the client had an answer in which a runner says that it leaves.
-    told: Option<Instant>,
-    status: u16,
-}
+/// Piece whose `id` has a wrong digit.
+const SPOILT_PIECE: u64 = 10;
 
-type SeenById = Arc<Mutex<HashMap<String, Seen>>>;
+const CLIENTS: usize = 16;
+const REQUESTS_PER_CLIENT: usize = 160;
 
 fn main() {
     standin::main_of(run);
 }
 
-/// Changes what is known of a request.
-fn note(seen: &SeenById, id: &str, change: impl FnOnce(&mut Seen)) {
-    change(seen.lock().expect("not poisoned").entry(id.to_owned()).or_default());
+/// Writes the pieces after `Last-Event-Id`; `spoils` tells whether one has a wrong `id`.
+fn stream(
+    runner: &Runner,
+    request: &Message,
+    connection: &mut Connection,
+    spoils: bool,
+) -> io::Result<Then> {
+    let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
+    let last: u64 = request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+        runner.headers(request)
+    );
+    connection.write(head.as_bytes())?;
+    let pieces: Vec<u64> = (last + 1..=PIECES).collect();
+    for group in pieces.chunks(PIECES_PER_CHUNK as usize) {
+        let mut chunk = String::new();
+        for piece in group {
+            let told = if spoils && *piece == SPOILT_PIECE { piece + 6 } else { *piece };
+            chunk.push_str(&format!("id: {told}\ndata: piece {piece} of {id}\n\n"));
+        }
+        connection.write(format!("{:x}\r\n{chunk}\r\n", chunk.len()).as_bytes())?;
+        thread::sleep(CHUNK_PAUSE);
+    }
+    connection.write(b"0\r\n\r\n")?;
+    Ok(Then::KeepOpen)
+}
+
+/// Returns the pieces in the body of a stream, in order.
+fn pieces_of(body: &str, id: &str) -> Vec<u64> {
+    let suffix = format!(" of {id}");
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: piece ")?.strip_suffix(&suffix)?.parse().ok())
+        .collect()
 }
 
 fn run(folder: &Path) -> io::Result<i32> {
     let record = Arc::new(Record::create(folder)?);
     let place = Place::create()?;
-    let ip = place.ip(100);
-    let seen = SeenById::default();
-    let leaving_since = Arc::new(OnceLock::<Instant>::new());
+    let spoilt = Arc::new(Mutex::new(Vec::<String>::new()));
+    let started = Instant::now();
     let mut runners = Vec::new();
-    for (index, (zone, _)) in ZONES.into_iter().enumerate() {
-        let (record, seen) = (Arc::clone(&record), Arc::clone(&seen));
-        let leaving_since = Arc::clone(&leaving_since);
-        let told = (&*format!("i-{index}"), "office-app", zone, 6);
-        let runner = Runner::start(told, &ip, move |runner, request, connection| {
-            let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default().to_owned();
-            let is_leaving = index == 0 && leaving_since.get().is_some();
-            record.line(&format!("runner {} runs {id}", runner.id));
-            if index == 0 {
-                note(&seen, &id, |seen| seen.arrived = Some(Instant::now()));
-            }
-            thread::sleep(WORK);
-            let mut headers = runner.headers(request);
-            if is_leaving {
-                headers.push_str("Server-Leaving: 1\r\n");
-            }
-            connection.respond("200 OK", &headers, &format!("answer to {id}"))?;
-            Ok(Then::KeepOpen)
-        })?;
+    for index in 0..RUNNERS {
+        let zone = standin::scene::ZONES[index % 3].0;
+        let spoils = has_trouble() && index < SPOILING_RUNNERS;
+        let (answers, spoilt) = (AtomicUsize::new(0), Arc::clone(&spoilt));
+        let record = Arc::clone(&record);
+        let runner = Runner::start(
+            (&format!("i-{index}"), "drafting", zone, 64),
+            &place.ip(100),
+            move |runner, request, connection| {
+                let id = request.header("x-sapphirespur-attempt-id").unwrap_or_default();
+                let after = request.header("last-event-id").unwrap_or("0");
+                let cycle = (SPOILING_TIME + SPOILING_PAUSE).as_millis();
+                let is_spoiling = started.elapsed().as_millis() % cycle < SPOILING_TIME.as_millis();
+                let count = answers.fetch_add(usize::from(is_spoiling), Ordering::Relaxed) + 1;
+                let is_spoilt = spoils
+                    && is_spoiling
+                    && after == "0"
+                    && count.is_multiple_of(ANSWERS_PER_SPOILT);
+                record.line(&format!(
+                    "runner {} runs {id} after event {after}{}",
+                    runner.id,
+                    if is_spoilt { ", answer spoilt" } else { "" }
+                ));
+                if is_spoilt {
+                    spoilt.lock().expect("not poisoned").push(id.to_owned());
+                }
+                stream(runner, request, connection, is_spoilt)
+            },
+        )?;
         runners.push(runner);
     }
-    let scene = Scene::start(place, &runners, &Sheet::arpa_large())?;
+    let scene = Scene::start(place, &runners, &Sheet::katharotis())?;
     scene.keep_entries(&runners);
-    thread::sleep(Duration::from_secs(2));
+    // Routers send little to cold runners in their first seconds.
+    thread::sleep(Duration::from_secs(4));
 
     let addresses: Vec<_> = scene.routers.iter().map(|router| router.frontend).collect();
-    let end = Instant::now() + TRAFFIC_BEFORE + TRAFFIC_AFTER;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (record, seen) = (Arc::clone(&record), Arc::clone(&seen));
-            let router = client % addresses.len();
-            let address = addresses[router];
+            let (record, address) = (Arc::clone(&record), addresses[client % addresses.len()]);
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(client as u64 * 5));
-                for number in 0.. {
-                    if Instant::now() > end {
-                        break;
-                    }
+                let mut counts = [0; 3];
+                for number in 0..REQUESTS_PER_CLIENT {
                     let id = format!("{client:02x}{number:06x}");
+                    let headers = model_headers((client * 1_000 + number) as u64);
                     let request = Request {
                         method: "POST",
                         host: HOST,
-                        path: "/book/2f",
+                        path: "/quote/2f",
                         id: &id,
-                        remaining_ms: 1_000,
-                        headers: "",
-                        body: "one visit",
+                        remaining_ms: 12_000,
+                        headers: &headers,
+                        body: "{}",
                     };
-                    record.line(&format!("client sends {id} to router {router}"));
-                    note(&seen, &id, |seen| {
-                        (seen.router, seen.sent) = (router, Some(Instant::now()));
-                    });
+                    record.line(&format!("client sends {id}"));
                     let reply = client::send(address, &request);
-                    let is_told = reply.header("server-leaving") == Some("1");
-                    note(&seen, &id, |seen| {
-                        seen.status = reply.status();
-                        seen.told = is_told.then(Instant::now);
-                    });
-                    let told = if is_told { ", from a runner that leaves" } else { "" };
-                    record.line(&format!("client got {id}: status {}{told}", reply.status()));
-                    thread::sleep(CLIENT_PAUSE);
+                    let pieces = pieces_of(&reply.body(), &id);
+                    let is_whole = pieces.iter().copied().eq(1..=PIECES);
+                    let is_success = reply.status() == 200 && reply.is_complete;
+                    let index = match (is_success, is_whole) {
+                        (true, true) => 0,
+                        (true, false) => 1,
+                        _ => 2,
+                    };
+                    counts[index] += 1;
+                    let text = format!(
+                        "client got {id}: status {}, complete {}, {} pieces",
+                        reply.status(),
+                        reply.is_complete,
+                        pieces.len()
+                    );
+                    if index == 1 {
+                        let missing: Vec<_> =
+                            (1..=PIECES).filter(|piece| !pieces.contains(piece)).collect();
+                        record.say(&format!("ORDER broken: {text}, missing {missing:?}"));
+                    } else {
+                        record.line(&text);
+                    }
+                    thread::sleep(Duration::from_millis(20));
                 }
+                counts
             })
         })
         .collect();
-
-    thread::sleep(TRAFFIC_BEFORE);
-    let leaver = &runners[0];
-    // Sent now, and done at once or late.
-    let heartbeat = leaver.entry("ready");
-    if !has_trouble() {
-        scene.store.put(&leaver.key(), &heartbeat);
-    }
-    leaver.set_listed(false);
-    let since = *leaving_since.get_or_init(Instant::now);
-    record.line("runner i-0 leaves, and says so in its answers");
-    thread::sleep(REMOVAL);
-    scene.store.delete(&leaver.key());
-    record.line("runner i-0 has removed its entry");
-    thread::sleep((since + LATE_HEARTBEAT).saturating_duration_since(Instant::now()));
-    if has_trouble() {
-        scene.store.put(&leaver.key(), &heartbeat);
-        record.line("the store does the heartbeat that runner i-0 sent before it left");
-    }
-    thread::sleep((since + EXIT).saturating_duration_since(Instant::now()));
-    leaver.crash();
-    record.line("runner i-0 has ended");
+    let mut total = [0; 3];
     for client in clients {
-        client.join().map_err(|_| io::Error::other("a client failed"))?;
-    }
-
-    let seen = seen.lock().expect("not poisoned");
-    let first_told = |router: usize| {
-        seen.values().filter(|seen| seen.router == router).filter_map(|seen| seen.told).min()
-    };
-    let (mut late, mut lost) = (0, 0);
-    for (id, request) in seen.iter() {
-        let (Some(sent), Some(_), Some(told)) =
-            (request.sent, request.arrived, first_told(request.router))
-        else {
-            continue;
-        };
-        if sent > told + DRAIN {
-            late += 1;
-            lost += usize::from(request.status != 200);
-            record.say(&format!(
-                "DRAIN broken: {id}, sent {} ms after router {} had passed on that runner i-0 leaves, \
-                 reaches it, and is answered {}",
-                sent.duration_since(told).as_millis(),
-                request.router,
-                request.status
-            ));
-        }
+        let counts = client.join().map_err(|_| io::Error::other("a client failed"))?;
+        (0..3).for_each(|index| total[index] += counts[index]);
     }
-    let routers = (0..addresses.len()).filter(|router| first_told(*router).is_some()).count();
+    let [whole, broken, other] = total;
+    let count = spoilt.lock().expect("not poisoned").len();
     record.say(&format!(
-        "{} requests; {routers} routers passed on that the runner leaves; {late} requests reached it too \
-         late, {lost} of them got no answer of it",
-        seen.len()
+        "{whole} streams whole, {broken} complete with pieces missing or twice, {other} others; \
+         {count} answers were spoilt"
     ));
-    if routers == 0 {
+    if whole == 0 || (has_trouble() && count == 0) {
         return Ok(NOT_RUN);
     }
-    Ok(if late > 0 { BROKEN } else { HELD })
+    Ok(if broken > 0 { BROKEN } else { HELD })
 }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -10,8 +10,9 @@
 use crate::http::{Connection, Message};
 use crate::json::{Json, quote};
 
-/// Largest number of items on a page.
+/// Largest number of items on a page, and the bytes of values after which it ends.
 const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Clone, Debug)]
 struct Item {
@@ -222,8 +223,14 @@
         let mut found = self.items.iter().filter(|(key, _)| {
             key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
         });
-        let page: Vec<String> =
-            found.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_json(key, item)).collect();
+        let (mut page, mut bytes) = (Vec::new(), 0);
+        while page.len() < PAGE_ITEMS
+            && bytes < PAGE_BYTES
+            && let Some((key, item)) = found.next()
+        {
+            bytes += item.value.len();
+            page.push(item_json(key, item));
+        }
         let has_more = found.next().is_some();
         let (entries, at) = (page.join(","), self.revision);
         ("200 OK", format!("{{\"entries\":[{entries}],\"has_more\":{has_more},\"at\":{at}}}"))
