--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,5 +1,5 @@
 //! The seeds in the routers' settings are stale as they start: nobody is at their addresses. Two seconds
-//! later the settings files have the right seeds, and SIGHUP says so. Ten seconds after that, a model
+//! later the settings files have the right seeds, and SIGHUP says so. Twelve seconds after that, a model
 //! runner joins the others, cold as after each start during traffic.
 //!
 //! Checks FAILBACK: a cold runner gets at most `cold_per_s` x `cold_overshoot` + `cold_allowance`
