Log and metrics of the retry budget's inputs

One line a second and service with retries, with what was spent and refused, the counts of the window here and at the others, and the routers assumed; three metrics.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -41,6 +41,7 @@
 mod report_store;
 mod request_identity;
 mod retry_budget;
+mod retry_status;
 mod rollout;
 mod route;
 mod route_table;
@@ -106,6 +107,7 @@
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_status::RetryStatus;
 pub(crate) use rollout::{DutyView, EvidenceKey, Fallback, VersionChoice, VersionPlan};
 pub use rollout::{
     Judged, RolloutDuty, RolloutEvent, RolloutEvidence, RolloutMark, RolloutNotice, RolloutOrder,
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -22,6 +22,10 @@
 pub struct RetryBudget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    /// Retries spent since [`take_counts`](Self::take_counts).
+    spent: u64,
+    /// Retries that were not allowed since then.
+    refused: u64,
 }
 
 impl RetryBudget {
@@ -67,6 +71,16 @@
         retries <= limits.ratio * (own_requests + others_requests) + limits.allowance
     }
 
+    /// Counts a retry that was not allowed.
+    pub fn record_refused(&mut self) {
+        self.refused += 1;
+    }
+
+    /// Returns the retries that were spent and those that were not allowed since the last call.
+    pub fn take_counts(&mut self) -> (u64, u64) {
+        (std::mem::take(&mut self.spent), std::mem::take(&mut self.refused))
+    }
+
     /// Spends one retry. Returns whether the budget allowed it; `routers` is the number of routers
     /// among which the allowance is divided.
     pub fn try_spend(&mut self, now: Time, limits: RetryLimits, routers: usize) -> bool {
@@ -75,12 +89,14 @@
         }
 
         self.retries.push_back(now);
+        self.spent += 1;
         true
     }
 
     /// Refunds a retry that was not used.
     pub fn refund(&mut self) {
         self.retries.pop_back();
+        self.spent = self.spent.saturating_sub(1);
     }
 
     /// Returns the retries that are left now, where `routers` divide the allowance.
--- /dev/null
+++ b/sapphirespur_core/src/edge/retry_status.rs
@@ -0,0 +1,26 @@
+//! State of the retry budget of one service, as operators see it.
+
+use crate::name::Name;
+
+/// Retry budget of one service at one router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryStatus {
+    /// Service whose requests are retried.
+    pub service: Name,
+    /// Requests of clients at this router, in the window of the limits.
+    pub requests: usize,
+    /// Retries of this router in the window.
+    pub retries: usize,
+    /// Requests at the other routers in the window, as they report.
+    pub others_requests: u32,
+    /// Retries of the other routers in the window, as they report.
+    pub others_retries: u32,
+    /// Routers among which the allowance is divided.
+    pub routers: usize,
+    /// Retries that this router's portion still allows.
+    pub left: usize,
+    /// Retries spent since the last call that took them.
+    pub spent: u64,
+    /// Retries that the budget did not allow since the last call that took them.
+    pub refused: u64,
+}
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -13,7 +13,8 @@
 use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
     Backoff, BatchEffect, Exchange, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, Rollouts, RouterSettings, Shares, StreamOrigins, WorkEstimator,
+    RetryBudget, RetryLimits, RetryStatus, Rollouts, RouterSettings, Shares, StreamOrigins,
+    WorkEstimator,
 };
 use crate::hash::stable_hash;
 use crate::name::Name;
@@ -191,14 +192,28 @@
         &mut self.quarantine
     }
 
-    /// Returns the retries that this router has left, by service.
-    pub fn retries_left(&mut self, now: Time) -> Vec<(Name, usize)> {
+    /// Returns the state of the retry budgets, and resets what was spent and refused.
+    pub fn take_retry_statuses(&mut self, now: Time) -> Vec<RetryStatus> {
+        let all_limits = self.settings.retries;
         let limits = self.retry_limits(now);
         let routers = self.assumed_routers(now);
-        self.retry_budgets
-            .iter_mut()
-            .map(|(service, budget)| (service.clone(), budget.remaining(now, limits, routers)))
-            .collect()
+        let peers = self.exchange.peers();
+        let status = |(service, budget): (&Name, &mut RetryBudget)| {
+            let others = peers.demand(now, Shares::name_hash(service));
+            let (spent, refused) = budget.take_counts();
+            RetryStatus {
+                service: service.clone(),
+                requests: budget.requests(now, all_limits),
+                retries: budget.retries(now, all_limits),
+                others_requests: others.requests,
+                others_retries: others.retries,
+                routers,
+                left: budget.remaining(now, limits, routers),
+                spent,
+                refused,
+            }
+        };
+        self.retry_budgets.iter_mut().map(status).collect()
     }
 
     /// Treats all upstreams as cold and discards reported work, after the process was paused.
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -91,8 +91,12 @@
         let lag = self.exchange.report_lag();
         let budget = self.retry_budgets.entry(service.clone()).or_default();
 
-        budget.fits_fleet(now, limits, routers, others, lag)
-            && budget.try_spend(now, limits, routers)
+        let is_spent = budget.fits_fleet(now, limits, routers, others, lag)
+            && budget.try_spend(now, limits, routers);
+        if !is_spent {
+            budget.record_refused();
+        }
+        is_spent
     }
 
     /// Returns what the call would try, if something of it is quarantined; declines the call when it
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -17,6 +17,7 @@
 use prometheus_client::registry::Registry;
 
 use sapphirespur_core::collections::HashSet;
+use sapphirespur_core::edge::RetryStatus;
 
 use super::rollout_metrics::RolloutMetrics;
 use super::shared::Shared;
@@ -95,6 +96,9 @@
     unread_bytes: Gauge,
     unread_responses: Family<KindLabel, Counter>,
     retries_left: Family<ServiceLabel, Gauge>,
+    retries: Family<ServiceLabel, Counter>,
+    refused_retries: Family<ServiceLabel, Counter>,
+    others_retries: Family<ServiceLabel, Gauge>,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
@@ -136,6 +140,9 @@
             unread_bytes: Gauge::default(),
             unread_responses: Family::default(),
             retries_left: Family::default(),
+            retries: Family::default(),
+            refused_retries: Family::default(),
+            others_retries: Family::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -177,6 +184,17 @@
         r.register("unread_bytes", "Bytes that wait for clients", metrics.unread_bytes.clone());
         r.register("unread", "Answers that were not read", metrics.unread_responses.clone());
         r.register("repeats_left", "Repeats this router has left", metrics.retries_left.clone());
+        r.register("repeats", "Repeats", metrics.retries.clone());
+        r.register(
+            "refused_repeats",
+            "Repeats that the budget refused",
+            metrics.refused_retries.clone(),
+        );
+        r.register(
+            "others_repeats",
+            "Recent repeats of the other routers, as they report",
+            metrics.others_retries.clone(),
+        );
         r.register("kept_parts", "Prompt parts taken for kept", metrics.cached_segments.clone());
         r.register(
             "quarantined_parts",
@@ -303,6 +321,15 @@
         self.unread_responses.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Records the state of the retry budget of a service, and counts what was spent and refused.
+    pub fn record_retries(&self, status: &RetryStatus) {
+        let label = ServiceLabel { service: status.service.to_string() };
+        self.retries_left.get_or_create(&label).set(status.left as i64);
+        self.others_retries.get_or_create(&label).set(i64::from(status.others_retries));
+        self.retries.get_or_create(&label).inc_by(status.spent);
+        self.refused_retries.get_or_create(&label).inc_by(status.refused);
+    }
+
     /// Counts suppressed log lines.
     pub fn record_suppressed_log_lines(&self, lines: u64) {
         self.suppressed_log_lines.inc_by(lines);
@@ -353,7 +380,7 @@
 
     fn update_gauges(&self, cx: &Shared) {
         let now = cx.now();
-        let mut router = cx.router.borrow_mut();
+        let router = cx.router.borrow();
         self.upstreams.clear();
         for upstream in router.registry().upstreams().iter() {
             let condition = upstream.condition(now).as_str();
@@ -373,10 +400,6 @@
         self.quarantined_requests.set(requests as i64);
         self.quarantined_segments.set((quarantined.len() - requests) as i64);
         self.rollouts.update(&router.rollouts().summaries(now));
-        for (service, left) in router.retries_left(now) {
-            let service = service.to_string();
-            self.retries_left.get_or_create(&ServiceLabel { service }).set(left as i64);
-        }
 
         self.config_version.set(router.registry().table().map_or(0, |table| table.version as i64));
         let age =
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -79,6 +79,29 @@
     );
 }
 
+/// Counts the retries of the last second, and logs what allowed or refused them.
+fn record_retries(cx: &Shared, now: Time) {
+    let statuses = cx.router.borrow_mut().take_retry_statuses(now);
+    for status in statuses {
+        cx.metrics.record_retries(&status);
+        if status.spent == 0 && status.refused == 0 {
+            continue;
+        }
+        log::info!(
+            service = status.service.as_str(),
+            spent = status.spent,
+            refused = status.refused,
+            left = status.left,
+            requests = status.requests,
+            retries = status.retries,
+            others_requests = status.others_requests,
+            others_retries = status.others_retries,
+            routers = status.routers;
+            "requests sent again"
+        );
+    }
+}
+
 /// Logs which requests and prompt segments were quarantined or released.
 fn log_quarantine(cx: &Shared) {
     let changes = cx.router.borrow_mut().quarantine_mut().take_changes();
@@ -148,6 +171,7 @@
     if suppressed > 0 {
         log::info!(lines = suppressed; "lines about requests left out");
     }
+    record_retries(cx, now);
     let overload = cx.overload.borrow();
     if overload.is_refusing() {
         log_shortage(cx, now, &overload, lateness);
