Retries: a process spends no part of the budget that may be another one's

Cause: a router took its fraction of the fleet's allowance by the routers it knew at that moment, and what its requests earned as if no process had been on its VM before. A router that had just started knew nobody and took 151 / 2 / 2; one that had lost the others for 30 s took 151 / 2; a process that followed a killed one earned anew, though what the killed one had spent is in the window for ten more seconds. Class: a bound of the fleet of which each router keeps a part that it guesses, and guesses too large when it knows little.

Change: a portion is spent by one process at a time (RetryPortion): three quarters by one that has run for a window, an eighth by one in its first window, so two may follow. The allowance is divided by the largest number of routers known in ten minutes; while others are configured and none was heard, there is none of it.

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -84,6 +84,13 @@
         &mut self.peers
     }
 
+    /// Returns the number of routers among which an allowance of the fleet is divided, while none of
+    /// them may take a part that is not its own; none if others are configured and none was heard yet.
+    pub fn known_routers(&self, now: Time) -> Option<usize> {
+        let others = self.peers.most_known(now);
+        (others > 0 || self.seeds.is_empty()).then(|| Peers::assumed_fleet(others))
+    }
+
     /// Returns the part of this router in the exchange.
     pub fn role(&self) -> ExchangeRole {
         self.role.unwrap_or(ExchangeRole::Mesh)
@@ -134,6 +141,7 @@
         self.ticks = self.ticks.wrapping_add(1);
         self.peers.expire(now);
         self.peers.members_mut().expire(now);
+        self.peers.remember_count(now);
         self.watch_relay(now);
         self.update_role(now, &own);
         self.peers.choose_reports(now, self.role() == ExchangeRole::Relay);
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -41,6 +41,7 @@
 mod report_store;
 mod request_identity;
 mod retry_budget;
+mod retry_portion;
 mod retry_status;
 mod rollout;
 mod route;
@@ -107,6 +108,7 @@
 };
 pub use request_identity::RequestIdentity;
 pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_portion::RetryPortion;
 pub use retry_status::RetryStatus;
 pub(crate) use rollout::{DutyView, EvidenceKey, Fallback, VersionChoice, VersionPlan};
 pub use rollout::{
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -1,5 +1,7 @@
 //! Other routers of the fleet and their reports.
 
+use std::time::Duration;
+
 use crate::edge::exchange::Members;
 use crate::edge::report_store::{ReportSource, ReportStore};
 use crate::edge::{
@@ -18,9 +20,15 @@
     relayed: ReportStore,
     /// Whether decisions are based on the reports that are relayed.
     uses_relayed: bool,
+    /// Largest recent number of other routers, and when there were as many.
+    most: (usize, Time),
 }
 
 impl Peers {
+    /// Time for which a router that no longer hears others still counts them where it must not take
+    /// their part; regions may lose each other for minutes.
+    const COUNT_MEMORY: Duration = Duration::from_secs(600);
+
     /// Stores the report of one router and returns it, if it is newer than the previous one. An
     /// older one is accepted as well once the previous one has expired.
     pub fn insert(&mut self, now: Time, report: PeerReport) -> Option<&PeerReport> {
@@ -98,7 +106,25 @@
     /// Returns the number of routers among which fleet-wide limits are divided: this one, its peers, and
     /// one that may not have been discovered yet.
     pub(super) fn assumed_routers(&self, now: Time) -> usize {
-        self.count(now) + 2
+        Self::assumed_fleet(self.count(now))
+    }
+
+    /// Returns the assumed number of routers where `others` are known.
+    pub(super) fn assumed_fleet(others: usize) -> usize {
+        others + 2
+    }
+
+    /// Returns the largest number of other routers in a time that is longer than they may be cut off.
+    pub(super) fn most_known(&self, now: Time) -> usize {
+        self.count(now).max(self.most.0)
+    }
+
+    /// Records how many other routers there are now.
+    pub(super) fn remember_count(&mut self, now: Time) {
+        let count = self.count(now);
+        if count >= self.most.0 || now.since(self.most.1) > Self::COUNT_MEMORY {
+            self.most = (count, now);
+        }
     }
 
     /// Returns whether the registry answers the relay whose sums this router uses; none without one.
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::edge::ServiceDemand;
+use crate::edge::{RetryPortion, ServiceDemand};
 use crate::time::Time;
 
 /// Fleet-wide limits of retries for one service.
@@ -17,7 +17,7 @@
     pub window: Duration,
 }
 
-/// One router's portion of the retry budget for one service.
+/// Requests and retries for one service: those of this router, and what it knows of the others.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
     requests: VecDeque<Time>,
@@ -81,10 +81,9 @@
         (std::mem::take(&mut self.spent), std::mem::take(&mut self.refused))
     }
 
-    /// Spends one retry. Returns whether the budget allowed it; `routers` is the number of routers
-    /// among which the allowance is divided.
-    pub fn try_spend(&mut self, now: Time, limits: RetryLimits, routers: usize) -> bool {
-        if self.remaining(now, limits, routers) == 0 {
+    /// Spends one retry. Returns whether the portion of this process allowed it.
+    pub fn try_spend(&mut self, now: Time, limits: RetryLimits, portion: RetryPortion) -> bool {
+        if self.remaining(now, limits, portion) == 0 {
             return false;
         }
 
@@ -99,14 +98,12 @@
         self.spent = self.spent.saturating_sub(1);
     }
 
-    /// Returns the retries that are left now, where `routers` divide the allowance.
-    pub fn remaining(&mut self, now: Time, limits: RetryLimits, routers: usize) -> usize {
-        expire(&mut self.requests, now, limits.window);
-        expire(&mut self.retries, now, limits.window);
-
-        let earned = limits.ratio * self.requests.len() as f64;
-        let own = limits.allowance / routers.max(1) as f64;
-        ((earned + own) as usize).saturating_sub(self.retries.len())
+    /// Returns the retries that the portion of this process still allows.
+    pub fn remaining(&mut self, now: Time, limits: RetryLimits, portion: RetryPortion) -> usize {
+        let earned = limits.ratio * self.requests(now, limits) as f64;
+        let own = portion.routers.map_or(0.0, |routers| limits.allowance / routers.max(1) as f64);
+        let allowed = ((earned + own) * portion.fraction) as usize;
+        allowed.saturating_sub(self.retries(now, limits))
     }
 }
 
--- a/sapphirespur_core/src/edge/retry_status.rs
+++ b/sapphirespur_core/src/edge/retry_status.rs
@@ -1,5 +1,6 @@
 //! State of the retry budget of one service, as operators see it.
 
+use crate::edge::RetryPortion;
 use crate::name::Name;
 
 /// Retry budget of one service at one router.
@@ -15,8 +16,8 @@
     pub others_requests: u32,
     /// Retries of the other routers in the window, as they report.
     pub others_retries: u32,
-    /// Routers among which the allowance is divided.
-    pub routers: usize,
+    /// What this process may spend.
+    pub portion: RetryPortion,
     /// Retries that this router's portion still allows.
     pub left: usize,
     /// Retries spent since the last call that took them.
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -13,7 +13,7 @@
 use crate::edge::placement::{Choice, RecentChoices, Selection};
 use crate::edge::{
     Backoff, BatchEffect, Exchange, Pressures, PromptSegment, Quarantine, RegistryState,
-    RetryBudget, RetryLimits, RetryStatus, Rollouts, RouterSettings, Shares, StreamOrigins,
+    RetryBudget, RetryPortion, RetryStatus, Rollouts, RouterSettings, Shares, StreamOrigins,
     WorkEstimator,
 };
 use crate::hash::stable_hash;
@@ -58,9 +58,6 @@
     /// earlier process on this VM sent to cold upstreams leave the window of the cold limit.
     const SETTLE_TIME: Duration = Duration::from_millis(1_200);
 
-    /// Processes of one VM that may spend retries in one window of the retry limits.
-    const PROCESSES_PER_WINDOW: f64 = 2.0;
-
     /// Longest elapsed time that a single tick applies to failure rates and over-share factors, for
     /// example after a pause.
     const MAX_DECAY_STEP: Duration = Duration::from_millis(1_000);
@@ -100,19 +97,17 @@
 
     /// Sets the start of the process. Until the settle time is over, this router sends nothing to
     /// cold upstreams, because it may not have received the reports of the other routers yet. For the
-    /// window of the retry limits, it has a part of its allowance, because an earlier process on this
-    /// VM may have spent some.
+    /// window of the retry limits, it has a small part of its retries, because an earlier process on
+    /// this VM may have spent some.
     pub fn start(&mut self, now: Time) {
         self.settled_at = now + Self::SETTLE_TIME;
         self.retries_settled_at = now + self.settings.retries.window;
     }
 
-    /// Returns the retry limits that apply now.
-    fn retry_limits(&self, now: Time) -> RetryLimits {
-        let limits = self.settings.retries;
-        let is_settled = now >= self.retries_settled_at;
-        let processes = if is_settled { 1.0 } else { Self::PROCESSES_PER_WINDOW };
-        RetryLimits { allowance: limits.allowance / processes, ..limits }
+    /// Returns what this process may spend of the retry budgets.
+    fn retry_portion(&self, now: Time) -> RetryPortion {
+        let is_established = now >= self.retries_settled_at;
+        RetryPortion::new(is_established, self.exchange.known_routers(now))
     }
 
     /// Replaces the settings; name, data centre and start time stay.
@@ -194,21 +189,20 @@
 
     /// Returns the state of the retry budgets, and resets what was spent and refused.
     pub fn take_retry_statuses(&mut self, now: Time) -> Vec<RetryStatus> {
-        let all_limits = self.settings.retries;
-        let limits = self.retry_limits(now);
-        let routers = self.assumed_routers(now);
+        let limits = self.settings.retries;
+        let portion = self.retry_portion(now);
         let peers = self.exchange.peers();
         let status = |(service, budget): (&Name, &mut RetryBudget)| {
             let others = peers.demand(now, Shares::name_hash(service));
             let (spent, refused) = budget.take_counts();
             RetryStatus {
                 service: service.clone(),
-                requests: budget.requests(now, all_limits),
-                retries: budget.retries(now, all_limits),
+                requests: budget.requests(now, limits),
+                retries: budget.retries(now, limits),
                 others_requests: others.requests,
                 others_retries: others.retries,
-                routers,
-                left: budget.remaining(now, limits, routers),
+                portion,
+                left: budget.remaining(now, limits, portion),
                 spent,
                 refused,
             }
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -82,17 +82,18 @@
         admission
     }
 
-    /// Spends a retry for a service. Returns whether this router's portion of the limits and the fleet
-    /// as a whole allow it.
+    /// Spends a retry for a service. Returns whether this process's portion and the fleet as a whole
+    /// allow it.
     fn try_spend_retry(&mut self, now: Time, service: &Name) -> bool {
-        let limits = self.retry_limits(now);
+        let limits = self.settings.retries;
+        let portion = self.retry_portion(now);
         let routers = self.assumed_routers(now);
         let others = self.exchange.peers().demand(now, Shares::name_hash(service));
         let lag = self.exchange.report_lag();
         let budget = self.retry_budgets.entry(service.clone()).or_default();
 
         let is_spent = budget.fits_fleet(now, limits, routers, others, lag)
-            && budget.try_spend(now, limits, routers);
+            && budget.try_spend(now, limits, portion);
         if !is_spent {
             budget.record_refused();
         }
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -33,6 +33,7 @@
 mod reported_load;
 mod restored_registry;
 mod retries;
+mod retry_storm;
 mod rollout;
 mod rollout_faults;
 mod rollout_orders;
--- a/sapphirespur_core/tests/edge/retries.rs
+++ b/sapphirespur_core/tests/edge/retries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{DeclineReason, RetryBudget, RetryLimits, SendOutcome};
+use sapphirespur_core::edge::{DeclineReason, RetryBudget, RetryLimits, RetryPortion, SendOutcome};
 use sapphirespur_core::time::Time;
 
 use crate::fleet::{Fleet, SETTLED};
@@ -21,9 +21,9 @@
             router.admit_retry(START, &call, std::slice::from_ref(&first.instance), true).is_ok()
         })
         .count();
-    // One request does not earn a retry yet, and half of the allowance is reserved for an
-    // undiscovered router.
-    assert_eq!(retries, 26);
+    // One request does not earn a retry yet, half of the allowance is reserved for an undiscovered
+    // router, and a quarter of the rest for processes that follow this one.
+    assert_eq!(retries, 19);
     let decline = router
         .admit_retry(START, &call, &[first.instance], true)
         .expect_err("the budget is exhausted");
@@ -131,6 +131,7 @@
 properties! {
     fn no_window_has_more_retries_than_the_fleet_allows(steps: Vec<(u8, bool)>, routers: u8) -> bool {
         let routers = usize::from(routers % 6) + 1;
+        let portion = RetryPortion { fraction: 1.0, routers: Some(routers) };
         let mut budgets = vec![RetryBudget::default(); routers];
         let (mut now, mut requests, mut retries) = (START, Vec::new(), Vec::new());
         for (index, (gap, is_request)) in steps.into_iter().enumerate() {
@@ -139,7 +140,7 @@
             if is_request {
                 budget.record_request(now, LIMITS);
                 requests.push(now);
-            } else if budget.try_spend(now, LIMITS, routers) {
+            } else if budget.try_spend(now, LIMITS, portion) {
                 retries.push(now);
             }
         }
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -96,7 +96,8 @@
             retries = status.retries,
             others_requests = status.others_requests,
             others_retries = status.others_retries,
-            routers = status.routers;
+            routers = status.portion.routers.unwrap_or_default(),
+            portion_percent = (status.portion.fraction * 100.0) as u64;
             "requests sent again"
         );
     }
