Retries that nobody reports any longer still count, in every window

Seen by the upstreams: after a burst of retries and the loss of many routers the others spent the budget once more, and after traffic that ends more was spent than a window that begins in the middle of it allows.

Cause: the sum over the fleet held only what was reported now. A killed or silent router's report expires after 1 to 2.5 s and takes its retries along, though the window of the limits counts them for ten. And a retry was compared with the requests of one window, the one that ends with it, where the limits hold for each window. Class as in: what isn't known counts as nothing.

Change: each router derives the new retries of every interval from consecutive sums and keeps them for the window (FleetRetries); a fall beyond what has left the window marks them as lost instead of removing them. A retry has to fit every window that contains now, by the requests in it so far, in the one before it and in the one half a window before it.

--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -9,6 +9,7 @@
 mod change_log;
 mod departed;
 mod exchange;
+mod fleet_retries;
 mod fleet_sums;
 mod in_flight_request;
 mod limit_report;
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::edge::fleet_retries::FleetRetries;
 use crate::edge::{RetryPortion, ServiceDemand};
 use crate::time::Time;
 
@@ -22,6 +23,7 @@
 pub struct RetryBudget {
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
+    fleet: FleetRetries,
     /// Retries spent since [`take_counts`](Self::take_counts).
     spent: u64,
     /// Retries that were not allowed since then.
@@ -47,6 +49,18 @@
         self.retries.len()
     }
 
+    /// Records what the other routers report now.
+    pub fn observe(&mut self, now: Time, limits: RetryLimits, others: ServiceDemand) {
+        let requests = self.requests(now, limits) as f64 + f64::from(others.requests);
+        self.fleet.observe(now, limits.window, requests, others.retries);
+    }
+
+    /// Returns the retries of the other routers in the window, those that nobody reports any longer
+    /// included.
+    pub fn others_retries(&self) -> f64 {
+        self.fleet.retries()
+    }
+
     /// Returns whether one more retry at each of `routers` routers keeps the whole fleet within the
     /// limits, where `others` is what the other ones report and `report_lag` the age up to which it may
     /// lack their retries.
@@ -61,14 +75,17 @@
         others: ServiceDemand,
         report_lag: Duration,
     ) -> bool {
+        self.observe(now, limits, others);
+        expire(&mut self.retries, now, limits.window);
         let own_requests = self.requests(now, limits) as f64;
-        let own_retries = self.retries(now, limits) as f64;
-        let recent = self.retries.iter().rev().take_while(|at| now.since(**at) < report_lag);
+        let own_retries =
+            |from: Time| self.retries.len() - self.retries.partition_point(|at| *at < from);
         let others_requests = f64::from(others.requests);
-        let unreported = recent.count() as f64 * others_requests / own_requests.max(1.0);
+        let unreported =
+            own_retries(now - report_lag) as f64 * others_requests / own_requests.max(1.0);
 
-        let retries = own_retries + f64::from(others.retries) + unreported + routers as f64;
-        retries <= limits.ratio * (own_requests + others_requests) + limits.allowance
+        let requests = own_requests + others_requests;
+        self.fleet.fits(now, limits, requests, own_retries, unreported + routers as f64)
     }
 
     /// Counts a retry that was not allowed.
--- a/sapphirespur_core/src/edge/retry_status.rs
+++ b/sapphirespur_core/src/edge/retry_status.rs
@@ -16,6 +16,8 @@
     pub others_requests: u32,
     /// Retries of the other routers in the window, as they report.
     pub others_retries: u32,
+    /// Retries of the other routers that count, which include those that nobody reports any longer.
+    pub counted_retries: u32,
     /// What this process may spend.
     pub portion: RetryPortion,
     /// Retries that this router's portion still allows.
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -201,6 +201,7 @@
                 retries: budget.retries(now, limits),
                 others_requests: others.requests,
                 others_retries: others.retries,
+                counted_retries: budget.others_retries() as u32,
                 portion,
                 left: budget.remaining(now, limits, portion),
                 spent,
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -107,13 +107,15 @@
         }
     }
 
-    /// Returns the recent requests for each service at this router.
+    /// Records the reported demand of the other routers, and returns that of this one by service.
     fn demands(&mut self, now: Time) -> Vec<ServiceDemand> {
         let limits = self.settings.retries;
-        let demand = |(service, budget): (&Name, &mut RetryBudget)| ServiceDemand {
-            service: Shares::name_hash(service),
-            requests: budget.requests(now, limits) as u32,
-            retries: budget.retries(now, limits) as u32,
+        let peers = self.exchange.peers();
+        let demand = |(name, budget): (&Name, &mut RetryBudget)| {
+            let service = Shares::name_hash(name);
+            budget.observe(now, limits, peers.demand(now, service));
+            let requests = budget.requests(now, limits) as u32;
+            ServiceDemand { service, requests, retries: budget.retries(now, limits) as u32 }
         };
         let is_used = |demand: &ServiceDemand| demand.requests > 0 || demand.retries > 0;
         self.retry_budgets.iter_mut().map(demand).filter(is_used).collect()
--- a/sapphirespur_core/tests/edge/retry_storm.rs
+++ b/sapphirespur_core/tests/edge/retry_storm.rs
@@ -189,6 +189,29 @@
         storm.run_window();
     }
 
+    // Guards against retries of killed routers that are forgotten with their reports, so that the
+    // others spend the budget once more.
+    half_of_the_routers_restart_after_a_burst_of_retries(44, storm) {
+        storm.burst();
+        storm.restart(0..24);
+        storm.run_window();
+    }
+
+    // Guards against the same where the killed routers do not come back, in a larger fleet.
+    half_of_the_routers_are_lost_after_a_burst_of_retries(103, storm) {
+        storm.burst();
+        storm.kill(0..57);
+        storm.run_window();
+    }
+
+    // Guards against the same at the size to design for.
+    half_of_390_routers_restart_after_a_burst_of_retries(390, storm) {
+        storm.requests_per_s = 900.0;
+        storm.burst();
+        storm.restart(0..214);
+        storm.run_window();
+    }
+
     // Guards against a part of the budget for each process of a VM that starts several times in a window.
     all_routers_restart_twice_in_one_window(44, storm) {
         storm.burst();
@@ -198,6 +221,17 @@
         storm.run_window();
     }
 
+    // Guards against routers that are stopped and started in turn, as new ones earn retries of which the
+    // budget is already spent.
+    routers_restart_in_turn_after_a_burst_of_retries(44, storm) {
+        storm.burst();
+        for first in (0..44).step_by(5) {
+            storm.restart(first..(first + 5).min(44));
+            storm.run(ms(800));
+        }
+        storm.run_window();
+    }
+
     // Guards against routers that have not found any other one, for example as their seeds are gone, and
     // each take half of the allowance.
     routers_that_find_no_other_one_share_the_allowance(44, storm) {
@@ -230,6 +264,15 @@
         storm.run_window();
     }
 
+    // Guards against retries that are spent all at once at the end of much traffic: windows that begin
+    // in the middle of it have fewer requests than the one that ends with it.
+    traffic_ends_after_a_burst_of_retries(44, storm) {
+        storm.requests_per_s *= 3.0;
+        storm.burst();
+        storm.requests_per_s /= 60.0;
+        storm.run_window();
+    }
+
     // Guards against a budget that is too careful to be used: what the requests of a window earn is spent.
     steady_rejections_use_the_budget(44, storm) {
         storm.burst();
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -96,6 +96,7 @@
             retries = status.retries,
             others_requests = status.others_requests,
             others_retries = status.others_retries,
+            counted_retries = status.counted_retries,
             routers = status.portion.routers.unwrap_or_default(),
             portion_percent = (status.portion.fraction * 100.0) as u64;
             "requests sent again"
