Retries: a router that has just started resumes a stream

Cause: kept the quarter that established processes leave for two processes that follow. What requests earn in a first window adds up over the processes of a VM, however many there are, so a process in its first window can have all of that quarter.

--- a/sapphirespur_core/src/edge/retry_portion.rs
+++ b/sapphirespur_core/src/edge/retry_portion.rs
@@ -12,13 +12,12 @@
 }
 
 impl RetryPortion {
-    /// Fraction for a process that has run for a window of the limits. The rest is for the processes
-    /// after it: what this one spends is in the window of the limits until they have run for as long.
+    /// Fraction for a process that has run for a window of the limits.
     const ESTABLISHED: f64 = 0.75;
 
-    /// Fraction for a process in its first window. Two of them may follow an established one in one
-    /// window.
-    const STARTING: f64 = (1.0 - Self::ESTABLISHED) / 2.0;
+    /// Fraction for a process in its first window, which still has what an earlier process on the VM
+    /// has spent. What requests earn in it adds up to no more than this over several such processes.
+    const STARTING: f64 = 1.0 - Self::ESTABLISHED;
 
     /// Creates the portion of one of `routers` routers, for a process that has run for a window of the
     /// limits or for less.
--- a/sapphirespur_core/tests/edge/retry_storm.rs
+++ b/sapphirespur_core/tests/edge/retry_storm.rs
@@ -221,6 +221,16 @@
         storm.run_window();
     }
 
+    // Guards against the same with little traffic, where the allowance is most of the budget.
+    all_quiet_routers_restart_twice_in_one_window(44, storm) {
+        storm.requests_per_s = 44.0;
+        storm.burst();
+        storm.restart(0..44);
+        storm.run(ms(3_000));
+        storm.restart(0..44);
+        storm.run_window();
+    }
+
     // Guards against routers that are stopped and started in turn, as new ones earn retries of which the
     // budget is already spent.
     routers_restart_in_turn_after_a_burst_of_retries(44, storm) {
