Streams: a router infers their version only from reports after the resumption

It can happen here: where the store can't be read, a router took the only version that it knew, if no other router's report named a newer registry. Reports hold for 1 s, sums for 2.5 s, so for that time after a cut, or after a pause that the steady clock doesn't count, they were those from before: the runner of the new version joins, begins a stream elsewhere, and the cut off router infers the old version. A resumption that doesn't name its attempt asked only whether the registry had answered lately. Class: an absence is concluded from knowledge that is older than the question.

Change: reports count only if they were received later than the resumption arrived by the lag of reports, and cover the routers heard in the last 3 s; the router waits for them up to 1.2 s after the arrival, and refuses with the time to come back otherwise. A resumption that names no attempt has the registry asked for changes first.

Test: stream_version::cut_off_router_of_four and _of_24_does_not_infer_the_version_of_a_stream; both fail with the condition of before.

--- a/sapphirespur_core/src/edge/exchange/members.rs
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -123,6 +123,12 @@
         self.recent(now).count()
     }
 
+    /// Returns the number of routers that were heard within the time after which one no longer relays.
+    pub fn count_live(&self, now: Time) -> usize {
+        let is_live = |member: &&Member| now.since(member.heard_at) < Self::RELAY_TTL;
+        self.by_router.values().filter(is_live).count()
+    }
+
     /// Returns the number of routers that precede the one with hash `own` in the rendezvous order
     /// of `key`.
     pub fn rank(&self, now: Time, own: u64, key: u32) -> usize {
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -142,6 +142,12 @@
         self.current().newest_version(now)
     }
 
+    /// Returns the newest registry version that the other routers report after `since`; none if reports
+    /// of some that were heard lately are missing.
+    pub fn newest_version_since(&self, now: Time, since: Time) -> Option<RegistryVersion> {
+        self.current().newest_version_since(since, self.members.count_live(now))
+    }
+
     /// Returns the router with the newest configuration, if it is newer than `version`.
     pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
         self.current().find_newer_config(now, version)
--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -25,6 +25,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     report: PeerReport,
+    received_at: Time,
     /// When the work in it no longer counts.
     expires_at: Time,
     /// Whether the report is included in the sums.
@@ -70,7 +71,7 @@
         };
         let expires_at = now + ttl;
         self.expires_at = Some(self.expires_at.map_or(expires_at, |at| at.min(expires_at)));
-        let peer = Peer { report, expires_at, is_summed: true };
+        let peer = Peer { report, received_at: now, expires_at, is_summed: true };
         if let Some(previous) = self.by_source.insert(source, peer)
             && previous.is_summed
         {
@@ -137,6 +138,14 @@
         self.fresh_reports(now).map(|report| report.version).max()
     }
 
+    /// Returns the newest registry version in the reports that were received after `since`; none if
+    /// they cover fewer than `routers`.
+    pub fn newest_version_since(&self, since: Time, routers: usize) -> Option<RegistryVersion> {
+        let recent = || self.by_source.values().filter(|peer| peer.received_at > since);
+        let covered: usize = recent().map(|peer| peer.report.routers as usize).sum();
+        recent().map(|peer| peer.report.version).max().filter(|_| covered >= routers)
+    }
+
     /// Returns the router with the newest configuration, if it is newer than `version`.
     pub fn find_newer_config(&self, now: Time, version: u64) -> Option<u64> {
         let configs =
--- a/sapphirespur_core/src/edge/router/streams.rs
+++ b/sapphirespur_core/src/edge/router/streams.rs
@@ -56,9 +56,14 @@
         self.streams.bases.needs_record(service, version, self.registry.version().era)
     }
 
-    /// Returns whether other routers are heard, and none of them knows more of the registry.
-    pub fn has_newest_registry(&self, now: Time) -> bool {
-        let newest = self.peers().newest_version(now);
+    /// Returns whether the other routers have reported since `since`, and none of them knew more of the
+    /// registry than this one.
+    ///
+    /// Reports that may have been sent before do not count: another router may have learned of an
+    /// upstream since then, and a process that stood still reads old reports first.
+    pub fn has_newest_registry(&self, now: Time, since: Time) -> bool {
+        let sent_since = since + self.exchange.report_lag();
+        let newest = self.peers().newest_version_since(now, sent_since);
         newest.is_some_and(|newest| newest <= self.registry.version())
     }
 
--- a/sapphirespur_core/tests/edge/stream_version.rs
+++ b/sapphirespur_core/tests/edge/stream_version.rs
@@ -5,7 +5,8 @@
 use sapphirespur_core::edge::{CallInfo, DeclineReason, Router, UpstreamEntry, UpstreamState};
 use sapphirespur_core::name::Name;
 
-use crate::support::{START, call, entry, router};
+use crate::fleet::{Fleet, SETTLED, STEP};
+use crate::support::{START, call, entry, ms, router};
 
 /// Returns the entry of an upstream of a version.
 fn versioned(id: &str, port: u16, version: &str) -> UpstreamEntry {
@@ -102,3 +103,36 @@
         }
     } => Paused;
 }
+
+macro_rules! cut_off_routers {
+    ($($(#[$meta:meta])* $name:ident: $routers:expr;)*) => {$(
+        $(#[$meta])*
+        #[test]
+        fn $name() {
+            const TAKE_UP_TIME: Duration = Duration::from_millis(1_200);
+
+            let mut fleet = Fleet::start($routers, 2);
+            fleet.run(SETTLED);
+            let since = fleet.now;
+            fleet.run(TAKE_UP_TIME);
+            for node in &fleet.nodes {
+                assert!(node.router.has_newest_registry(fleet.now, since), "it hears the others");
+            }
+
+            fleet.cut.extend([(0, 0), (0, 1), (1, 0)]);
+            let arrived_at = fleet.now + ms(50);
+            for _ in 0..TAKE_UP_TIME.as_millis() / STEP.as_millis() {
+                fleet.step();
+                let router = &fleet.nodes[0].router;
+                assert!(!router.has_newest_registry(fleet.now, arrived_at));
+            }
+        }
+    )*};
+}
+
+cut_off_routers! {
+    // ORDER: a router that is cut off takes the only version that it knows for the one that began a
+    // stream at another router, as long as it has reports from before the cut.
+    cut_off_router_of_four_does_not_infer_the_version_of_a_stream: 4;
+    cut_off_router_of_24_does_not_infer_the_version_of_a_stream: 24;
+}
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -182,6 +182,12 @@
             || self.router.borrow().exchange().is_told_of_changes(self.now())
     }
 
+    /// Has the registry asked for changes now; `unverified_since` is empty when it has answered.
+    pub fn request_registry_check(&self) {
+        self.unverified_since.set(Some(self.now()));
+        self.registry_check.notify_one();
+    }
+
     /// Returns whether the registry responded to this router recently.
     pub fn has_registry_answered(&self) -> bool {
         let now = self.now();
--- a/sapphirespur_node/src/edge/stream_origins.rs
+++ b/sapphirespur_node/src/edge/stream_origins.rs
@@ -19,6 +19,13 @@
 /// Time within which a stream must be on record; its client may be waiting for the first event.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after the arrival of a resumption in which the other routers report, or the registry answers, so
+/// that it is known whether another version serves.
+const CURRENT_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Interval between checks for that.
+const CURRENT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Fraction of the time within which an event must be passed on that a first event waits for others to
 /// share the write of its record.
 const RECORD_WAIT_FRACTION: f64 = 0.5;
@@ -58,7 +65,7 @@
 pub(super) async fn resolve(cx: &Rc<Shared>, call: &Call) -> Result<Name, ErrorResponse> {
     let result = match &call.head.resumes {
         Some(resumes) => find_version(cx, call, stream_key(call, resumes)).await,
-        None => sole_version(cx, call).ok_or(ErrorResponse::VersionGone),
+        None => sole_version(cx, call).await.ok_or(ErrorResponse::VersionGone),
     };
     match &result {
         Ok((_, source)) => cx.metrics.record_taken_up(source.as_str()),
@@ -99,18 +106,39 @@
             if cx.may_log_failure() {
                 log::warn!(request = call.head.attempt_id.as_str(), error = e.to_string().as_str(); "origin of a stream cannot be read");
             }
-            let is_newest = cx.router.borrow().has_newest_registry(cx.now());
-            let sole = is_newest.then(|| cx.router.borrow().sole_version(&call.info.service));
-            let sole = sole.flatten().map(|version| (version, OriginSource::Sole));
+            let is_newest = || cx.router.borrow().has_newest_registry(cx.now(), call.arrived_at);
+            let sole = sole_version_if(cx, call, is_newest).await;
             sole.ok_or(ErrorResponse::NotRun(UNKNOWN_RETRY_AFTER.min(call.info.remaining / 3)))
         }
     }
 }
 
-/// Returns the version of the service if it has had no other one.
-fn sole_version(cx: &Shared, call: &Call) -> Option<(Name, OriginSource)> {
-    let version = cx.router.borrow().sole_version(&call.info.service);
-    let version = version.filter(|_| cx.is_registry_fresh())?;
+/// Returns the version of the service if it has had no other one; asks the registry for changes.
+async fn sole_version(cx: &Shared, call: &Call) -> Option<(Name, OriginSource)> {
+    cx.request_registry_check();
+    let is_current = || {
+        cx.unverified_since.get().is_none()
+            || cx.router.borrow().has_newest_registry(cx.now(), call.arrived_at)
+    };
+    sole_version_if(cx, call, is_current).await
+}
+
+/// Returns the version of the service if it has had no other one, once `is_current` holds: this router
+/// knows the upstreams that others knew as the call arrived. One that is cut off or stood still may not
+/// have heard of the version that began the stream.
+async fn sole_version_if(
+    cx: &Shared,
+    call: &Call,
+    is_current: impl Fn() -> bool,
+) -> Option<(Name, OriginSource)> {
+    cx.router.borrow().sole_version(&call.info.service)?;
+    while !is_current() {
+        if cx.now().since(call.arrived_at) >= CURRENT_TIMEOUT {
+            return None;
+        }
+        tokio::time::sleep(CURRENT_CHECK_INTERVAL).await;
+    }
+    let version = cx.router.borrow().sole_version(&call.info.service)?;
     Some((version, OriginSource::Sole))
 }
 
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -44,8 +44,7 @@
             log::warn!(paused_ms = pause.as_millis() as u64; "process was paused");
             cx.router.borrow_mut().on_process_pause(now);
             cx.pool.borrow_mut().clear();
-            cx.unverified_since.set(Some(now));
-            cx.registry_check.notify_one();
+            cx.request_registry_check();
         }
         if ticks.is_multiple_of(TICKS_PER_SETTINGS_CHECK) && settings_file.has_changed() {
             reload(&cx);
