--- a/sapphirespur_core/src/time.rs
+++ b/sapphirespur_core/src/time.rs
@@ -28,7 +28,7 @@
     type Output = Self;
 
     fn add(self, duration: Duration) -> Self {
-        Self(self.0.saturating_add(duration.as_micros() as u64))
+        Self(self.0.saturating_add(micros(duration)))
     }
 }
 
@@ -36,6 +36,11 @@
     type Output = Self;
 
     fn sub(self, duration: Duration) -> Self {
-        Self(self.0.saturating_sub(duration.as_micros() as u64))
+        Self(self.0.saturating_sub(micros(duration)))
     }
 }
+
+/// Returns the microseconds of a duration, or as many as fit.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
