--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the metadata store, with paged lists, watches and faults.
 
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -18,6 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -370,16 +372,17 @@
     response
 }
 
-/// Returns a parameter of the query as it is written, without percent-decoding.
-fn query_parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+/// Returns a parameter of the query, percent-decoded.
+fn query_parameter<'a>(query: &'a str, name: &str) -> Option<Cow<'a, str>> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?;
+    percent_decode_str(value).decode_utf8().ok()
 }
 
 /// Returns an item.
 fn key(state: &State, query: &str) -> (StatusCode, Value) {
     let key = query_parameter(query, "key").unwrap_or_default();
-    match state.items.borrow().get(key) {
-        Some(item) => (StatusCode::OK, item_json(key, item)),
+    match state.items.borrow().get(key.as_ref()) {
+        Some(item) => (StatusCode::OK, item_json(&key, item)),
         None => (StatusCode::NOT_FOUND, json!({})),
     }
 }
@@ -451,9 +454,9 @@
         state.list_count.set(state.list_count.get() + 1);
     }
     let items = state.items.borrow();
-    let mut found = items
-        .iter()
-        .filter(|(key, _)| key.starts_with(prefix) && (after.is_empty() || key.as_str() > after));
+    let mut found = items.iter().filter(|(key, _)| {
+        key.starts_with(&*prefix) && (after.is_empty() || key.as_str() > &*after)
+    });
     let entries: Vec<Value> =
         found.by_ref().take(PAGE_ITEMS).map(|(key, item)| item_json(key, item)).collect();
 
@@ -477,7 +480,7 @@
             .events
             .borrow()
             .iter()
-            .filter(|event| event.revision > after && event.key.starts_with(prefix))
+            .filter(|event| event.revision > after && event.key.starts_with(&*prefix))
             .map(event_json)
             .collect();
         let remaining = deadline.saturating_duration_since(Instant::now());
