Refusals that name no attempt are not followed by another request on their connection

Clients are told 'not run' for a request that runs (REFUSED), or it runs at a second runner as well (TWICE).

Cause: a refusal without an attempt identifier was believed, and its connection used again, so that its second copy was believed, too. With an identifier the copy names another attempt and is told apart. Class: an answer that can't be attributed is attributed to whoever waits.

Change: the connection of such a refusal is closed, so that a second copy arrives nowhere. The refusal itself is still true: nothing before it on the connection can be written once more without naming its attempt.

The product's own path takes a 429 or 503 as 'not run' only for calls that may be repeated (node::sidecar::upstream, read).

--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -236,7 +236,10 @@
         } else {
             SendOutcome::Rejected
         };
-        actix_rt::spawn(drain(Rc::clone(cx), upstream_response));
+        // A second copy of a refusal that names no attempt could be taken for that of the next request.
+        if upstream_response.head.matches_attempt {
+            actix_rt::spawn(drain(Rc::clone(cx), upstream_response));
+        }
         return SendResult::NotRun(outcome);
     }
     if !upstream_response.head.matches_attempt
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -36,6 +36,9 @@
     DelayedExtraResponse(u64),
     /// Sends a refusal for the same request this many milliseconds after the response.
     DelayedExtraRefusal(u64),
+    /// Refuses as at capacity without the attempt identifier, and sends the refusal once more this many
+    /// milliseconds later.
+    RefusalTwice(u64),
     /// Sends three events of a stream, then one byte every this many milliseconds without ever
     /// completing an event.
     Trickle(u64),
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -406,6 +406,13 @@
             write_response(stream, "503 Service Unavailable", &headers, "").await?;
             Ok(true)
         }
+        Behaviour::RefusalTwice(millis) => {
+            let headers = "X-Sapphirespur-Request-Not-Executed: 1\r\n";
+            write_response(stream, "503 Service Unavailable", headers, "").await?;
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+            write_response(stream, "503 Service Unavailable", headers, "").await?;
+            Ok(true)
+        }
         Behaviour::DelayedResponse(millis) if !is_stream => {
             tokio::time::sleep(Duration::from_millis(millis)).await;
             write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
