Upstreams: what a late heartbeat says of an instance that left or started again is ignored

A heartbeat from before a crash, written late, makes the runner that has just started again a new and warm one; it gets 31 requests in a second and crashes (FAILBACK).

Cause: what an instance has said of its leaving was forgotten with its entry, and an entry of an earlier start was taken unless it came from a copy of the registry. Class: an entry is believed by the order in which it arrives. Change: a departure keeps whether the instance said so in a response, and then no entry of that start brings it back; an entry of an earlier start than the newest known is ignored, present or departed. Both for 60 s after the departure; a write is executed seconds late. An entry without a start (born) is treated as before.

--- a/sapphirespur_core/src/edge/departed.rs
+++ b/sapphirespur_core/src/edge/departed.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 struct Departure {
     entry: UpstreamEntry,
+    /// Whether the instance has said in a response that it leaves.
+    has_said_so: bool,
     at: Time,
 }
 
@@ -22,12 +24,13 @@
 }
 
 impl Departed {
-    /// Time for which an instance is remembered; a restored registry is only seconds old.
+    /// Time for which an instance is remembered; a restored registry is only seconds old, and a write
+    /// is executed seconds late at most.
     const TTL: Duration = Duration::from_secs(60);
 
-    /// Records that an upstream has left.
-    pub fn record(&mut self, now: Time, entry: UpstreamEntry) {
-        self.by_id.insert(entry.id.clone(), Departure { entry, at: now });
+    /// Records that an upstream has left; `has_said_so` is whether it has said so in a response.
+    pub fn record(&mut self, now: Time, entry: UpstreamEntry, has_said_so: bool) {
+        self.by_id.insert(entry.id.clone(), Departure { entry, has_said_so, at: now });
     }
 
     /// Forgets an upstream that is back.
@@ -35,13 +38,16 @@
         self.by_id.remove(id);
     }
 
-    /// Returns whether `entry` is older than the last one of an instance that has left, or no newer
-    /// if it may be from a restored copy of the registry.
+    /// Returns whether `entry` may be from before the departure of its upstream: it is of an earlier
+    /// start, older than the last one, no newer if it may be from a restored copy of the registry, or
+    /// of an instance that has said that it leaves, whose last heartbeat may have been written late.
     pub fn contains(&self, entry: &UpstreamEntry, is_from_copy: bool) -> bool {
         self.by_id.get(&entry.id).is_some_and(|departure| {
             let last = &departure.entry;
-            let is_old = entry.precedes(last) || is_from_copy && !last.precedes(entry);
-            entry.is_same_instance(last) && is_old
+            let is_old = entry.precedes(last)
+                || is_from_copy && !last.precedes(entry)
+                || departure.has_said_so && entry.started_ms.is_some();
+            last.started_after(entry) || entry.is_same_instance(last) && is_old
         })
     }
 
--- a/sapphirespur_core/src/edge/upstream_entry.rs
+++ b/sapphirespur_core/src/edge/upstream_entry.rs
@@ -51,4 +51,9 @@
     pub fn precedes(&self, other: &Self) -> bool {
         self.sequence.zip(other.sequence).is_some_and(|(own, others)| own < others)
     }
+
+    /// Returns whether this entry is of a process that started after that of `other`.
+    pub fn started_after(&self, other: &Self) -> bool {
+        self.started_ms.zip(other.started_ms).is_some_and(|(own, others)| own > others)
+    }
 }
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -64,8 +64,9 @@
             return false;
         }
 
+        // A heartbeat from before a restart may have been written late.
         let known = self.get(entry.id.as_str());
-        if is_from_copy && known.is_some_and(|known| is_later(&known.entry, &entry)) {
+        if known.is_some_and(|known| known.entry.started_after(&entry)) {
             return false;
         }
 
@@ -91,7 +92,7 @@
         self.all.retain(|upstream| {
             let is_removed = is_removed(upstream);
             if is_removed {
-                departed.record(now, upstream.entry.clone());
+                departed.record(now, upstream.entry.clone(), upstream.is_leaving);
             }
             !is_removed
         });
@@ -113,7 +114,7 @@
             }
             return;
         }
-        self.departed.record(now, last);
+        self.departed.record(now, last, false);
     }
 
     /// Marks an upstream as gone from `at`, because its entry is missing.
@@ -325,11 +326,6 @@
     upstream.condition(now)
 }
 
-/// Returns whether `entry` is of a process that started after that of `other`.
-fn is_later(entry: &UpstreamEntry, other: &UpstreamEntry) -> bool {
-    entry.started_ms.zip(other.started_ms).is_some_and(|(own, others)| own > others)
-}
-
 fn cold_time(entry: &UpstreamEntry, spec: Option<&ServiceSpec>) -> Duration {
     match spec {
         Some(ServiceSpec { cold_per_s: None, .. }) => Duration::ZERO,
--- a/sapphirespur_core/tests/edge/leaving_and_pause.rs
+++ b/sapphirespur_core/tests/edge/leaving_and_pause.rs
@@ -46,6 +46,47 @@
     assert_eq!(snapshot.upstreams[0].state, UpstreamState::Draining);
 }
 
+/// Returns an entry of `u0` as of a start, with its number.
+fn started(started_ms: u64, sequence: u64, cold: Duration) -> UpstreamEntry {
+    let (started_ms, sequence) = (Some(started_ms), Some(sequence));
+    UpstreamEntry { started_ms, sequence, cold, ..entry("u0", 8_000) }
+}
+
+// DRAIN: the last heartbeat of an upstream, written late, brings it back after it has said that it leaves
+// and its entry is gone.
+#[test]
+fn late_heartbeat_does_not_bring_back_an_upstream_that_has_said_that_it_leaves() {
+    let mut router = router("r", 0);
+    router.registry_mut().apply_upstream(START, started(1, 5, Duration::ZERO));
+    let placed = router.admit(START, &call("w", 1, 10, 10)).expect("placed");
+    assert!(router.on_leaving(&placed.request));
+    router.finish(START, &placed.request, SendOutcome::Answered);
+    router.registry_mut().remove_upstream_at("u0", START + ms(1_000));
+    router.tick(START + ms(1_000));
+
+    let late = START + ms(6_000);
+    assert!(!router.registry_mut().apply_upstream(late, started(1, 6, Duration::ZERO)));
+    assert!(router.admit(late, &call("w", 1, 10, 10)).is_err());
+    assert!(router.registry_mut().apply_upstream(late, started(2, 1, Duration::ZERO)));
+    assert!(router.admit(late, &call("w", 1, 10, 10)).is_ok(), "it has started again");
+}
+
+// FAILBACK: a heartbeat from before a restart, written late, makes a cold upstream a warm one.
+#[test]
+fn late_heartbeat_of_an_earlier_start_does_not_warm_an_upstream() {
+    let mut router = router("r", 0);
+    router.registry_mut().apply_upstream(START, started(1, 50, Duration::ZERO));
+    router.registry_mut().apply_upstream(START, started(2, 1, ms(3_000)));
+    assert!(!router.registry_mut().apply_upstream(START, started(1, 51, Duration::ZERO)));
+    let upstream = router.registry().upstreams().get("u0").expect("it serves");
+    assert_eq!(upstream.entry.started_ms, Some(2));
+    assert_eq!(upstream.condition(START + ms(100)), Condition::Cold);
+
+    router.registry_mut().remove_upstream_at("u0", START + ms(200));
+    router.tick(START + ms(200));
+    assert!(!router.registry_mut().apply_upstream(START + ms(300), started(1, 52, Duration::ZERO)));
+}
+
 #[test]
 fn paused_upstream_gets_no_requests_until_the_end_of_the_pause() {
     let mut router = router("r", 2);
