Streams: a wrong event identifier takes no intact events along

Streams end as complete without three intact events, or without events 2 to 7 (ORDER).

Cause: StreamRelay::take_events moved its position to each event it collected, and dropped what it had collected when a later event of the same chunk was out of order; the stream then went on after events that the client never got. And an event whose identifier isn't above the last one was dropped as repeated, whatever came before it. Class: progress is recorded before it is made, and an anomaly is explained away by the one cause that is harmless.

Change: the order of events is a state machine of its own (core::edge::EventOrder). Events before a wrong one are passed on, then the stream goes on elsewhere after them or is cut; a lower identifier is repeated only in an unbroken series of the same upstream; a stream that begins at neither 0 nor 1 is out of order. A stream that is cut leaves time for what was just passed on to be written.

--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -13,6 +13,7 @@
 mod crash_scene;
 mod crashing_prompt;
 mod crashing_request;
+mod event_order;
 mod exchange;
 mod falling_shares;
 mod fleet;
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -9,7 +9,8 @@
 use hyper::Response;
 use hyper::body::Frame;
 use sapphirespur_core::edge::{
-    Admission, BeginVerdict, DeclineReason, Placement, SendOutcome, SendRecord, StreamSend,
+    Admission, BeginVerdict, DeclineReason, EventOrder, EventVerdict, Placement, SendOutcome,
+    SendRecord, StreamSend,
 };
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
@@ -39,8 +40,9 @@
     events: EventBuffer,
     /// Counts the bytes of incomplete events.
     buffer: BufferGuard,
-    /// Identifier of the last event passed on, or received by the client before it resumed.
-    last_id: Option<u64>,
+    order: EventOrder,
+    /// Whether an event of the current upstream is out of order; those before it are passed on.
+    is_out_of_order: bool,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
     last_received: Time,
     /// Time at which events were last passed on; absent while the client waits for the next ones.
@@ -77,7 +79,8 @@
         last_received: call.arrived_at,
         passed_on_at: None,
         last_progress: call.arrived_at,
-        last_id: call.head.last_event_id,
+        order: EventOrder::new(call.head.last_event_id),
+        is_out_of_order: false,
         buffer: BufferGuard::for_response(&cx),
         cx,
         call,
@@ -138,9 +141,15 @@
             let mut reservation = UpstreamReservation::new(&cx, &self.call, &placement);
             let recorded = self.record_send(reservation.version());
             let head_timeout = self.head_timeout(placement.expected_delay);
-            let sent =
-                send(&cx, &self.call, &placement, &mut reservation, self.last_id, head_timeout)
-                    .await;
+            let sent = send(
+                &cx,
+                &self.call,
+                &placement,
+                &mut reservation,
+                self.order.passed_on(),
+                head_timeout,
+            )
+            .await;
             let (outcome, may_have_run) = match sent {
                 SendResult::Response(upstream_response)
                     if upstream_response.parts.status.is_success() =>
@@ -298,17 +307,22 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when an event identifier is skipped.
+    /// Returns an error when the next event is out of order.
     fn take_events(&mut self) -> Result<Option<Bytes>, SendOutcome> {
+        if self.is_out_of_order {
+            return Err(SendOutcome::Broken);
+        }
         let mut first: Option<Bytes> = None;
         let mut rest = BytesMut::new();
         let mut count = 0;
         while let Some(event) = self.events.next_event() {
-            if let Some(id) = event.id {
-                match self.last_id {
-                    Some(last) if id <= last => continue,
-                    Some(last) if id != last + 1 => return Err(SendOutcome::Broken),
-                    _ => self.last_id = Some(id),
+            match event.id.map(|id| self.order.check(id)) {
+                None | Some(EventVerdict::PassOn) => {}
+                Some(EventVerdict::Repeated) => continue,
+                Some(EventVerdict::OutOfOrder) if count == 0 => return Err(SendOutcome::Broken),
+                Some(EventVerdict::OutOfOrder) => {
+                    self.is_out_of_order = true;
+                    break;
                 }
             }
             count += 1;
@@ -348,7 +362,7 @@
             return ReadOutcome::Lost(SendOutcome::Broken);
         };
         // A stream that the client resumes after its last event is empty.
-        let is_cut = self.last_id.is_none()
+        let is_cut = self.order.passed_on().is_none()
             && self.reservation.as_ref().is_some_and(UpstreamReservation::is_cut_unbegun);
         let read_timeout = if may_resume { left.min(MIN_IDLE_TIMEOUT) } else { left };
         match timeout(read_timeout, upstream_response.body.frame()).await {
@@ -395,8 +409,12 @@
         self.sends.record_failure(&self.cx, &self.call, reservation, outcome, true);
         self.finish(outcome, false);
         self.events = EventBuffer::default();
+        self.order.on_new_upstream();
+        self.is_out_of_order = false;
         if placement.is_none() || self.start(placement).await.is_err() {
             self.log_aborted(outcome.as_str());
+            // Events that were just passed on are written before the connection is closed.
+            tokio::task::yield_now().await;
             return Err(AbortReason::UpstreamLost);
         }
 
@@ -407,7 +425,7 @@
             from_version = version.as_str(),
             to = self.reservation.as_ref().map_or("", UpstreamReservation::upstream),
             to_version = self.version(),
-            after_event = self.last_id.unwrap_or_default();
+            after_event = self.order.passed_on().unwrap_or_default();
             "stream goes on elsewhere"
         );
         Ok(())
@@ -463,7 +481,7 @@
                 upstream = self.reservation.as_ref().map_or("", UpstreamReservation::upstream),
                 load = self.reservation.as_ref().map(UpstreamReservation::load).unwrap_or_default().as_str(),
                 sends = self.sends.tried.len() + 1,
-                last_event = self.last_id.unwrap_or_default(),
+                last_event = self.order.passed_on().unwrap_or_default(),
                 max_output_tokens = self.call.info.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens),
                 predicted_tokens = self.reservation.as_ref().map_or(0, UpstreamReservation::predicted_tokens),
                 output_tokens = self.reservation.as_ref().map_or(0, UpstreamReservation::output_tokens),
@@ -500,7 +518,7 @@
         log::warn!(
             request = self.call.head.attempt_id.as_str(),
             reason = reason,
-            last_event = self.last_id.unwrap_or_default(),
+            last_event = self.order.passed_on().unwrap_or_default(),
             in_flight = self.request_guard.in_flight();
             "stream cut"
         );
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -60,6 +60,13 @@
     WrongAttemptId,
     /// Leaves out event 5 of a stream.
     MissingEvent,
+    /// Sends events 1 to 6 of a stream at once, with the identifier of event `event` replaced by `id`.
+    WrongEventId {
+        /// Number of the event.
+        event: u64,
+        /// Identifier that it gets.
+        id: u64,
+    },
     /// Waits this many milliseconds before each event.
     SlowEvents(u64),
     /// Sends streams of `events` events with a pause before each.
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -472,6 +472,9 @@
     stream.write_all(text.as_bytes()).await
 }
 
+/// Number of the first events that [`Behaviour::WrongEventId`] sends at once.
+const EVENTS_AT_ONCE: u64 = 6;
+
 /// Writes the events after the client's `Last-Event-ID`, each after a pause; returns whether the connection stays open.
 async fn write_event_stream(
     state: &State,
@@ -507,6 +510,11 @@
         Behaviour::Paced { events, .. } => events,
         _ => Runner::EVENTS_PER_STREAM,
     };
+    let wrong_id = match state.behaviour.get() {
+        Behaviour::WrongEventId { event, id } => Some((event, id)),
+        _ => None,
+    };
+    let mut held_back = String::new();
     for id in last_received + 1..=last_event {
         if !pause.is_zero() && id > last_received + 1 {
             tokio::time::sleep(pause).await;
@@ -538,7 +546,13 @@
             }
             _ => String::new(),
         };
-        let event = format!("id: {id}\ndata: token {id}{padding}\n\n");
+        let told_id = wrong_id.filter(|(event, _)| *event == id).map_or(id, |(_, told)| told);
+        let event = format!("{held_back}id: {told_id}\ndata: token {id}{padding}\n\n");
+        if wrong_id.is_some() && id < EVENTS_AT_ONCE {
+            held_back = event;
+            continue;
+        }
+        held_back.clear();
         if is_framed {
             write_chunk(stream, &event).await?;
         } else {
