Cold upstreams: a router that knows only itself takes no part of the limit

Cause: a reload left the seeds out, and the limit was divided by the routers heard at that moment. Class as in: a part of a fleet-wide limit that is guessed too large by a router that knows little. Change: a reload replaces the seeds; while others are configured and none was heard, cold upstreams get nothing (they are cold for seconds); limits of cold upstreams and named limits are divided by the largest number of routers known in ten minutes, as retries are.

--- a/sapphirespur_core/benches/scene/mod.rs
+++ b/sapphirespur_core/benches/scene/mod.rs
@@ -184,7 +184,7 @@
 fn member(now: Time) -> Router {
     for number in 0.. {
         let mut router = Router::new(settings(&format!("router-{number}")));
-        router.start_exchange(contact(ROUTERS).address, Vec::new());
+        router.start_exchange(contact(ROUTERS).address, &[]);
         for index in 0..ROUTERS - 1 {
             let greeting = PeerMessage {
                 report: None,
--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -69,9 +69,17 @@
     const TICKS_PER_SEED: u32 = 16;
 
     /// Sets the address and data centre of this router, and the first routers to contact.
-    pub fn start(&mut self, own: Contact, seeds: Vec<SocketAddr>) {
-        self.seeds = seeds.into_iter().filter(|seed| *seed != own.address).collect();
+    pub fn start(&mut self, own: Contact, seeds: &[SocketAddr]) {
         self.own = Some(own);
+        self.set_seeds(seeds);
+    }
+
+    /// Replaces the first routers to contact. All routers receive reports on the same port; a seed
+    /// names another port of its VM.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let Some(Contact { address: own, .. }) = self.own else { return };
+        let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
+        self.seeds = seeds.filter(|seed| *seed != own).collect();
     }
 
     /// Returns the reports of the other routers.
@@ -87,8 +95,12 @@
     /// Returns the number of routers among which an allowance of the fleet is divided, while none of
     /// them may take a part that is not its own; none if others are configured and none was heard yet.
     pub fn known_routers(&self, now: Time) -> Option<usize> {
-        let others = self.peers.most_known(now);
-        (others > 0 || self.seeds.is_empty()).then(|| Peers::assumed_fleet(others))
+        self.knows_fleet().then(|| Peers::assumed_fleet(self.peers.most_known(now)))
+    }
+
+    /// Returns whether another router was heard, or none is configured.
+    pub fn knows_fleet(&self) -> bool {
+        self.seeds.is_empty() || self.peers.has_known_any()
     }
 
     /// Returns the part of this router in the exchange.
--- a/sapphirespur_core/src/edge/exchange/members.rs
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -118,6 +118,11 @@
         self.by_router.retain(|_, member| now.since(member.heard_at) < Self::MEMBER_TTL);
     }
 
+    /// Returns whether no other router is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_router.is_empty()
+    }
+
     /// Returns the number of routers that were heard recently.
     pub fn count(&self, now: Time) -> usize {
         self.recent(now).count()
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -114,6 +114,11 @@
         others + 2
     }
 
+    /// Returns whether another router was heard lately.
+    pub(super) fn has_known_any(&self) -> bool {
+        self.most.0 > 0 || !self.members.is_empty()
+    }
+
     /// Returns the largest number of other routers in a time that is longer than they may be cut off.
     pub(super) fn most_known(&self, now: Time) -> usize {
         self.count(now).max(self.most.0)
--- a/sapphirespur_core/src/edge/placement/cold_limit.rs
+++ b/sapphirespur_core/src/edge/placement/cold_limit.rs
@@ -14,7 +14,7 @@
     /// This router's share of the limits.
     pub share: FleetShare<'a>,
     /// Whether the settle time after the start is over, in which the reports of other routers
-    /// arrive.
+    /// arrive, and some have if others are configured.
     pub is_settled: bool,
 }
 
--- a/sapphirespur_core/src/edge/placement/fleet_share.rs
+++ b/sapphirespur_core/src/edge/placement/fleet_share.rs
@@ -27,7 +27,7 @@
 
     /// Returns the number of routers among which the limit is divided.
     pub fn routers(&self, now: Time) -> usize {
-        *self.routers.get_or_init(|| self.peers.assumed_routers(now))
+        *self.routers.get_or_init(|| Peers::assumed_fleet(self.peers.most_known(now)))
     }
 
     /// Returns whether this router is among the first `count` ones for the upstream `key`, where a
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -220,7 +220,7 @@
             settings: &self.settings,
             spec: spec.as_ref(),
             share: FleetShare::new(self.exchange.peers(), self.name_hash, own_requests),
-            is_settled: self.settled_at <= now,
+            is_settled: self.settled_at <= now && self.exchange.knows_fleet(),
         };
         let filter = Filter { now, request, cold_limit };
         selection.fill(&filter, self.registry.upstreams_mut());
--- a/sapphirespur_core/src/edge/router/reports.rs
+++ b/sapphirespur_core/src/edge/router/reports.rs
@@ -27,11 +27,16 @@
 
     /// Sets the address of this router for the exchange of reports, and the first routers to
     /// contact.
-    pub fn start_exchange(&mut self, address: SocketAddr, seeds: Vec<SocketAddr>) {
+    pub fn start_exchange(&mut self, address: SocketAddr, seeds: &[SocketAddr]) {
         let data_centre = Shares::name_hash(&self.settings.data_centre);
         self.exchange.start(Contact { router: self.name_hash(), address, data_centre }, seeds);
     }
 
+    /// Replaces the first routers to contact.
+    pub fn update_seeds(&mut self, seeds: &[SocketAddr]) {
+        self.exchange.set_seeds(seeds);
+    }
+
     /// Returns the messages to the other routers that are due.
     pub fn exchange_messages(&mut self, now: Time) -> Vec<OutgoingMessage> {
         let report = self.report(now);
--- a/sapphirespur_core/tests/edge/cold_return.rs
+++ b/sapphirespur_core/tests/edge/cold_return.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use sapphirespur_core::edge::{DeclineReason, Router, SendOutcome, WindowLimiter};
+use sapphirespur_core::edge::{DeclineReason, Router, SendOutcome, UpstreamEntry, WindowLimiter};
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
+use crate::fleet::{Fleet, SETTLED, STEP, node_address};
 use crate::support::{ALLOWANCE, COLD_PER_S, OVERSHOOT, START, call, entry, ms, router};
 
 /// Maximum number of requests to a cold upstream in any second.
@@ -122,6 +123,59 @@
     assert!(router.admit(START + ms(1_300), &call("w", 1, 10, 10)).is_ok());
 }
 
+/// Sends as many requests as a fleet admits to a cold upstream for `span`; returns the largest number in
+/// one second.
+fn max_of_fleet(fleet: &mut Fleet, span: Duration) -> usize {
+    let cold = UpstreamEntry { cold: span + STEP, started_ms: Some(2), ..entry("u0", 8_000) };
+    for node in &mut fleet.nodes {
+        assert!(node.router.registry_mut().apply_upstream(fleet.now, cold.clone()));
+    }
+    let end = fleet.now + span;
+    let mut sent = Vec::new();
+    while fleet.now < end {
+        fleet.step();
+        for node in &mut fleet.nodes {
+            if let Ok(placement) = node.router.admit(fleet.now, &call("w", 1, 10, 10)) {
+                sent.push(fleet.now);
+                node.router.finish(fleet.now, &placement.request, SendOutcome::Answered);
+            }
+        }
+    }
+    max_per_second(&sent)
+}
+
+// FAILBACK: routers whose seeds are stale take half of the limit each, also after the settings have the
+// right ones.
+#[test]
+fn routers_with_stale_seeds_keep_the_cold_limit_and_find_each_other_later() {
+    let mut fleet = Fleet::start_with_upstreams(4, 1, 1);
+    let right: Vec<_> = fleet.nodes.iter().map(|node| node.address).collect();
+    for node in &mut fleet.nodes {
+        node.router.start_exchange(node.address, &[node_address(100)]);
+        node.router.start(fleet.now);
+    }
+    fleet.run(SETTLED);
+    assert_eq!(max_of_fleet(&mut fleet, Duration::from_secs(3)), 0);
+
+    fleet.nodes.iter_mut().for_each(|node| node.router.update_seeds(&right));
+    fleet.run(SETTLED);
+    for node in &fleet.nodes {
+        assert_eq!(node.router.peers().count(fleet.now), 3);
+    }
+}
+
+// FAILBACK: routers that are cut off forget each other after a while, and then take half of the limit each.
+#[test]
+fn routers_that_lose_each_other_keep_the_cold_limit() {
+    let mut fleet = Fleet::start_with_upstreams(4, 1, 1);
+    fleet.run(SETTLED);
+    fleet.cut.insert((0, 0));
+    fleet.run(Duration::from_secs(32));
+    let max = max_of_fleet(&mut fleet, Duration::from_secs(3));
+    assert!(max <= MAX_PER_SECOND, "{max} in one second, {MAX_PER_SECOND} allowed");
+    assert!(max > 0, "a cold upstream is used");
+}
+
 #[test]
 fn decline_at_the_cold_limit_has_the_reason_cold() {
     let mut router = router("r", 1);
--- a/sapphirespur_core/tests/edge/fleet.rs
+++ b/sapphirespur_core/tests/edge/fleet.rs
@@ -36,7 +36,8 @@
     upstreams: u16,
 }
 
-fn node_address(index: usize) -> SocketAddr {
+/// Returns the address of a node.
+pub fn node_address(index: usize) -> SocketAddr {
     ([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7_400).into()
 }
 
@@ -75,9 +76,9 @@
                 .registry_mut()
                 .apply_upstream(now, entry(&format!("u{upstream}"), 8_000 + upstream));
         }
-        let seeds = (0..3).map(node_address).collect();
+        let seeds: Vec<SocketAddr> = (0..3).map(node_address).collect();
         let address = node_address(index);
-        router.start_exchange(address, seeds);
+        router.start_exchange(address, &seeds);
         let due = now + ms(index as u64 * 7 % 150);
         Node { router, address, data_centre, due, is_alive: true }
     }
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -88,10 +88,7 @@
 
     let (stream_lookups, lookup_requests) = stream_lookups::StreamLookups::new();
     let cx = Rc::new(Shared::new(settings, dialect, stream_lookups));
-    // All routers receive reports on the same port; a seed names another port of its VM.
-    let seeds = cx.settings().seeds.clone();
-    let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own_address.port())).collect();
-    cx.router.borrow_mut().start_exchange(own_address, seeds);
+    cx.router.borrow_mut().start_exchange(own_address, &cx.settings().seeds);
     log::info!(
         http = local_address(&http)?.to_string().as_str(),
         ready = local_address(&ready)?.to_string().as_str(),
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -152,9 +152,11 @@
         Rc::clone(&self.settings.borrow())
     }
 
-    /// Applies reloaded settings; addresses and names keep their values until a restart.
+    /// Applies reloaded settings; own addresses and names keep their values until a restart.
     pub fn set_settings(&self, settings: EdgeSettings) {
-        self.router.borrow_mut().update_settings(&settings.decisions);
+        let mut router = self.router.borrow_mut();
+        router.update_settings(&settings.decisions);
+        router.update_seeds(&settings.seeds);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
