--- a/sapphirespur_core/benches/scene/relay.rs
+++ b/sapphirespur_core/benches/scene/relay.rs
@@ -25,7 +25,7 @@
         let now = Time::from_micros(1_000_000_000);
         for own in &contacts {
             let mut exchange = Exchange::default();
-            exchange.start(*own, Vec::new());
+            exchange.start(*own, &[]);
             let others = contacts.iter().filter(|contact| contact.router != own.router);
             for other in others.clone() {
                 exchange.peers_mut().members_mut().on_heard(now, other.router, Some(*other));
--- a/sapphirespur_core/src/edge/retry_budget.rs
+++ b/sapphirespur_core/src/edge/retry_budget.rs
@@ -24,7 +24,7 @@
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
     fleet: FleetRetries,
-    /// Retries spent since [`take_counts`](Self::take_counts).
+    /// Retries spent since [`reset_counts`](Self::reset_counts).
     spent: u64,
     /// Retries that were not allowed since then.
     refused: u64,
@@ -93,9 +93,14 @@
         self.refused += 1;
     }
 
-    /// Returns the retries that were spent and those that were not allowed since the last call.
-    pub fn take_counts(&mut self) -> (u64, u64) {
-        (std::mem::take(&mut self.spent), std::mem::take(&mut self.refused))
+    /// Returns the retries that were spent and those that were not allowed since the last reset.
+    pub fn counts(&self) -> (u64, u64) {
+        (self.spent, self.refused)
+    }
+
+    /// Resets what was spent and not allowed.
+    pub fn reset_counts(&mut self) {
+        (self.spent, self.refused) = (0, 0);
     }
 
     /// Spends one retry. Returns whether the portion of this process allowed it.
--- a/sapphirespur_core/src/edge/retry_status.rs
+++ b/sapphirespur_core/src/edge/retry_status.rs
@@ -22,8 +22,8 @@
     pub portion: RetryPortion,
     /// Retries that this router's portion still allows.
     pub left: usize,
-    /// Retries spent since the last call that took them.
+    /// Retries spent since the counts were reset.
     pub spent: u64,
-    /// Retries that the budget did not allow since the last call that took them.
+    /// Retries that the budget did not allow since the counts were reset.
     pub refused: u64,
 }
--- a/sapphirespur_core/src/edge/router.rs
+++ b/sapphirespur_core/src/edge/router.rs
@@ -187,14 +187,19 @@
         &mut self.quarantine
     }
 
-    /// Returns the state of the retry budgets, and resets what was spent and refused.
-    pub fn take_retry_statuses(&mut self, now: Time) -> Vec<RetryStatus> {
+    /// Resets the counts of retries that were spent and refused.
+    pub fn reset_retry_counts(&mut self) {
+        self.retry_budgets.values_mut().for_each(RetryBudget::reset_counts);
+    }
+
+    /// Returns the state of the retry budgets.
+    pub fn retry_statuses(&mut self, now: Time) -> Vec<RetryStatus> {
         let limits = self.settings.retries;
         let portion = self.retry_portion(now);
         let peers = self.exchange.peers();
         let status = |(service, budget): (&Name, &mut RetryBudget)| {
             let others = peers.demand(now, Shares::name_hash(service));
-            let (spent, refused) = budget.take_counts();
+            let (spent, refused) = budget.counts();
             RetryStatus {
                 service: service.clone(),
                 requests: budget.requests(now, limits),
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -17,8 +17,8 @@
 use prometheus_client::registry::Registry;
 
 use sapphirespur_core::collections::HashSet;
-use sapphirespur_core::edge::RetryStatus;
 
+use super::retry_metrics::RetryMetrics;
 use super::rollout_metrics::RolloutMetrics;
 use super::shared::Shared;
 
@@ -48,12 +48,6 @@
     workspace: String,
 }
 
-/// Name of a service as a label.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct ServiceLabel {
-    service: String,
-}
-
 /// Name of a route as a label.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabel {
@@ -95,10 +89,7 @@
     buffered_bytes: Gauge,
     unread_bytes: Gauge,
     unread_responses: Family<KindLabel, Counter>,
-    retries_left: Family<ServiceLabel, Gauge>,
-    retries: Family<ServiceLabel, Counter>,
-    refused_retries: Family<ServiceLabel, Counter>,
-    others_retries: Family<ServiceLabel, Gauge>,
+    retries: RetryMetrics,
     cached_segments: Gauge,
     quarantined_segments: Gauge,
     quarantined_requests: Gauge,
@@ -139,10 +130,7 @@
             buffered_bytes: Gauge::default(),
             unread_bytes: Gauge::default(),
             unread_responses: Family::default(),
-            retries_left: Family::default(),
-            retries: Family::default(),
-            refused_retries: Family::default(),
-            others_retries: Family::default(),
+            retries: RetryMetrics::default(),
             cached_segments: Gauge::default(),
             quarantined_segments: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -183,18 +171,7 @@
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered_bytes.clone());
         r.register("unread_bytes", "Bytes that wait for clients", metrics.unread_bytes.clone());
         r.register("unread", "Answers that were not read", metrics.unread_responses.clone());
-        r.register("repeats_left", "Repeats this router has left", metrics.retries_left.clone());
-        r.register("repeats", "Repeats", metrics.retries.clone());
-        r.register(
-            "refused_repeats",
-            "Repeats that the budget refused",
-            metrics.refused_retries.clone(),
-        );
-        r.register(
-            "others_repeats",
-            "Recent repeats of the other routers, as they report",
-            metrics.others_retries.clone(),
-        );
+        metrics.retries.register(r);
         r.register("kept_parts", "Prompt parts taken for kept", metrics.cached_segments.clone());
         r.register(
             "quarantined_parts",
@@ -321,13 +298,9 @@
         self.unread_responses.get_or_create(&KindLabel { kind }).inc();
     }
 
-    /// Records the state of the retry budget of a service, and counts what was spent and refused.
-    pub fn record_retries(&self, status: &RetryStatus) {
-        let label = ServiceLabel { service: status.service.to_string() };
-        self.retries_left.get_or_create(&label).set(status.left as i64);
-        self.others_retries.get_or_create(&label).set(i64::from(status.others_retries));
-        self.retries.get_or_create(&label).inc_by(status.spent);
-        self.refused_retries.get_or_create(&label).inc_by(status.refused);
+    /// Returns the metrics of the retry budgets.
+    pub fn retries(&self) -> &RetryMetrics {
+        &self.retries
     }
 
     /// Counts suppressed log lines.
@@ -380,7 +353,7 @@
 
     fn update_gauges(&self, cx: &Shared) {
         let now = cx.now();
-        let router = cx.router.borrow();
+        let mut router = cx.router.borrow_mut();
         self.upstreams.clear();
         for upstream in router.registry().upstreams().iter() {
             let condition = upstream.condition(now).as_str();
@@ -400,6 +373,7 @@
         self.quarantined_requests.set(requests as i64);
         self.quarantined_segments.set((quarantined.len() - requests) as i64);
         self.rollouts.update(&router.rollouts().summaries(now));
+        router.retry_statuses(now).iter().for_each(|status| self.retries.set(status));
 
         self.config_version.set(router.registry().table().map_or(0, |table| table.version as i64));
         let age =
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -26,6 +26,7 @@
 mod registry_sync;
 pub mod registry_thread;
 pub mod response;
+mod retry_metrics;
 mod rollout_keeper;
 mod rollout_keys;
 mod rollout_log;
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -80,9 +80,10 @@
 
 /// Counts the retries of the last second, and logs what allowed or refused them.
 fn record_retries(cx: &Shared, now: Time) {
-    let statuses = cx.router.borrow_mut().take_retry_statuses(now);
+    let statuses = cx.router.borrow_mut().retry_statuses(now);
+    cx.router.borrow_mut().reset_retry_counts();
     for status in statuses {
-        cx.metrics.record_retries(&status);
+        cx.metrics.retries().count(&status);
         if status.spent == 0 && status.refused == 0 {
             continue;
         }
