--- a/sapphirespur_core/src/edge/departed.rs
+++ b/sapphirespur_core/src/edge/departed.rs
@@ -12,7 +12,7 @@
 struct Departure {
     entry: UpstreamEntry,
     /// Whether the instance has said in a response that it leaves.
-    has_said_so: bool,
+    is_announced: bool,
     at: Time,
 }
 
@@ -28,9 +28,10 @@
     /// is executed seconds late at most.
     const TTL: Duration = Duration::from_secs(60);
 
-    /// Records that an upstream has left; `has_said_so` is whether it has said so in a response.
-    pub fn record(&mut self, now: Time, entry: UpstreamEntry, has_said_so: bool) {
-        self.by_id.insert(entry.id.clone(), Departure { entry, has_said_so, at: now });
+    /// Records that an upstream has left; `is_announced` is whether it has said so in a
+    /// response.
+    pub fn record(&mut self, now: Time, entry: UpstreamEntry, is_announced: bool) {
+        self.by_id.insert(entry.id.clone(), Departure { entry, is_announced, at: now });
     }
 
     /// Forgets an upstream that is back.
@@ -46,7 +47,7 @@
             let last = &departure.entry;
             let is_old = entry.precedes(last)
                 || is_from_copy && !last.precedes(entry)
-                || departure.has_said_so && entry.started_ms.is_some();
+                || departure.is_announced && entry.started_ms.is_some();
             last.started_after(entry) || entry.is_same_instance(last) && is_old
         })
     }
--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -92,8 +92,8 @@
         &mut self.peers
     }
 
-    /// Returns the number of routers among which an allowance of the fleet is divided, while none of
-    /// them may take a part that is not its own; none if others are configured and none was heard yet.
+    /// Returns the number of routers among which an allowance is divided that no router may exceed
+    /// while it is cut off; none if other routers are configured and none was heard yet.
     pub fn known_routers(&self, now: Time) -> Option<usize> {
         self.knows_fleet().then(|| Peers::assumed_fleet(self.peers.most_known(now)))
     }
--- a/sapphirespur_core/src/edge/peers.rs
+++ b/sapphirespur_core/src/edge/peers.rs
@@ -109,7 +109,8 @@
         Self::assumed_fleet(self.count(now))
     }
 
-    /// Returns the assumed number of routers where `others` are known.
+    /// Returns the number of routers where `others` are known: those, this one, and one that may not
+    /// have been discovered yet.
     pub(super) fn assumed_fleet(others: usize) -> usize {
         others + 2
     }
@@ -119,7 +120,7 @@
         self.most.0 > 0 || !self.members.is_empty()
     }
 
-    /// Returns the largest number of other routers in a time that is longer than they may be cut off.
+    /// Returns the largest recent number of other routers, those that may be cut off included.
     pub(super) fn most_known(&self, now: Time) -> usize {
         self.count(now).max(self.most.0)
     }
--- a/sapphirespur_core/src/edge/retry_portion.rs
+++ b/sapphirespur_core/src/edge/retry_portion.rs
@@ -15,8 +15,8 @@
     /// Fraction for a process that has run for a window of the limits.
     const ESTABLISHED: f64 = 0.75;
 
-    /// Fraction for a process in its first window, which still has what an earlier process on the VM
-    /// has spent. What requests earn in it adds up to no more than this over several such processes.
+    /// Fraction for a process in its first window: what an earlier process on the VM has spent may be in
+    /// that window, too. Requests earn no more than this in it, however often the process restarts.
     const STARTING: f64 = 1.0 - Self::ESTABLISHED;
 
     /// Creates the portion of one of `routers` routers, for a process that has run for a window of the
