--- a/sapphirespur_core/src/edge/report_store.rs
+++ b/sapphirespur_core/src/edge/report_store.rs
@@ -121,9 +121,8 @@
     /// without recent sums.
     pub fn is_relay_fresh(&self, now: Time) -> Option<bool> {
         let sums = self.by_source.get(&ReportSource::Fleet)?;
-        let age = (now + Self::SUMS_TTL).since(sums.expires_at);
 
-        (age < Self::REPORT_TTL).then_some(sums.report.is_registry_fresh)
+        (now.since(sums.received_at) < Self::REPORT_TTL).then_some(sums.report.is_registry_fresh)
     }
 
     /// Returns the router with the newest registry version, if it is newer than `version`.
