Streams: the order of events keeps whether it is broken

The relay had a flag of its own beside EventOrder, set at one exit and reset at another. One owner now, and one place that returns the error.

--- a/sapphirespur_core/src/edge/event_order.rs
+++ b/sapphirespur_core/src/edge/event_order.rs
@@ -18,6 +18,8 @@
     passed_on: Option<u64>,
     /// Last event of the current upstream.
     received: Option<u64>,
+    /// Whether an event of the current upstream was out of order.
+    is_broken: bool,
 }
 
 impl EventOrder {
@@ -26,7 +28,7 @@
 
     /// Creates the order of a stream of which the client has the events up to `passed_on`.
     pub fn new(passed_on: Option<u64>) -> Self {
-        Self { passed_on, received: None }
+        Self { passed_on, ..Self::default() }
     }
 
     /// Returns the last event that the client has.
@@ -34,9 +36,14 @@
         self.passed_on
     }
 
+    /// Returns whether an event of the current upstream was out of order; nothing after it is of use.
+    pub fn is_broken(&self) -> bool {
+        self.is_broken
+    }
+
     /// Begins the events of another upstream, which may repeat some.
     pub fn on_new_upstream(&mut self) {
-        self.received = None;
+        *self = Self::new(self.passed_on);
     }
 
     /// Returns what to do with the next event of the current upstream.
@@ -44,20 +51,27 @@
     /// An event that is not above the last one is repeated only as part of an unbroken series: a single
     /// one has a wrong identifier, and its content would be lost.
     pub fn check(&mut self, id: u64) -> EventVerdict {
-        if self.received.is_some_and(|received| received.checked_add(1) != Some(id)) {
+        let verdict = self.judge(id);
+        match verdict {
+            EventVerdict::PassOn => self.passed_on = Some(id),
+            EventVerdict::Repeated => {}
+            EventVerdict::OutOfOrder => self.is_broken = true,
+        }
+        self.received = Some(id);
+        verdict
+    }
+
+    fn judge(&self, id: u64) -> EventVerdict {
+        let follows = self.received.is_none_or(|received| received.checked_add(1) == Some(id));
+        if self.is_broken || !follows {
             return EventVerdict::OutOfOrder;
         }
 
-        let verdict = match self.passed_on {
+        match self.passed_on {
             None if id <= Self::MAX_FIRST_ID => EventVerdict::PassOn,
             Some(last) if id <= last => EventVerdict::Repeated,
             Some(last) if id - 1 == last => EventVerdict::PassOn,
-            _ => return EventVerdict::OutOfOrder,
-        };
-        self.received = Some(id);
-        if verdict == EventVerdict::PassOn {
-            self.passed_on = Some(id);
+            _ => EventVerdict::OutOfOrder,
         }
-        verdict
     }
 }
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -37,8 +37,6 @@
     /// Counts the bytes of incomplete events.
     buffer: BufferGuard,
     order: EventOrder,
-    /// Whether an event of the current upstream is out of order; those before it are passed on.
-    is_out_of_order: bool,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
     last_received: Time,
     /// Time at which events were last passed on; absent while the client waits for the next ones.
@@ -64,7 +62,6 @@
         passed_on_at: None,
         last_progress: call.arrived_at,
         order: EventOrder::new(call.head.last_event_id),
-        is_out_of_order: false,
         buffer: BufferGuard::for_response(&cx),
         cx,
         call,
--- a/sapphirespur_node/src/edge/stream/relay.rs
+++ b/sapphirespur_node/src/edge/stream/relay.rs
@@ -80,21 +80,15 @@
     ///
     /// Returns an error when the next event is out of order.
     fn take_events(&mut self) -> Result<Option<Bytes>, SendOutcome> {
-        if self.is_out_of_order {
-            return Err(SendOutcome::Broken);
-        }
         let mut first: Option<Bytes> = None;
         let mut rest = BytesMut::new();
         let mut count = 0;
-        while let Some(event) = self.events.next_event() {
+        while !self.order.is_broken()
+            && let Some(event) = self.events.next_event()
+        {
             match event.id.map(|id| self.order.check(id)) {
                 None | Some(EventVerdict::PassOn) => {}
-                Some(EventVerdict::Repeated) => continue,
-                Some(EventVerdict::OutOfOrder) if count == 0 => return Err(SendOutcome::Broken),
-                Some(EventVerdict::OutOfOrder) => {
-                    self.is_out_of_order = true;
-                    break;
-                }
+                Some(EventVerdict::Repeated | EventVerdict::OutOfOrder) => continue,
             }
             count += 1;
             match &first {
@@ -103,7 +97,9 @@
             }
         }
 
-        let Some(first) = first else { return Ok(None) };
+        let Some(first) = first else {
+            return if self.order.is_broken() { Err(SendOutcome::Broken) } else { Ok(None) };
+        };
         self.last_progress = self.cx.now();
         if let Some(reservation) = &mut self.reservation {
             reservation.on_events(count);
@@ -181,7 +177,6 @@
         self.finish(outcome, false);
         self.events = EventBuffer::default();
         self.order.on_new_upstream();
-        self.is_out_of_order = false;
         if placement.is_none() || self.start(placement).await.is_err() {
             self.log_aborted(outcome.as_str());
             // Events that were just passed on are written before the connection is closed.
