--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -2,6 +2,9 @@
 //!
 //! It writes raw bytes to the connection, because HTTP libraries cannot write malformed responses.
 
+mod event_stream;
+mod response;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
@@ -13,6 +16,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
+use self::event_stream::write_event_stream;
+use self::response::{write_refusal, write_response, write_without_end};
 use super::behaviour::Behaviour;
 use super::received_request::ReceivedRequest;
 use super::running_request::RunningRequest;
@@ -334,23 +339,16 @@
     }
     match state.behaviour.get() {
         Behaviour::Full => {
-            let headers = format!("{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\n");
-            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            write_refusal(stream, &id_header).await?;
             Ok(true)
         }
         Behaviour::PauseRequested(millis) => {
             let seconds = millis as f64 / 1_000.0;
-            let headers = format!(
-                "{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\nRetry-After: {seconds}\r\n"
-            );
-            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            write_refusal(stream, &format!("{id_header}Retry-After: {seconds}\r\n")).await?;
             Ok(true)
         }
         Behaviour::LeavingAndFull => {
-            let headers = format!(
-                "{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
-            );
-            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            write_refusal(stream, &format!("{id_header}Server-Leaving: 1\r\n")).await?;
             Ok(true)
         }
         Behaviour::Misdirected => {
@@ -402,15 +400,13 @@
         Behaviour::DelayedExtraRefusal(millis) => {
             write_response(stream, "200 OK", &signed, &format!("answer to {id}")).await?;
             tokio::time::sleep(Duration::from_millis(millis)).await;
-            let headers = format!("{id_header}X-Sapphirespur-Request-Not-Executed: 1\r\n");
-            write_response(stream, "503 Service Unavailable", &headers, "").await?;
+            write_refusal(stream, &id_header).await?;
             Ok(true)
         }
         Behaviour::RefusalTwice(millis) => {
-            let headers = "X-Sapphirespur-Request-Not-Executed: 1\r\n";
-            write_response(stream, "503 Service Unavailable", headers, "").await?;
+            write_refusal(stream, "").await?;
             tokio::time::sleep(Duration::from_millis(millis)).await;
-            write_response(stream, "503 Service Unavailable", headers, "").await?;
+            write_refusal(stream, "").await?;
             Ok(true)
         }
         Behaviour::DelayedResponse(millis) if !is_stream => {
@@ -441,133 +437,3 @@
         }
     }
 }
-
-/// Writes the first piece, and then the second one again and again until the connection is closed.
-async fn write_without_end(
-    stream: &mut TcpStream,
-    (first, repeated): (String, String),
-    pause: Duration,
-) -> io::Result<bool> {
-    /// Repetitions that are written at once without a pause.
-    const REPETITIONS: usize = 128;
-
-    stream.write_all(first.as_bytes()).await?;
-    let piece = repeated.repeat(if pause.is_zero() { REPETITIONS } else { 1 });
-    loop {
-        stream.write_all(piece.as_bytes()).await?;
-        // Also lets other tasks run.
-        tokio::time::sleep(pause).await;
-    }
-}
-
-/// Writes a response with a content length.
-async fn write_response(
-    stream: &mut TcpStream,
-    status: &str,
-    headers: &str,
-    body: &str,
-) -> io::Result<()> {
-    let length = body.len();
-    let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
-    stream.write_all(text.as_bytes()).await
-}
-
-/// Number of the first events that [`Behaviour::WrongEventId`] sends at once.
-const EVENTS_AT_ONCE: u64 = 6;
-
-/// Writes the events after the client's `Last-Event-ID`, each after a pause; returns whether the connection stays open.
-async fn write_event_stream(
-    state: &State,
-    stream: &mut TcpStream,
-    request: &ReceivedRequest,
-    signed: &str,
-    pause: Duration,
-) -> io::Result<bool> {
-    let is_framed = !matches!(
-        state.behaviour.get(),
-        Behaviour::UnframedStream
-            | Behaviour::UnframedEmptyStream
-            | Behaviour::UnframedStreamCutAfter(_)
-    );
-    let framing = if is_framed { "Transfer-Encoding: chunked\r\n" } else { "" };
-    let head =
-        format!("HTTP/1.1 200 OK\r\n{signed}Content-Type: text/event-stream\r\n{framing}\r\n");
-    // The head leaves with the first event.
-    if !pause.is_zero() {
-        tokio::time::sleep(pause).await;
-    }
-    stream.write_all(head.as_bytes()).await?;
-    if state.crashes_under(request) {
-        // The head leaves before the process ends.
-        tokio::time::sleep(CRASH_DELAY).await;
-        state.crash();
-        return Ok(false);
-    }
-    let last_received: u64 =
-        request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let last_event = match state.behaviour.get() {
-        Behaviour::LargeEvents(_) | Behaviour::Trickle(_) => u64::MAX,
-        Behaviour::Paced { events, .. } => events,
-        _ => Runner::EVENTS_PER_STREAM,
-    };
-    let wrong_id = match state.behaviour.get() {
-        Behaviour::WrongEventId { event, id } => Some((event, id)),
-        _ => None,
-    };
-    let mut held_back = String::new();
-    for id in last_received + 1..=last_event {
-        if !pause.is_zero() && id > last_received + 1 {
-            tokio::time::sleep(pause).await;
-        }
-        match state.behaviour.get() {
-            Behaviour::CloseAfter(count) if id > count => {
-                write_chunk(stream, &format!("id: {id}\nda")).await?;
-                return Ok(false);
-            }
-            Behaviour::UnframedStreamCutAfter(count) if id > count => {
-                stream.write_all(format!("id: {id}\nda").as_bytes()).await?;
-                return Ok(false);
-            }
-            Behaviour::UnframedEmptyStream => return Ok(false),
-            Behaviour::MissingEvent if id == 5 => continue,
-            Behaviour::Trickle(millis) if id > 3 => {
-                tokio::time::sleep(Duration::from_millis(millis)).await;
-                write_chunk(stream, ":").await?;
-                continue;
-            }
-            Behaviour::Paced { pause_ms: millis, .. } | Behaviour::SlowEvents(millis) => {
-                tokio::time::sleep(Duration::from_millis(millis)).await
-            }
-            _ => {}
-        }
-        let padding = match state.behaviour.get() {
-            Behaviour::LargeEvents(bytes) | Behaviour::Paced { padding: bytes, .. } => {
-                "x".repeat(bytes)
-            }
-            _ => String::new(),
-        };
-        let told_id = wrong_id.filter(|(event, _)| *event == id).map_or(id, |(_, told)| told);
-        let event = format!("{held_back}id: {told_id}\ndata: token {id}{padding}\n\n");
-        if wrong_id.is_some() && id < EVENTS_AT_ONCE {
-            held_back = event;
-            continue;
-        }
-        held_back.clear();
-        if is_framed {
-            write_chunk(stream, &event).await?;
-        } else {
-            stream.write_all(event.as_bytes()).await?;
-        }
-    }
-
-    if !is_framed {
-        return Ok(false);
-    }
-    stream.write_all(b"0\r\n\r\n").await?;
-    Ok(true)
-}
-
-/// Writes a chunk of the chunked transfer encoding.
-async fn write_chunk(stream: &mut TcpStream, text: &str) -> io::Result<()> {
-    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await
-}
