Streams: content without a number is not passed on as an event

The event is passed on as if it had none; the next one is taken for a gap and the stream goes on elsewhere with the event once more, or, where it was the last one, the stream ends as complete without it. The same rule let the text and the head of an error through.

On these routes each event has an increasing id (PROTOCOL.md, "streaming").

Change: the kind of a part is an enum (core::edge::EventId). Comments and `retry` fields are no event and are passed on; content without a number is out of order, so what comes before it is passed on, and the stream goes on elsewhere or is cut.

--- a/sapphirespur_core/src/edge/event_order.rs
+++ b/sapphirespur_core/src/edge/event_order.rs
@@ -1,5 +1,7 @@
 //! Order of the events of a stream by their identifiers, over several upstreams.
 
+use super::event_id::EventId;
+
 /// What to do with an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum EventVerdict {
@@ -49,8 +51,17 @@
     /// Returns what to do with the next event of the current upstream.
     ///
     /// An event that is not above the last one is repeated only as part of an unbroken series: a single
-    /// one has a wrong identifier, and its content would be lost.
-    pub fn check(&mut self, id: u64) -> EventVerdict {
+    /// one has a wrong identifier, and its content would be lost. Content without a number is out of order:
+    /// it may be an event whose identifier is spoilt, or the text of an error.
+    pub fn check(&mut self, id: EventId) -> EventVerdict {
+        let id = match id {
+            EventId::Number(id) => id,
+            EventId::NoEvent if !self.is_broken => return EventVerdict::PassOn,
+            EventId::NoEvent | EventId::Unknown => {
+                self.is_broken = true;
+                return EventVerdict::OutOfOrder;
+            }
+        };
         let verdict = self.judge(id);
         match verdict {
             EventVerdict::PassOn => self.passed_on = Some(id),
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -8,6 +8,7 @@
 mod call_info;
 mod change_log;
 mod departed;
+mod event_id;
 mod event_order;
 mod exchange;
 mod fleet_retries;
@@ -77,6 +78,7 @@
 pub use backoff::Backoff;
 pub use call_info::CallInfo;
 pub use change_log::ChangeLog;
+pub use event_id::EventId;
 pub use event_order::{EventOrder, EventVerdict};
 pub use exchange::{
     Contact, Exchange, ExchangeRole, FleetNews, HeardContact, Members, MessageExtension, News,
--- a/sapphirespur_core/tests/edge/event_order.rs
+++ b/sapphirespur_core/tests/edge/event_order.rs
@@ -1,12 +1,12 @@
 //! Events with wrong identifiers neither take intact ones along nor end a stream as complete.
 
-use sapphirespur_core::edge::{EventOrder, EventVerdict};
+use sapphirespur_core::edge::{EventId, EventOrder, EventVerdict};
 
 /// Returns the events that are passed on of one upstream, and whether all of them were in order.
 fn pass_on(order: &mut EventOrder, ids: &[u64]) -> (Vec<u64>, bool) {
     let mut passed = Vec::new();
     for id in ids {
-        match order.check(*id) {
+        match order.check(EventId::Number(*id)) {
             EventVerdict::PassOn => passed.push(*id),
             EventVerdict::Repeated => {}
             EventVerdict::OutOfOrder => return (passed, false),
@@ -46,6 +46,27 @@
     event_after_the_largest_identifier_is_out_of_order: Some(u64::MAX - 1), [u64::MAX, 0] => [u64::MAX], false;
 }
 
+// ORDER, MIXED: an event whose number is spoilt is passed on as a part without one, and the stream ends as
+// complete, or the text of an error is passed on.
+#[test]
+fn content_without_a_number_is_out_of_order() {
+    let mut order = EventOrder::default();
+    assert_eq!(order.check(EventId::Number(1)), EventVerdict::PassOn);
+    assert_eq!(order.check(EventId::Unknown), EventVerdict::OutOfOrder);
+    assert_eq!(order.check(EventId::NoEvent), EventVerdict::OutOfOrder);
+    assert_eq!((order.passed_on(), order.is_broken()), (Some(1), true));
+}
+
+// Guards against a stream that is cut for a comment that keeps its connection open.
+#[test]
+fn comment_is_passed_on_between_events() {
+    let mut order = EventOrder::default();
+    for id in [EventId::NoEvent, EventId::Number(1), EventId::NoEvent, EventId::Number(2)] {
+        assert_eq!(order.check(id), EventVerdict::PassOn);
+    }
+    assert_eq!(order.passed_on(), Some(2));
+}
+
 properties! {
     // ORDER: whatever upstreams send, the client gets each event once and none is missing.
     fn client_gets_an_unbroken_series(upstreams: Vec<Vec<u8>>) -> bool {
--- a/sapphirespur_node/src/edge/event_buffer.rs
+++ b/sapphirespur_node/src/edge/event_buffer.rs
@@ -1,14 +1,15 @@
 //! Splitting of a server-sent event stream into complete events.
 
 use bytes::{Bytes, BytesMut};
+use sapphirespur_core::edge::EventId;
 
 /// Complete server-sent event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
     /// Bytes of the event, including the blank line that ends it.
     pub bytes: Bytes,
-    /// Number from the `id` field; absent when there is none or it is not a number.
-    pub id: Option<u64>,
+    /// Number from the `id` field.
+    pub id: EventId,
 }
 
 /// Buffer of received bytes from which complete events are taken.
@@ -66,10 +67,20 @@
     }
 }
 
-fn event_id(bytes: &[u8]) -> Option<u64> {
-    bytes
-        .split(|byte| *byte == b'\n')
+/// Returns the number in the first `id` field, or whether the lines are no event.
+fn event_id(bytes: &[u8]) -> EventId {
+    let mut lines = bytes.split(|byte| *byte == b'\n');
+    if lines.clone().all(is_no_content) {
+        return EventId::NoEvent;
+    }
+    lines
         .find_map(|line| line.strip_prefix(b"id:"))
         .and_then(|value| std::str::from_utf8(value).ok())
         .and_then(|value| value.trim().parse().ok())
+        .map_or(EventId::Unknown, EventId::Number)
+}
+
+/// Returns whether a line is blank, a comment or a delay of the client's next connection.
+fn is_no_content(line: &[u8]) -> bool {
+    matches!(line, [] | b"\r" | [b':', ..]) || line.starts_with(b"retry:")
 }
--- a/sapphirespur_node/src/edge/stream/relay.rs
+++ b/sapphirespur_node/src/edge/stream/relay.rs
@@ -86,9 +86,9 @@
         while !self.order.is_broken()
             && let Some(event) = self.events.next_event()
         {
-            match event.id.map(|id| self.order.check(id)) {
-                None | Some(EventVerdict::PassOn) => {}
-                Some(EventVerdict::Repeated | EventVerdict::OutOfOrder) => continue,
+            match self.order.check(event.id) {
+                EventVerdict::PassOn => {}
+                EventVerdict::Repeated | EventVerdict::OutOfOrder => continue,
             }
             count += 1;
             match &first {
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -67,6 +67,8 @@
         /// Identifier that it gets.
         id: u64,
     },
+    /// Spoils the identifier of this event of a stream, so that it is no number.
+    SpoiltEventId(u64),
     /// Waits this many milliseconds before each event.
     SlowEvents(u64),
     /// Sends streams of `events` events with a pause before each.
--- a/sapphirespur_standin/src/users_platform/runner/event_stream.rs
+++ b/sapphirespur_standin/src/users_platform/runner/event_stream.rs
@@ -86,7 +86,8 @@
             _ => String::new(),
         };
         let told_id = wrong_id.filter(|(event, _)| *event == id).map_or(id, |(_, told)| told);
-        let event = format!("{held_back}id: {told_id}\ndata: token {id}{padding}\n\n");
+        let spoilt = if state.behaviour.get() == Behaviour::SpoiltEventId(id) { "x" } else { "" };
+        let event = format!("{held_back}id: {spoilt}{told_id}\ndata: token {id}{padding}\n\n");
         if wrong_id.is_some() && id < EVENTS_AT_ONCE {
             held_back = event;
             continue;
