Streams: only the rest of a stream goes on with it

The client finds the error's text or head in its stream, or the stream ends as complete without events 5 to 10 (ORDER, MIXED).

Cause: StreamRelay::start took any signed 2xx for the rest of the stream, and read_body any end of a body without bytes left for its end.

Change: the client's head (status, media type) is kept, and a success of another kind is a failed send. An upstream that goes on ends the stream only with its last event being the last one that the client has (EventOrder::may_end); an empty rest proves nothing, and the client can take the stream up itself. There the same holds where the runner sends events; an empty stream stays complete, as a client that has all events gets it, if it is a framed event stream.

--- a/sapphirespur_core/src/edge/event_order.rs
+++ b/sapphirespur_core/src/edge/event_order.rs
@@ -22,6 +22,8 @@
     received: Option<u64>,
     /// Whether an event of the current upstream was out of order.
     is_broken: bool,
+    /// Whether the current upstream goes on with the stream of another one.
+    is_continuation: bool,
 }
 
 impl EventOrder {
@@ -45,7 +47,24 @@
 
     /// Begins the events of another upstream, which may repeat some.
     pub fn on_new_upstream(&mut self) {
-        *self = Self::new(self.passed_on);
+        *self = Self { is_continuation: true, ..Self::new(self.passed_on) };
+    }
+
+    /// Returns whether the current upstream has sent no event.
+    pub fn is_without_events(&self) -> bool {
+        self.received.is_none()
+    }
+
+    /// Returns whether the end of the current upstream's response may be the end of the stream.
+    ///
+    /// Its last event has to be the last one that the client has. An upstream that goes on with a stream has to
+    /// send that one or those after it: an empty response may as well be an error, and the client can ask for
+    /// the rest itself.
+    pub fn may_end(&self) -> bool {
+        match self.received {
+            Some(_) => self.received == self.passed_on,
+            None => !self.is_continuation,
+        }
     }
 
     /// Returns what to do with the next event of the current upstream.
--- a/sapphirespur_core/tests/edge/event_order.rs
+++ b/sapphirespur_core/tests/edge/event_order.rs
@@ -67,6 +67,41 @@
     assert_eq!(order.passed_on(), Some(2));
 }
 
+macro_rules! ends {
+    ($($name:ident: $ids:expr => $may_end:expr;)*) => {$(
+        // ORDER: an empty or wrong response of the upstream that goes on ends the stream as complete.
+        #[test]
+        fn $name() {
+            let mut order = EventOrder::new(Some(4));
+            order.on_new_upstream();
+            pass_on(&mut order, &$ids);
+            assert_eq!(order.may_end(), $may_end);
+        }
+    )*};
+}
+
+ends! {
+    continuation_without_an_event_is_not_complete: [] => false;
+    continuation_that_repeats_only_earlier_events_is_not_complete: [1, 2, 3] => false;
+    continuation_that_repeats_all_events_is_complete: [1, 2, 3, 4] => true;
+    continuation_that_goes_on_is_complete: [5, 6] => true;
+    continuation_with_a_gap_is_not_complete: [5, 7] => false;
+}
+
+// ORDER: a stream that a client takes up ends as complete before the events that the client has.
+#[test]
+fn stream_that_a_client_takes_up_does_not_end_among_its_events() {
+    let mut order = EventOrder::new(Some(4));
+    pass_on(&mut order, &[1, 2, 3]);
+    assert!(!order.may_end());
+}
+
+// Guards against a stream that a client takes up after its last event and never sees complete.
+#[test]
+fn stream_that_a_client_takes_up_after_its_last_event_may_be_empty() {
+    assert!(EventOrder::new(Some(4)).may_end());
+}
+
 properties! {
     // ORDER: whatever upstreams send, the client gets each event once and none is missing.
     fn client_gets_an_unbroken_series(upstreams: Vec<Vec<u8>>) -> bool {
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -3,6 +3,7 @@
 mod log_lines;
 mod relay;
 mod start;
+pub mod stream_head;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
+use self::stream_head::StreamHead;
 use super::buffered::SendHistory;
 use super::event_buffer::EventBuffer;
 use super::guards::{BufferGuard, MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
@@ -33,6 +35,8 @@
     reservation: Option<UpstreamReservation>,
     /// Response of the current upstream; absent between two upstreams.
     upstream_response: Option<Box<UpstreamResponse>>,
+    /// Head that the client has; absent before it.
+    head: Option<StreamHead>,
     events: EventBuffer,
     /// Counts the bytes of incomplete events.
     buffer: BufferGuard,
@@ -68,6 +72,7 @@
         sends: SendHistory::default(),
         reservation: None,
         upstream_response: None,
+        head: None,
         events: EventBuffer::default(),
         first_event_after: None,
         has_record: false,
--- a/sapphirespur_node/src/edge/stream/relay.rs
+++ b/sapphirespur_node/src/edge/stream/relay.rs
@@ -129,8 +129,9 @@
             return ReadOutcome::Lost(SendOutcome::Broken);
         };
         // A stream that the client resumes after its last event is empty.
-        let is_cut = self.order.passed_on().is_none()
+        let is_cut = self.order.is_without_events()
             && self.reservation.as_ref().is_some_and(UpstreamReservation::is_cut_unbegun);
+        let may_end = self.order.may_end();
         let read_timeout = if may_resume { left.min(MIN_IDLE_TIMEOUT) } else { left };
         match timeout(read_timeout, upstream_response.body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -144,6 +145,9 @@
                 }
                 ReadOutcome::Continue
             }
+            Ok(None) if self.events.is_empty() && !may_end => {
+                ReadOutcome::Lost(SendOutcome::Broken)
+            }
             Ok(None) if self.events.is_empty() && !is_cut => ReadOutcome::End,
             Ok(Some(Err(_)) | None) => ReadOutcome::Lost(SendOutcome::Disconnected),
             Err(_) if self.call.time_left(self.cx.now()).is_zero() => ReadOutcome::TimedOut,
--- a/sapphirespur_node/src/edge/stream/start.rs
+++ b/sapphirespur_node/src/edge/stream/start.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use hyper::http::response::Parts;
 use sapphirespur_core::edge::{
     Admission, BeginVerdict, DeclineReason, Placement, SendOutcome, SendRecord, StreamSend,
 };
@@ -13,6 +14,7 @@
 use super::super::send::{SendResult, send};
 use super::super::stream_origins;
 use super::StreamRelay;
+use super::stream_head::StreamHead;
 
 impl StreamRelay {
     /// Sends the call until an upstream responds with a stream; `first` is the first placement, if
@@ -59,6 +61,12 @@
             )
             .await;
             let (outcome, may_have_run) = match sent {
+                SendResult::Response(upstream_response)
+                    if upstream_response.parts.status.is_success()
+                        && !self.is_continued_by(&upstream_response.parts) =>
+                {
+                    (SendOutcome::Broken, true)
+                }
                 SendResult::Response(upstream_response)
                     if upstream_response.parts.status.is_success() =>
                 {
@@ -68,6 +76,8 @@
                         BeginVerdict::PassOn => {
                             self.bind(reservation.version().clone());
                             self.reservation = Some(reservation);
+                            self.head
+                                .get_or_insert_with(|| StreamHead::new(&upstream_response.parts));
                             self.upstream_response = Some(upstream_response);
                             return Ok(());
                         }
@@ -115,6 +125,25 @@
         }
     }
 
+    /// Returns whether the response of an upstream that succeeded may go on with the stream; any success may
+    /// begin one.
+    fn is_continued_by(&self, parts: &Parts) -> bool {
+        let head = StreamHead::new(parts);
+        let is_continued = match &self.head {
+            Some(begun) => head == *begun,
+            None => self.call.head.last_event_id.is_none() || head.may_go_on(),
+        };
+        if !is_continued && self.cx.may_log_failure() {
+            log::warn!(
+                request = self.call.head.attempt_id.as_str(),
+                response = head.to_string().as_str(),
+                after_event = self.order.passed_on().unwrap_or_default();
+                "response does not go on with the stream"
+            );
+        }
+        is_continued
+    }
+
     /// Binds the stream to a version: what two versions generate does not fit together.
     pub(super) fn bind(&mut self, version: Name) {
         self.call.info.version = Some(version);
--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -1,6 +1,7 @@
 //! Ways in which the stand-in of a runner responds.
 
 use super::endless_part::EndlessPart;
+use super::resumption::Resumption;
 
 /// Way in which a runner responds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -9,6 +10,14 @@
     Normal,
     /// Closes the connection within the event that follows this event number.
     CloseAfter(u64),
+    /// Closes the connection within the event that follows event `break_after`, and gives this response to a
+    /// stream that goes on.
+    BreaksAndResumesAs {
+        /// Number of the last event of a new stream.
+        break_after: u64,
+        /// Response to a stream that goes on.
+        resumption: Resumption,
+    },
     /// Runs the request and closes the connection without a response.
     DropResponse,
     /// Refuses with 503 and marks the request as not executed, as a runner at capacity does.
--- a/sapphirespur_standin/src/users_platform/runner/event_stream.rs
+++ b/sapphirespur_standin/src/users_platform/runner/event_stream.rs
@@ -22,6 +22,12 @@
     signed: &str,
     pause: Duration,
 ) -> io::Result<bool> {
+    if let Behaviour::BreaksAndResumesAs { resumption, .. } = state.behaviour.get()
+        && request.header("last-event-id").is_some()
+    {
+        stream.write_all(resumption.text(signed).as_bytes()).await?;
+        return Ok(false);
+    }
     let is_framed = !matches!(
         state.behaviour.get(),
         Behaviour::UnframedStream
@@ -59,7 +65,10 @@
             tokio::time::sleep(pause).await;
         }
         match state.behaviour.get() {
-            Behaviour::CloseAfter(count) if id > count => {
+            Behaviour::CloseAfter(count)
+            | Behaviour::BreaksAndResumesAs { break_after: count, .. }
+                if id > count =>
+            {
                 write_chunk(stream, &format!("id: {id}\nda")).await?;
                 return Ok(false);
             }
@@ -100,7 +109,7 @@
         }
     }
 
-    if !is_framed {
+    if !is_framed || matches!(state.behaviour.get(), Behaviour::BreaksAndResumesAs { .. }) {
         return Ok(false);
     }
     stream.write_all(b"0\r\n\r\n").await?;
