--- a/sapphirespur_standin/src/users_platform/behaviour.rs
+++ b/sapphirespur_standin/src/users_platform/behaviour.rs
@@ -1,7 +1,7 @@
 //! Ways in which the stand-in of a runner responds.
 
 use super::endless_part::EndlessPart;
-use super::resumption::Resumption;
+use super::resumption::{Framing, Resumption};
 
 /// Way in which a runner responds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,6 +18,15 @@
         /// Response to a stream that goes on.
         resumption: Resumption,
     },
+    /// Sends this many bytes of a response with all headers, and then closes or resets the connection.
+    CutAt {
+        /// Number of bytes.
+        bytes: usize,
+        /// Framing of the body.
+        framing: Framing,
+        /// Whether the connection is reset.
+        is_reset: bool,
+    },
     /// Runs the request and closes the connection without a response.
     DropResponse,
     /// Refuses with 503 and marks the request as not executed, as a runner at capacity does.
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
@@ -20,6 +21,7 @@
 use self::response::{write_refusal, write_response, write_without_end};
 use super::behaviour::Behaviour;
 use super::received_request::ReceivedRequest;
+use super::resumption::Resumption;
 use super::running_request::RunningRequest;
 use super::version_fault::VersionFault;
 
@@ -29,6 +31,9 @@
 /// Time from the head of a response to a crash under it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
+/// Time from the last bytes of a response to the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(1);
+
 /// State that the connections share.
 #[derive(Debug)]
 struct State {
@@ -94,6 +99,12 @@
     /// Number of events in a complete stream.
     pub const EVENTS_PER_STREAM: u64 = 10;
 
+    /// Body of a stream with [`Behaviour::CutAt`].
+    pub const TWO_EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+    /// Other body with [`Behaviour::CutAt`].
+    pub const TWO_LINES: &str = "first line\nsecond line\n";
+
     /// End of the path of requests under which a runner crashes with [`Behaviour::CrashOnPath`].
     pub const HARMFUL_PATH: &str = "/harmful";
 
@@ -363,6 +374,22 @@
             write_response(stream, "500 Internal Server Error", &signed, "failed").await?;
             Ok(true)
         }
+        Behaviour::CutAt { bytes, framing, is_reset } => {
+            let response = Resumption {
+                status: "200 OK",
+                headers: if is_stream { "Content-Type: text/event-stream\r\n" } else { "" },
+                body: if is_stream { Runner::TWO_EVENTS } else { Runner::TWO_LINES },
+                framing,
+            };
+            let text = response.text(&signed);
+            stream.write_all(&text.as_bytes()[..bytes.min(text.len())]).await?;
+            if is_reset {
+                // What was sent arrives before the reset, which would discard it.
+                tokio::time::sleep(RESET_DELAY).await;
+                SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+            }
+            Ok(false)
+        }
         Behaviour::DropResponse => Ok(false),
         Behaviour::CrashOnPath if request.is_harmful() => {
             tokio::time::sleep(CRASH_DELAY).await;
