Stops: requests that are left get a final answer before the process exits

With a grace period of 2 s, all of it but the margin is spent taking requests, and the last ones are cut after some 0.2 s (LOST).

Cause: what the process took was not bound by its own end. The deadline of a request was the client's, at the end of the grace period the process exited with what was in flight, and the time in which requests are taken was fixed.

Change: the times of a stop are a schedule in the core (StopSchedule): taking ends after 2.5 s, or half of the time that there is; 250 ms before the exit each request that is still served gets its answer: 503 where it has not run (RunState counts sends whose upstream has not said so), 504 where it may have; streams that have begun end as broken. From the signal on, a request's deadline is at most that time, so upstreams learn of it and what can't be served by then is refused at arrival.

--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -41,6 +41,7 @@
 mod rollout_scene;
 mod rollout_store;
 mod routes;
+mod stop_schedule;
 mod stream_origins;
 mod stream_scene;
 mod stream_store;
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -17,6 +17,7 @@
 use super::hop_headers;
 use super::lazy_identity::LazyIdentity;
 use super::response::{ClientResponse, ErrorResponse};
+use super::run_state::RunState;
 use super::send::Call;
 use super::shared::{Phase, Shared};
 use super::{buffered, stream};
@@ -36,7 +37,6 @@
 
 /// Handles a request and returns its response.
 pub(super) async fn handle(cx: Rc<Shared>, req: Request<Incoming>) -> ClientResponse {
-    let mut request_guard = RequestGuard::new(&cx);
     let (mut parts, body) = req.into_parts();
     let head = match cx.dialect.parse_request_head(&parts.headers) {
         Ok(head) => head,
@@ -53,7 +53,35 @@
     }
     hop_headers::remove_hop_by_hop(&mut parts.headers);
     let id = head.attempt_id.clone();
-    match route_request(&cx, parts, head, body, &mut request_guard).await {
+    let run_state = Rc::new(RunState::default());
+    tokio::select! {
+        biased;
+        response = serve(Rc::clone(&cx), parts, head, body, Rc::clone(&run_state)) => response,
+        () = cx.answers_due.wait() => {
+            let error = if run_state.may_have_run() {
+                ErrorResponse::TimedOut
+            } else {
+                ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER)
+            };
+            if cx.may_log_failure() {
+                log::warn!(request = id.as_str(), status = error.status().as_u16(); "request ended by the stop");
+            }
+            error.into_response(&*cx.dialect, &id)
+        }
+    }
+}
+
+/// Serves a request until its response begins.
+async fn serve(
+    cx: Rc<Shared>,
+    parts: Parts,
+    head: RequestHead,
+    body: Incoming,
+    run_state: Rc<RunState>,
+) -> ClientResponse {
+    let mut request_guard = RequestGuard::new(&cx);
+    let id = head.attempt_id.clone();
+    match route_request(&cx, parts, head, body, run_state, &mut request_guard).await {
         Ok(call) if call.route.kind.is_stream() => stream::respond(cx, call, request_guard).await,
         Ok(call) => buffered::respond(&cx, call).await,
         Err(error) => {
@@ -78,6 +106,7 @@
     parts: Parts,
     head: RequestHead,
     body: Incoming,
+    run_state: Rc<RunState>,
     request_guard: &mut RequestGuard,
 ) -> Result<Call, ErrorResponse> {
     let arrived_at = cx.now();
@@ -95,7 +124,10 @@
     let workspace_hash = workspace.map_or(0, Shares::name_hash);
     let client_timeout = head.remaining.unwrap_or(route.timeout);
     let waited = cx.overload.borrow().waiting_time(arrived_at);
-    let remaining = client_timeout.min(route.timeout).saturating_sub(waited);
+    let mut remaining = client_timeout.min(route.timeout).saturating_sub(waited);
+    if let Some(stop) = cx.stop.get() {
+        remaining = remaining.min(stop.answer_by.since(arrived_at));
+    }
     if let Some(retry_after) = check_overload(cx, workspace_hash, remaining) {
         let mut router = cx.router.borrow_mut();
         router.record_refused(arrived_at, &route.name, workspace, head.prompt.as_ref());
@@ -128,7 +160,17 @@
     if cx.router.borrow().quarantine().watches_requests() {
         info.identity = Some(identity.get());
     }
-    Ok(Call { parts, head, body, route: route.clone(), info, identity, arrived_at, deadline })
+    Ok(Call {
+        parts,
+        head,
+        body,
+        route: route.clone(),
+        info,
+        identity,
+        run_state,
+        arrived_at,
+        deadline,
+    })
 }
 
 /// Returns the time after which the client should retry if this router is short of processor time for
--- a/sapphirespur_node/src/edge/lifecycle.rs
+++ b/sapphirespur_node/src/edge/lifecycle.rs
@@ -5,17 +5,12 @@
 use std::time::Duration;
 
 use actix_rt::signal::unix::{Signal, SignalKind, signal};
+use sapphirespur_core::edge::StopSchedule;
+use sapphirespur_core::time::Time;
 
 use super::shared::{Phase, Shared};
 use super::ticker::reload;
 
-/// Time after a stop signal in which the load balancer still opens connections: it checks readiness
-/// once a second and acts on two consecutive responses.
-const BALANCER_DETECTION_DELAY: Duration = Duration::from_millis(2_500);
-
-/// Time by which the process exits before the end of its grace period, when it would be killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
-
 /// Interval between checks for requests still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -53,17 +48,17 @@
             }
         }
 
+        let stop = StopSchedule::new(cx.now(), cx.settings().limits.grace);
+        cx.stop.set(Some(stop));
         log::info!(in_flight = cx.in_flight.get(); "draining");
         cx.phase.set(Phase::Draining);
-        let drain_started = cx.now();
-        let grace = cx.settings().limits.grace.saturating_sub(EXIT_MARGIN);
-        tokio::time::sleep(BALANCER_DETECTION_DELAY.min(grace)).await;
+        tokio::time::sleep(stop.refuse_at.since(cx.now())).await;
 
         cx.phase.set(Phase::Closing);
         cx.closing.notify_waiters();
         log::info!(in_flight = cx.in_flight.get(); "closing");
-        let is_in_time = || cx.now().since(drain_started) < grace;
-        while cx.in_flight.get() > 0 && is_in_time() {
+        let is_before = |time: Time| cx.now() < time;
+        while cx.in_flight.get() > 0 && is_before(stop.answer_by) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
 
@@ -71,7 +66,15 @@
         cx.stop_accepting.notify_one();
         cx.closing.notify_waiters();
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        while cx.connections.get() > 0 && is_in_time() {
+        while cx.connections.get() > 0 && is_before(stop.answer_by) {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+
+        if cx.connections.get() > 0 {
+            log::warn!(in_flight = cx.in_flight.get(), connections = cx.connections.get(); "last answers");
+        }
+        cx.answers_due.send();
+        while cx.connections.get() > 0 && is_before(stop.exit_at) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     }
--- a/sapphirespur_node/src/edge/response.rs
+++ b/sapphirespur_node/src/edge/response.rs
@@ -19,6 +19,9 @@
     /// The upstream failed and no other upstream could resume the stream.
     #[error("upstream connection lost")]
     UpstreamLost,
+    /// The process stops.
+    #[error("stopping")]
+    Stopping,
     /// The deadline of the request passed.
     #[error("request timed out")]
     TimedOut,
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -20,6 +20,7 @@
 use super::hop_headers;
 use super::lazy_identity::LazyIdentity;
 use super::pool::PoolKey;
+use super::run_state::RunState;
 use super::shared::Shared;
 
 /// Time within which a connection to an upstream must open.
@@ -51,6 +52,8 @@
     pub info: CallInfo,
     /// Identity of the request.
     pub identity: Rc<LazyIdentity>,
+    /// Whether the request may have run.
+    pub run_state: Rc<RunState>,
     /// Time at which the head was received.
     pub arrived_at: Time,
     /// Time by which the response must end.
@@ -193,11 +196,29 @@
     }
 
     let req = call.request(cx, placement, last_event_id);
+    call.run_state.on_send();
+    let result = exchange(cx, call, connection, key, req, reservation, head_timeout).await;
+    if matches!(result, SendResult::NotRun(_)) {
+        call.run_state.on_not_run();
+    }
+    result
+}
+
+/// Sends a request on a connection and waits at most `head_timeout` for the response head.
+async fn exchange(
+    cx: &Rc<Shared>,
+    call: &Call,
+    mut connection: HttpConnection,
+    key: PoolKey,
+    req: Request<Full<Bytes>>,
+    reservation: &mut UpstreamReservation,
+    head_timeout: Duration,
+) -> SendResult {
     let response = match timeout(head_timeout, connection.send(req)).await {
         Ok(Ok(response)) => response,
         Ok(Err(e)) if e.is_canceled() => return SendResult::NotRun(SendOutcome::Broken),
         Ok(Err(e)) => {
-            cx.pool.borrow_mut().close(placement.address);
+            cx.pool.borrow_mut().close(key.address);
             let outcome =
                 if e.is_parse() { SendOutcome::Broken } else { SendOutcome::Disconnected };
             return SendResult::Unknown(outcome);
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use sapphirespur_core::edge::{
-    ChangeLog, OverloadGuard, PauseDetector, RegistryVersion, Router, RouterSettings,
+    ChangeLog, OverloadGuard, PauseDetector, RegistryVersion, Router, RouterSettings, StopSchedule,
 };
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
@@ -15,6 +15,7 @@
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
 use super::pool::Pool;
+use super::stop_signal::StopSignal;
 use super::stream_lookups::StreamLookups;
 use super::workspace_counts::WorkspaceCounts;
 use crate::clock::{Clock, time_since_boot, wall_us};
@@ -69,6 +70,10 @@
     pub overload: RefCell<OverloadGuard>,
     /// Current phase of the process.
     pub phase: Cell<Phase>,
+    /// Times of the graceful stop; absent before one.
+    pub stop: Cell<Option<StopSchedule>>,
+    /// Sent when requests that are still served get their final answer, before the process exits.
+    pub answers_due: StopSignal,
     /// Number of requests being served.
     pub in_flight: Cell<usize>,
     /// Number of open client connections.
@@ -133,6 +138,8 @@
             pool: RefCell::default(),
             overload: RefCell::default(),
             phase: Cell::new(Phase::Serving),
+            stop: Cell::new(None),
+            answers_due: StopSignal::default(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -21,7 +21,7 @@
 use super::event_buffer::EventBuffer;
 use super::guards::{BufferGuard, MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
 use super::hop_headers;
-use super::response::{ClientResponse, ResponseBody};
+use super::response::{AbortReason, ClientResponse, ResponseBody};
 use super::send::{Call, UpstreamResponse};
 use super::shared::Shared;
 use super::stream_origins;
@@ -107,7 +107,13 @@
 
         let frames = stream::unfold(Some(self), |relay| async move {
             let mut relay = relay?;
-            match relay.next_bytes().await {
+            let cx = Rc::clone(&relay.cx);
+            let next = tokio::select! {
+                biased;
+                next = relay.next_bytes() => next,
+                () = cx.answers_due.wait() => Err(AbortReason::Stopping),
+            };
+            match next {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
                 Ok(None) => None,
                 Err(e) => Some((Err(e), None)),
