Fleet-wide limits: parts of the fleet that never met share them

Each part of the fleet divides the limit of a cold upstream among its own: 20 to 24 requests in one second of 17 allowed with two parts of two, three and six routers, and the parts of the allowance of retries add up to 1.71 of it. Nothing had to be wrong with the settings.

Change: routers meet by way of a seed, so each part but a router's own has a seed that this router has not heard of. Limits of cold upstreams and the allowance of retries are divided by one more than such seeds (exchange::Seeds). A seed counts as heard once another router has told of it, also when it falls silent later. Where a seed is gone for good, a router that starts has a half or a third of its part until the settings name another one.

Limits that upstreams name keep their part: requests that fit are not to be refused for a seed that is gone (docs/design/fleet-wide-limits.md, open).

--- a/sapphirespur_core/src/edge/exchange/exchange.rs
+++ b/sapphirespur_core/src/edge/exchange/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::edge::exchange::{
-    Contact, ExchangeRole, News, OutgoingMessage, PeerMessage, ReportScope,
+    Contact, ExchangeRole, News, OutgoingMessage, PeerMessage, ReportScope, Seeds,
 };
 use crate::edge::report_store::ReportSource;
 use crate::edge::{FleetNews, PeerReport, Peers, RelayView};
@@ -17,8 +17,7 @@
     peers: Peers,
     /// This router; none before it is set, as long as reports are exchanged without messages.
     own: Option<Contact>,
-    /// Addresses of the first routers to contact.
-    seeds: Vec<SocketAddr>,
+    seeds: Seeds,
     role: Option<ExchangeRole>,
     own_report: PeerReport,
     /// News for the next messages.
@@ -79,7 +78,7 @@
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
         let Some(Contact { address: own, .. }) = self.own else { return };
         let seeds = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), own.port()));
-        self.seeds = seeds.filter(|seed| *seed != own).collect();
+        self.seeds.replace(seeds.filter(|seed| *seed != own));
     }
 
     /// Returns the reports of the other routers.
@@ -95,7 +94,14 @@
     /// Returns the number of routers among which an allowance is divided that no router may exceed
     /// while it is cut off; none if other routers are configured and none was heard yet.
     pub fn known_routers(&self, now: Time) -> Option<usize> {
-        self.knows_fleet().then(|| Peers::assumed_fleet(self.peers.most_known(now)))
+        let assumed = Peers::assumed_fleet(self.peers.most_known(now));
+        self.knows_fleet().then_some(assumed * self.possible_parts())
+    }
+
+    /// Returns the largest number of parts of the fleet that never met, among which limits are divided that no
+    /// part may exceed by itself.
+    pub fn possible_parts(&self) -> usize {
+        self.seeds.possible_parts()
     }
 
     /// Returns whether another router was heard, or none is configured.
@@ -154,6 +160,7 @@
         self.peers.expire(now);
         self.peers.members_mut().expire(now);
         self.peers.remember_count(now);
+        self.seeds.record_heard(self.peers.members());
         self.watch_relay(now);
         self.update_role(now, &own);
         self.peers.choose_reports(now, self.role() == ExchangeRole::Relay);
@@ -422,10 +429,10 @@
 
         let is_alone = self.peers.members().count(now) == 0;
         let turn = self.ticks / Self::TICKS_PER_SEED;
-        let seeds = if is_alone || self.role() == ExchangeRole::Mesh {
-            self.seeds.clone()
+        let seeds: Vec<SocketAddr> = if is_alone || self.role() == ExchangeRole::Mesh {
+            self.seeds.addresses().collect()
         } else if self.ticks.is_multiple_of(Self::TICKS_PER_SEED) {
-            vec![self.seeds[turn as usize % self.seeds.len()]]
+            self.seeds.in_turn(turn).into_iter().collect()
         } else {
             return Vec::new();
         };
--- a/sapphirespur_core/src/edge/exchange/members.rs
+++ b/sapphirespur_core/src/edge/exchange/members.rs
@@ -1,6 +1,7 @@
 //! Routers of the fleet, and which of them relay reports.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::edge::exchange::{Contact, HeardContact, take_in_turn};
@@ -142,6 +143,12 @@
         self.recent(now).filter(|(router, _)| weight(**router) > own).count()
     }
 
+    /// Returns whether a router at an address is known.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        let mut contacts = self.by_router.values().filter_map(|member| member.contact);
+        contacts.any(|contact| contact.address == address)
+    }
+
     /// Returns the contact of a router.
     pub fn contact(&self, router: u64) -> Option<Contact> {
         self.by_router.get(&router).and_then(|member| member.contact)
--- a/sapphirespur_core/src/edge/exchange/mod.rs
+++ b/sapphirespur_core/src/edge/exchange/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod message_extension;
 mod news;
+mod seeds;
 mod turns;
 
 pub use contact::{Contact, HeardContact};
@@ -20,4 +21,5 @@
 pub use message::{OutgoingMessage, PeerMessage, ReportScope};
 pub use message_extension::MessageExtension;
 pub use news::News;
+pub use seeds::Seeds;
 pub(crate) use turns::take_in_turn;
--- a/sapphirespur_core/src/edge/placement/fleet_share.rs
+++ b/sapphirespur_core/src/edge/placement/fleet_share.rs
@@ -2,7 +2,7 @@
 
 use std::cell::OnceCell;
 
-use crate::edge::{Peers, Shares};
+use crate::edge::{Exchange, Peers, Shares};
 use crate::name::Name;
 use crate::time::Time;
 
@@ -15,14 +15,22 @@
     own_hash: u64,
     /// Requests for the service at this router.
     own_requests: usize,
+    /// Largest number of parts of the fleet that never met.
+    parts: usize,
     /// Number of routers among which the limit is divided.
     routers: OnceCell<usize>,
 }
 
 impl<'a> FleetShare<'a> {
     /// Creates the share of the router with hash `own_hash`, which had `own_requests` for the service.
-    pub fn new(peers: &'a Peers, own_hash: u64, own_requests: usize) -> Self {
-        Self { peers, own_hash, own_requests, routers: OnceCell::new() }
+    pub fn new(exchange: &'a Exchange, own_hash: u64, own_requests: usize) -> Self {
+        let (peers, parts) = (exchange.peers(), exchange.possible_parts());
+        Self { peers, own_hash, own_requests, parts, routers: OnceCell::new() }
+    }
+
+    /// Returns what of a limit may be spent by the routers that this one knows.
+    pub fn of_known(&self, limit: f64) -> f64 {
+        limit / self.parts as f64
     }
 
     /// Returns the number of routers among which the limit is divided.
--- a/sapphirespur_core/src/edge/router/placement.rs
+++ b/sapphirespur_core/src/edge/router/placement.rs
@@ -219,7 +219,7 @@
         let cold_limit = ColdLimit {
             settings: &self.settings,
             spec: spec.as_ref(),
-            share: FleetShare::new(self.exchange.peers(), self.name_hash, own_requests),
+            share: FleetShare::new(&self.exchange, self.name_hash, own_requests),
             is_settled: self.settled_at <= now && self.exchange.knows_fleet(),
         };
         let filter = Filter { now, request, cold_limit };
--- a/sapphirespur_core/tests/edge/cold_return.rs
+++ b/sapphirespur_core/tests/edge/cold_return.rs
@@ -6,7 +6,7 @@
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
-use crate::fleet::{Fleet, SETTLED, STEP, node_address};
+use crate::fleet::{Fleet, Node, SETTLED, STEP, node_address};
 use crate::support::{ALLOWANCE, COLD_PER_S, OVERSHOOT, START, call, entry, ms, router};
 
 /// Maximum number of requests to a cold upstream in any second.
@@ -176,6 +176,48 @@
     assert!(max > 0, "a cold upstream is used");
 }
 
+macro_rules! parts_that_never_met {
+    ($($name:ident: $routers:expr;)*) => {$(
+        // FAILBACK: routers start while a link is cut, and each part divides the limit among its own.
+        #[test]
+        fn $name() {
+            let mut fleet = Fleet::start_with_upstreams($routers, 2, 1);
+            fleet.cut.extend([(0, 1), (1, 0)]);
+            for node in &mut fleet.nodes {
+                node.router.start(fleet.now);
+            }
+            fleet.run(SETTLED);
+            let max = max_of_fleet(&mut fleet, Duration::from_secs(3));
+            assert!(max <= MAX_PER_SECOND, "{max} in one second, {MAX_PER_SECOND} allowed");
+        }
+    )*};
+}
+
+parts_that_never_met! {
+    two_parts_of_two_routers_keep_the_cold_limit: 4;
+    two_parts_of_three_routers_keep_the_cold_limit: 6;
+    two_parts_of_six_routers_keep_the_cold_limit: 12;
+    two_parts_of_twenty_routers_keep_the_cold_limit: 40;
+}
+
+// BUDGET: routers start while a link is cut, and each part divides the allowance of retries among its own.
+#[test]
+fn parts_that_never_met_divide_the_allowance_of_retries() {
+    let mut fleet = Fleet::start_with_upstreams(12, 2, 1);
+    fleet.cut.extend([(0, 1), (1, 0)]);
+    fleet.run(SETTLED);
+    let part =
+        |node: &Node| 1.0 / node.router.exchange().known_routers(fleet.now).expect("known") as f64;
+    let whole: f64 = fleet.nodes.iter().map(part).sum();
+    assert!(whole <= 1.0, "{whole} of the allowance");
+
+    fleet.cut.clear();
+    fleet.run(SETTLED);
+    for node in &fleet.nodes {
+        assert_eq!(node.router.exchange().possible_parts(), 1, "all seeds are heard");
+    }
+}
+
 #[test]
 fn decline_at_the_cold_limit_has_the_reason_cold() {
     let mut router = router("r", 1);
