--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::{Method, Response, StatusCode};
+use hyper::Response;
 use sapphirespur_core::edge::{Admission, Decline, Placement, SendOutcome};
 use sapphirespur_core::name::Name;
 
@@ -261,14 +261,11 @@
     )
     .await
     .map_err(|_| SendOutcome::Broken)??;
-    // The connection may have ended with the head: a whole response without a body says so.
     let parts = &upstream_response.parts;
-    if body.is_empty() && parts.status.is_success() && !hop_headers::is_framed(&parts.headers) {
-        let has_no_body =
-            call.parts.method == Method::HEAD || parts.status == StatusCode::NO_CONTENT;
-        if !has_no_body {
-            return Err(SendOutcome::Disconnected);
-        }
+    if body.is_empty()
+        && hop_headers::has_lost_body(&call.parts.method, parts.status, &parts.headers)
+    {
+        return Err(SendOutcome::Disconnected);
     }
     upstream_response.connection.return_to_pool(cx);
 
--- a/sapphirespur_node/src/edge/hop_headers.rs
+++ b/sapphirespur_node/src/edge/hop_headers.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use hyper::HeaderMap;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::{HeaderMap, Method, StatusCode};
 
 /// Hop-by-hop header for which `hyper` has no constant.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -53,6 +53,13 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Returns whether a success with an empty body has lost it: the connection may have ended with the head, and a
+/// whole response without a body says so.
+pub fn has_lost_body(method: &Method, status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_no_body = method == Method::HEAD || status == StatusCode::NO_CONTENT;
+    status.is_success() && !has_no_body && !is_framed(headers)
+}
+
 /// Returns whether the other end closes the connection after this message.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     headers
--- a/sapphirespur_node/src/sidecar/upstream.rs
+++ b/sapphirespur_node/src/sidecar/upstream.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use tokio_util::codec::{Decoder, LinesCodec};
 
+use crate::edge::hop_headers::has_lost_body;
 use crate::http::header;
 use crate::sidecar::answer_channel::AnswerChannel;
 
@@ -130,12 +131,15 @@
         .to_owned();
     answer.push(FrameBody::Head { status, content_type: content_type.clone() });
     let mut inspector = ResponseInspector::new(call, &content_type);
+    let may_have_lost_body = has_lost_body(&call.method, response.status(), response.headers());
+    let mut is_empty = true;
     loop {
         answer.wait_for_capacity().await;
         let frame = tokio::time::timeout(IDLE_TIMEOUT, response.body_mut().frame()).await;
         match frame {
             Ok(Some(Ok(frame))) => {
                 let Ok(chunk) = frame.into_data() else { continue };
+                is_empty &= chunk.is_empty();
                 let tokens = inspector.on_chunk(&chunk);
                 if tokens > 0 {
                     on_tokens(tokens);
@@ -143,6 +147,9 @@
                 answer.push(FrameBody::Data(chunk.to_vec()));
             }
             Ok(Some(Err(_))) | Err(_) => return UpstreamEvent::Failed(UpstreamFailure::Incomplete),
+            Ok(None) if is_empty && may_have_lost_body => {
+                return UpstreamEvent::Failed(UpstreamFailure::Incomplete);
+            }
             Ok(None) => break,
         }
     }
--- a/sapphirespur_standin/tests/failures.rs
+++ b/sapphirespur_standin/tests/failures.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 use common::{KEY, MODEL, block_on, book, client, eventually, get_json, request_stream, start};
@@ -114,6 +114,83 @@
     });
 }
 
+/// Answers each request on a listener with the first bytes of a response, as many as the request's body says,
+/// and closes the connection.
+fn serve_cut(listener: TcpListener, response: &'static str) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut data = Vec::new();
+            let mut buf = [0; 1024];
+            let text = loop {
+                let count = stream.read(&mut buf).unwrap_or(0);
+                data.extend_from_slice(&buf[..count]);
+                let text = String::from_utf8_lossy(&data);
+                if count == 0 || text.ends_with(" bytes") {
+                    break text.into_owned();
+                }
+            };
+            let body = text.rsplit("\r\n").next().unwrap_or_default();
+            let bytes = body.strip_suffix(" bytes").and_then(|text| text.parse().ok()).unwrap_or(0);
+            // Fails when the sidecar has disconnected.
+            let _ = stream.write_all(&response.as_bytes()[..bytes]);
+        }
+    });
+}
+
+/// Returns the raw response of a router to a call of the service.
+fn read_raw_call(address: &str, body: &str) -> String {
+    let request = format!(
+        "POST /services/registry/x HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).expect("the router listens");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut data = Vec::new();
+    // A connection reset ends the response too, so the error is ignored.
+    let _ = stream.read_to_end(&mut data);
+    String::from_utf8_lossy(&data).into_owned()
+}
+
+macro_rules! cut_upstream_responses {
+    ($($name:ident: $response:expr;)*) => {$(
+        // MIXED: an upstream stops in the middle of its response's head or body, and the caller gets a success that
+        // looks whole.
+        #[test]
+        fn $name() {
+            let mut fleet = start(stringify!($name), Layout::minimal());
+            let address = fleet.router_url(ROUTER).replace("http://", "");
+            for sidecar in fleet.layout.service_names() {
+                let upstream = fleet.standin_url(&sidecar).replace("http://", "");
+                let process = format!("{sidecar}-upstream");
+                fleet.signal(&process, Signal::Kill).expect("the upstream ends");
+                fleet.wait(&process).expect("the upstream has ended");
+                serve_cut(TcpListener::bind(upstream).expect("its port is free"), $response);
+            }
+            let whole = read_raw_call(&address, &format!("{} bytes", $response.len()));
+            let head = $response.find("\r\n\r\n").expect("a head") + 4;
+            // Within the status line, within a header, before the last byte of the head, and after it.
+            for bytes in [8, 20, head - 1, head] {
+                let response = read_raw_call(&address, &format!("{bytes} bytes"));
+                let looks_whole = response.starts_with("HTTP/1.1 200")
+                    && (response.ends_with("\r\n0\r\n\r\n") || response.contains("content-length"));
+                assert!(!looks_whole, "{bytes} bytes: {response}");
+            }
+            assert!(whole.starts_with("HTTP/1.1 200"), "{whole}");
+        }
+    )*};
+}
+
+cut_upstream_responses! {
+    response_with_a_length_that_is_cut_is_not_delivered_as_complete:
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 5\r\n\r\nwhole";
+    response_in_chunks_that_is_cut_is_not_delivered_as_complete:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n";
+    response_without_a_length_that_ends_with_its_head_is_not_delivered_as_complete:
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\nx";
+}
+
 #[test]
 fn stream_is_complete_after_its_sidecar_was_paused() {
     let mut fleet = start("freeze_sidecar", slow_engines());
