--- a/sapphirespur_node/src/router/answer_sender.rs
+++ b/sapphirespur_node/src/router/answer_sender.rs
@@ -98,7 +98,7 @@
     }
 
     /// Ends the request with a refusal, or truncates the answer when it has already started.
-    pub async fn refuse(mut self, refusal: Refusal) {
+    pub async fn refuse(&mut self, refusal: Refusal) {
         match self.start.take() {
             // Sending fails only when the caller disconnected.
             Some(start) => drop(start.send(AnswerStart::Refused(refusal))),
--- a/sapphirespur_node/src/router/control.rs
+++ b/sapphirespur_node/src/router/control.rs
@@ -13,6 +13,7 @@
 use sapphirespur_core::request::{Refusal, RequestId};
 use sapphirespur_core::router::{AttemptEvent, Router, RouterInput, RouterOutput};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
 
 use crate::clock::{Clock, wall_us};
 use crate::daemon::Shutdown;
@@ -48,6 +49,8 @@
     /// Channel on which background tasks send inputs to this thread.
     inputs: UnboundedSender<RouterInput>,
     drained: bool,
+    /// Tells the requests that are left to answer, since the process exits.
+    answers_due: watch::Sender<bool>,
 }
 
 /// Runs a router until it has been asked to shut down and has drained, or the drain timed out.
@@ -72,9 +75,11 @@
     let control_address = bound_address(settings.listen.control, control.local_addr());
     links.accept(control);
 
+    let (answers_due, answers_due_rx) = watch::channel(false);
     let shared = SharedState {
         commands: commands_tx.clone(),
         clock,
+        answers_due: answers_due_rx,
         ready: Arc::new(AtomicBool::new(false)),
         next_id: Arc::new(AtomicU64::new(0)),
         incarnation,
@@ -107,6 +112,7 @@
         watch: ConfigWatch::default(),
         inputs: inputs_tx,
         drained: false,
+        answers_due,
     };
     control.run(commands, inputs, link_events, shutdown).await;
     log::info!("the router stops");
@@ -156,8 +162,8 @@
             let deadline = self.router.next_deadline().unwrap_or_else(|| self.clock.now());
             let wake = self.clock.instant_at(deadline).into();
             if shutdown.is_past_deadline() {
-                log::warn!("drain timed out; remaining requests are aborted");
-                return;
+                log::warn!(requests = self.replies.len(); "drain timed out; remaining requests get their final answer");
+                break;
             }
             tokio::select! {
                 Some(command) = commands.recv() => self.on_command(command),
@@ -168,6 +174,7 @@
             }
         }
 
+        self.answers_due.send_replace(true);
         // Lets the last answers be written out before the process exits.
         tokio::time::sleep(EXIT_DELAY).await;
     }
--- a/sapphirespur_node/src/router/serve.rs
+++ b/sapphirespur_node/src/router/serve.rs
@@ -1,9 +1,11 @@
 //! Task that serves one request, from its receipt to its final answer.
 
+use std::time::Duration;
+
 use awc::Client;
-use sapphirespur_core::request::{AttemptId, RequestHead, RequestId};
+use sapphirespur_core::request::{AttemptId, Refusal, RefusalCode, RequestHead, RequestId};
 use sapphirespur_core::router::{AttemptEvent, Dispatch};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use crate::clock::Clock;
 use crate::router::answer_sender::AnswerSender;
@@ -11,6 +13,9 @@
 use crate::router::command::{Command, Reply};
 use crate::router::parse::UpstreamCall;
 
+/// Time after which a caller whose request was not run may retry it at another router.
+const STOPPED_RETRY: Duration = Duration::from_millis(300);
+
 /// Task that serves one request, in as many attempts as the control thread decides.
 pub(super) struct RequestTask {
     /// HTTP client of the traffic thread.
@@ -25,11 +30,30 @@
     pub request_id: String,
     /// Call that the sidecar sends to the upstream.
     pub call: UpstreamCall,
+    /// Whether requests that are left get their final answer, since the process exits.
+    pub answers_due: watch::Receiver<bool>,
 }
 
 impl RequestTask {
-    /// Serves the request until its answer ends or the caller disconnects.
+    /// Serves the request until its answer ends, the caller disconnects or the process is about to exit.
     pub async fn run(self, head: RequestHead, mut answer: AnswerSender) {
+        let mut may_have_run = false;
+        let mut answers_due = self.answers_due.clone();
+        tokio::select! {
+            () = self.serve(head, &mut answer, &mut may_have_run) => return,
+            // An error means that the control thread has stopped, which happens at process exit, too.
+            _ = answers_due.wait_for(|is_due| *is_due) => {}
+        }
+        let refusal = if may_have_run {
+            Refusal::outcome_unknown(RefusalCode::AnswerLost)
+        } else {
+            Refusal::retryable(RefusalCode::NotReady, STOPPED_RETRY)
+        };
+        answer.refuse(refusal).await;
+    }
+
+    /// Serves the request; keeps up to date whether it may have run.
+    async fn serve(&self, head: RequestHead, answer: &mut AnswerSender, may_have_run: &mut bool) {
         let (reply, mut replies) = mpsc::unbounded_channel();
         self.send_command(Command::Request { id: self.id, head, reply });
 
@@ -43,8 +67,13 @@
             };
             match reply {
                 Some(Reply::Dispatch(dispatch)) => {
-                    if self.attempt(&dispatch, &mut answer).await {
-                        return;
+                    *may_have_run = true;
+                    match self.attempt(&dispatch, answer).await {
+                        AttemptOutcome::Finished | AttemptOutcome::CallerDisconnected => return,
+                        AttemptOutcome::Refused(_) | AttemptOutcome::NeverStarted => {
+                            *may_have_run = answer.has_started();
+                        }
+                        AttemptOutcome::Lost => {}
                     }
                 }
                 Some(Reply::Refuse(refusal)) => {
@@ -57,8 +86,8 @@
         }
     }
 
-    /// Runs one attempt and returns whether the request has ended.
-    async fn attempt(&self, dispatch: &Dispatch, answer: &mut AnswerSender) -> bool {
+    /// Runs one attempt, reports its end to the control thread and returns it.
+    async fn attempt(&self, dispatch: &Dispatch, answer: &mut AnswerSender) -> AttemptOutcome {
         log::debug!(
             request_id = self.request_id.as_str(),
             upstream = dispatch.upstream.as_str(),
@@ -85,11 +114,11 @@
             AttemptOutcome::CallerDisconnected => {
                 self.send_command(Command::Cancelled { id: self.id });
                 attempt.cancel().await;
-                return true;
+                return outcome;
             }
         };
         self.send_attempt_event(dispatch.attempt, event);
-        outcome == AttemptOutcome::Finished
+        outcome
     }
 
     fn send_attempt_event(&self, attempt: AttemptId, event: AttemptEvent) {
--- a/sapphirespur_standin/src/processes/layout.rs
+++ b/sapphirespur_standin/src/processes/layout.rs
@@ -17,6 +17,8 @@
     pub engine: EngineOptions,
     /// Duration of a call at a plain service, in milliseconds.
     pub service_latency_ms: u64,
+    /// Maximum duration of a drain, in seconds.
+    pub drain_s: u64,
 }
 
 impl Default for Layout {
@@ -28,6 +30,7 @@
             services: 1,
             engine: EngineOptions { cold_slots: 2, cold_ms: 1_000, ..EngineOptions::default() },
             service_latency_ms: 5,
+            drain_s: 30,
         }
     }
 }
@@ -42,6 +45,7 @@
             services: 1,
             engine: EngineOptions { cold_slots: 4, ..EngineOptions::default() },
             service_latency_ms: 5,
+            drain_s: 30,
         }
     }
 
--- a/sapphirespur_standin/src/processes/process_fleet.rs
+++ b/sapphirespur_standin/src/processes/process_fleet.rs
@@ -245,7 +245,10 @@
             Some(upstream) => {
                 ("sapphirespur-sidecar", settings::sidecar(name, &listen, upstream, store, vm_list))
             }
-            None => ("sapphirespur-router", settings::router(name, &listen, store, vm_list)),
+            None => (
+                "sapphirespur-router",
+                settings::router(name, &listen, self.layout.drain_s, store, vm_list),
+            ),
         };
         let path = self.dir.join(format!("{name}.ini"));
         fs::write(&path, text)?;
--- a/sapphirespur_standin/src/processes/settings.rs
+++ b/sapphirespur_standin/src/processes/settings.rs
@@ -11,10 +11,16 @@
 }
 
 /// Returns the settings of a router that listens on `addresses`.
-pub(super) fn router(name: &str, addresses: &Addresses, store: &str, vm_list: &str) -> String {
+pub(super) fn router(
+    name: &str,
+    addresses: &Addresses,
+    drain_s: u64,
+    store: &str,
+    vm_list: &str,
+) -> String {
     format!(
         "[node]\nname = {name}\ndata-centre = {}\n[listen]\nhttp = {}\ncontrol = {}\nadmin = {}\n\
-         [limits]\ndrain-s = 30\n{}",
+         [limits]\ndrain-s = {drain_s}\n{}",
         data_centre_name(name),
         addresses.traffic,
         addresses.control,
--- a/sapphirespur_standin/tests/failures.rs
+++ b/sapphirespur_standin/tests/failures.rs
@@ -233,6 +233,25 @@
     assert_eq!(fleet.wait(&router).expect("the router ends"), Some(0));
 }
 
+// LOST: a router that stops cuts the calls that outlast its drain without an answer.
+#[test]
+fn call_that_outlasts_the_drain_is_answered_before_the_exit() {
+    let layout = Layout { service_latency_ms: 30_000, drain_s: 2, ..Layout::minimal() };
+    let mut fleet = start("outlasts_drain", layout);
+    let address = fleet.router_url(ROUTER).replace("http://", "");
+    let call = std::thread::spawn(move || read_raw_call(&address, "a long call"));
+    block_on(async {
+        let url = format!("{}/status", fleet.admin_url(ROUTER));
+        let is_serving = async || get_json(&url).await["serving"] == 1;
+        assert!(eventually(Duration::from_secs(10), is_serving).await, "the call is passed on");
+    });
+    fleet.signal(ROUTER, Signal::Terminate).expect("the router drains");
+    let response = call.join().expect("no panic");
+    assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+    assert!(response.contains("answer-lost"), "{response}");
+    assert_eq!(fleet.wait(ROUTER).expect("the router ends"), Some(0));
+}
+
 #[test]
 fn bookings_run_at_most_once_while_sidecars_and_the_platform_fail() {
     let layout = Layout { service_latency_ms: 100, ..Layout::default() };
