--- a/sapphirespur_node/src/edge/stream/start.rs
+++ b/sapphirespur_node/src/edge/stream/start.rs
@@ -11,7 +11,7 @@
 use super::super::buffered::{log_decline, read_response};
 use super::super::guards::UpstreamReservation;
 use super::super::response::{ClientResponse, ErrorResponse};
-use super::super::send::{SendResult, send};
+use super::super::send::{SendResult, UpstreamResponse, send};
 use super::super::stream_origins;
 use super::StreamRelay;
 use super::stream_head::StreamHead;
@@ -27,27 +27,9 @@
         &mut self,
         mut first: Option<Placement>,
     ) -> Result<(), ClientResponse> {
-        let id = self.call.head.attempt_id.clone();
         let cx = Rc::clone(&self.cx);
         loop {
-            if !self.call.info.goes_on {
-                self.call.info.version = stream_origins::begin_version(&cx, &self.call);
-            }
-            let admission =
-                first.take().map_or_else(|| self.sends.admit(&cx, &self.call), Admission::Ok);
-            let placement = match admission {
-                Ok(placement) => placement,
-                Err(decline) => {
-                    log_decline(&cx, &self.call, &decline);
-                    let error = match decline.reason {
-                        DeclineReason::VersionGone if self.sends.possible_runs == 0 => {
-                            ErrorResponse::VersionGone
-                        }
-                        _ => self.sends.final_error(&self.call, &cx, decline.retry_after),
-                    };
-                    return Err(error.into_response(&*cx.dialect, &id));
-                }
-            };
+            let placement = self.place(first.take())?;
             let mut reservation = UpstreamReservation::new(&cx, &self.call, &placement);
             let recorded = self.record_send(reservation.version());
             let head_timeout = self.head_timeout(placement.expected_delay);
@@ -61,58 +43,29 @@
             )
             .await;
             let (outcome, may_have_run) = match sent {
-                SendResult::Response(upstream_response)
-                    if upstream_response.parts.status.is_success()
-                        && !self.is_continued_by(&upstream_response.parts) =>
-                {
+                SendResult::Response(response) if !response.parts.status.is_success() => {
+                    match self.on_failure(*response, reservation).await {
+                        Some(error) => return Err(error),
+                        None => continue,
+                    }
+                }
+                SendResult::Response(response) if !self.is_continued_by(&response.parts) => {
                     (SendOutcome::Broken, true)
                 }
-                SendResult::Response(upstream_response)
-                    if upstream_response.parts.status.is_success() =>
-                {
+                SendResult::Response(response) => {
                     self.on_bytes_received();
                     self.last_progress = cx.now();
                     match self.begin(recorded.as_ref()).await {
                         BeginVerdict::PassOn => {
-                            self.bind(reservation.version().clone());
-                            self.reservation = Some(reservation);
-                            self.head
-                                .get_or_insert_with(|| StreamHead::new(&upstream_response.parts));
-                            self.upstream_response = Some(upstream_response);
+                            self.take_from(reservation, response);
                             return Ok(());
                         }
                         BeginVerdict::Elsewhere => (SendOutcome::Abandoned, true),
                         BeginVerdict::Unknown => {
-                            return Err(
-                                ErrorResponse::OutcomeUnknown.into_response(&*cx.dialect, &id)
-                            );
+                            return Err(self.error_response(ErrorResponse::OutcomeUnknown));
                         }
                     }
                 }
-                SendResult::Response(upstream_response) => {
-                    let is_failure = upstream_response.parts.status.is_server_error();
-                    let response = match read_response(&cx, &self.call, *upstream_response).await {
-                        Ok(response) if !is_failure => {
-                            reservation.finish(SendOutcome::Answered);
-                            return Err(response);
-                        }
-                        response => response,
-                    };
-                    self.sends.record_failure(
-                        &cx,
-                        &self.call,
-                        &reservation,
-                        SendOutcome::Failed,
-                        true,
-                    );
-                    reservation.finish(SendOutcome::Failed);
-                    if self.sends.may_retry(&self.call) {
-                        continue;
-                    }
-                    let outcome_unknown =
-                        || ErrorResponse::OutcomeUnknown.into_response(&*cx.dialect, &id);
-                    return Err(response.unwrap_or_else(|_| outcome_unknown()));
-                }
                 SendResult::NotRun(outcome) => (outcome, false),
                 SendResult::Unknown(outcome) => (outcome, true),
             };
@@ -120,13 +73,71 @@
             reservation.finish(outcome);
             if !self.sends.may_retry(&self.call) || self.call.time_left(cx.now()).is_zero() {
                 let error = self.sends.final_error(&self.call, &cx, self.call.info.target);
-                return Err(error.into_response(&*cx.dialect, &id));
+                return Err(self.error_response(error));
             }
         }
     }
 
-    /// Returns whether the response of an upstream that succeeded may go on with the stream; any success may
-    /// begin one.
+    /// Returns where to send the call next; `first` is the first placement, if it is made already.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response for the client when the call is not admitted.
+    fn place(&mut self, first: Option<Placement>) -> Result<Placement, ClientResponse> {
+        let cx = Rc::clone(&self.cx);
+        if !self.call.info.goes_on {
+            self.call.info.version = stream_origins::begin_version(&cx, &self.call);
+        }
+        let admission = first.map_or_else(|| self.sends.admit(&cx, &self.call), Admission::Ok);
+        admission.map_err(|decline| {
+            log_decline(&cx, &self.call, &decline);
+            let error = match decline.reason {
+                DeclineReason::VersionGone if self.sends.possible_runs == 0 => {
+                    ErrorResponse::VersionGone
+                }
+                _ => self.sends.final_error(&self.call, &cx, decline.retry_after),
+            };
+            self.error_response(error)
+        })
+    }
+
+    /// Takes the stream from an upstream whose response has begun.
+    fn take_from(&mut self, reservation: UpstreamReservation, response: Box<UpstreamResponse>) {
+        self.bind(reservation.version().clone());
+        self.reservation = Some(reservation);
+        self.head.get_or_insert_with(|| StreamHead::new(&response.parts));
+        self.upstream_response = Some(response);
+    }
+
+    /// Ends a send whose upstream has responded with another status than a success. Returns the response for the
+    /// client; none when the call may be sent once more.
+    async fn on_failure(
+        &mut self,
+        response: UpstreamResponse,
+        reservation: UpstreamReservation,
+    ) -> Option<ClientResponse> {
+        let cx = Rc::clone(&self.cx);
+        let is_upstream_failure = response.parts.status.is_server_error();
+        let response = read_response(&cx, &self.call, response).await;
+        if !is_upstream_failure && response.is_ok() {
+            reservation.finish(SendOutcome::Answered);
+            return response.ok();
+        }
+        self.sends.record_failure(&cx, &self.call, &reservation, SendOutcome::Failed, true);
+        reservation.finish(SendOutcome::Failed);
+        if self.sends.may_retry(&self.call) {
+            return None;
+        }
+        let outcome_unknown = |_| self.error_response(ErrorResponse::OutcomeUnknown);
+        Some(response.unwrap_or_else(outcome_unknown))
+    }
+
+    /// Builds the response for an error to the client of the call.
+    fn error_response(&self, error: ErrorResponse) -> ClientResponse {
+        error.into_response(&*self.cx.dialect, &self.call.head.attempt_id)
+    }
+
+    /// Returns whether a success of an upstream may go on with the stream; any may begin one.
     fn is_continued_by(&self, parts: &Parts) -> bool {
         let head = StreamHead::new(parts);
         let is_continued = match &self.head {
--- a/sapphirespur_standin/tests/callers.rs
+++ b/sapphirespur_standin/tests/callers.rs
@@ -6,10 +6,11 @@
 
 use awc::http::Method;
 use common::{
-    KEY, MODEL, block_on, book, client, eventually, get_json, read_log, request_stream, start,
+    KEY, MODEL, block_on, book, client, count_bookings, eventually, get_json, read_log,
+    request_stream, start,
 };
 use futures::StreamExt;
-use sapphirespur_standin::client::{CallError, complete, count_runs};
+use sapphirespur_standin::client::{CallError, complete};
 use sapphirespur_standin::engine::EngineOptions;
 use sapphirespur_standin::processes::{Layout, ProcessFleet};
 use serde_json::{Value, json};
@@ -209,18 +210,6 @@
     });
 }
 
-/// Returns how often the services ran a booking.
-async fn count_bookings(fleet: &ProcessFleet) -> u64 {
-    let mut count = 0;
-    for name in fleet.layout.service_names() {
-        count += count_runs(&fleet.standin_url(&name), "POST /bookings")
-            .await
-            .expect("the service returns its counts");
-    }
-
-    count
-}
-
 #[test]
 fn caller_disconnect_cancels_the_engine_request() {
     let engine = EngineOptions { token_ms: 50, ..Layout::minimal().engine };
--- a/sapphirespur_standin/tests/common/mod.rs
+++ b/sapphirespur_standin/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use awc::Client;
-use sapphirespur_standin::client::{CallError, Response, call_service, complete};
+use sapphirespur_standin::client::{CallError, Response, call_service, complete, count_runs};
 use sapphirespur_standin::processes::{Layout, ProcessFleet};
 
 /// Model that every fleet configures.
@@ -52,6 +52,18 @@
     call_service(&client(), &url, KEY, Some(key), text).await
 }
 
+/// Returns how often the services ran a booking.
+pub async fn count_bookings(fleet: &ProcessFleet) -> u64 {
+    let mut count = 0;
+    for name in fleet.layout.service_names() {
+        count += count_runs(&fleet.standin_url(&name), "POST /bookings")
+            .await
+            .expect("the service returns its counts");
+    }
+
+    count
+}
+
 /// Polls `condition` until it holds or `timeout` has passed; returns whether it held.
 pub async fn eventually(timeout: Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
     let deadline = Instant::now() + timeout;
--- a/sapphirespur_standin/tests/failures.rs
+++ b/sapphirespur_standin/tests/failures.rs
@@ -6,8 +6,10 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
-use common::{KEY, MODEL, block_on, book, client, eventually, get_json, request_stream, start};
-use sapphirespur_standin::client::{CallError, call_service, count_runs};
+use common::{
+    KEY, MODEL, block_on, book, client, count_bookings, eventually, get_json, request_stream, start,
+};
+use sapphirespur_standin::client::{CallError, call_service};
 use sapphirespur_standin::engine::EngineOptions;
 use sapphirespur_standin::processes::{Layout, ProcessFleet, Signal};
 use serde_json::json;
@@ -21,18 +23,6 @@
     Layout { engine, ..Layout::default() }
 }
 
-/// Returns how often the services ran a booking.
-async fn count_bookings(fleet: &ProcessFleet) -> u64 {
-    let mut count = 0;
-    for name in fleet.layout.service_names() {
-        count += count_runs(&fleet.standin_url(&name), "POST /bookings")
-            .await
-            .expect("the service returns its counts");
-    }
-
-    count
-}
-
 /// Waits for an engine's sidecar with a running attempt and returns its name.
 async fn find_busy_sidecar(fleet: &ProcessFleet) -> String {
     let mut found = None;
