--- a/sapphirespur_core/tests/edge/crash_scene.rs
+++ b/sapphirespur_core/tests/edge/crash_scene.rs
@@ -82,7 +82,18 @@
 
 impl Scene {
     pub fn start(routers: usize, data_centres: usize, upstreams: u16) -> Self {
+        Self::start_cut(routers, data_centres, upstreams, &[])
+    }
+
+    /// Starts routers whose data centres in `cut` never reach each other.
+    pub fn start_cut(
+        routers: usize,
+        data_centres: usize,
+        upstreams: u16,
+        cut: &[(usize, usize)],
+    ) -> Self {
         let mut fleet = Fleet::start_with_upstreams(routers, data_centres, upstreams);
+        fleet.cut.extend(cut);
         fleet.run(SETTLED);
         Self {
             is_harmful: true,
--- a/sapphirespur_core/tests/edge/crashing_request.rs
+++ b/sapphirespur_core/tests/edge/crashing_request.rs
@@ -147,3 +147,23 @@
     let sends = scene.sends_after_crashes(MAX_CRASHES);
     assert!(sends <= MAX_SENDS, "{sends} sends, {} crashes", scene.crashes.len());
 }
+
+macro_rules! parts_that_never_met {
+    ($($name:ident: $routers:expr, $data_centres:expr, $cut:expr;)*) => {$(
+        // BUDGET: each part of a fleet that never met makes the trials of a whole one.
+        #[test]
+        fn $name() {
+            let mut scene = Scene::start_cut($routers, $data_centres, 18, &$cut);
+            scene.moment = CrashMoment::BeforeHead;
+            scene.run(Duration::from_secs(1_200), Some(&harmful()), ms(500));
+            let sends = scene.sends_after_crashes(MAX_CRASHES);
+            assert!(sends <= MAX_SENDS, "{sends} sends, {} crashes", scene.crashes.len());
+        }
+    )*};
+}
+
+parts_that_never_met! {
+    two_parts_try_a_crashing_request_as_often_as_one_fleet: 4, 2, [(0, 1), (1, 0)];
+    two_large_parts_try_a_crashing_request_as_often_as_one_fleet: 30, 2, [(0, 1), (1, 0)];
+    routers_that_know_nobody_send_a_crashing_request_as_seldom_as_a_fleet: 4, 1, [(0, 0)];
+}
