--- a/sapphirespur_core/src/edge/placement/cold_limit.rs
+++ b/sapphirespur_core/src/edge/placement/cold_limit.rs
@@ -28,7 +28,7 @@
             return 0;
         }
         let fleet_limit = cold_per_s * self.settings.cold_overshoot + self.settings.cold_allowance;
-        let fleet_limit = self.share.of_known(fleet_limit);
+        let fleet_limit = self.share.for_known_routers(fleet_limit);
         let own_limit = (fleet_limit / self.share.routers(now) as f64) as usize;
         if own_limit > 0 {
             return own_limit;
--- a/sapphirespur_core/src/edge/placement/fleet_share.rs
+++ b/sapphirespur_core/src/edge/placement/fleet_share.rs
@@ -28,8 +28,8 @@
         Self { peers, own_hash, own_requests, parts, routers: OnceCell::new() }
     }
 
-    /// Returns what of a limit may be spent by the routers that this one knows.
-    pub fn of_known(&self, limit: f64) -> f64 {
+    /// Returns what the routers that this one knows may spend of a limit together.
+    pub fn for_known_routers(&self, limit: f64) -> f64 {
         limit / self.parts as f64
     }
 
--- a/sapphirespur_core/src/edge/stop_schedule.rs
+++ b/sapphirespur_core/src/edge/stop_schedule.rs
@@ -18,13 +18,13 @@
 impl StopSchedule {
     /// Time after a stop signal in which the load balancer still opens connections: it checks readiness
     /// once a second and acts on two consecutive responses.
-    pub const BALANCER_DETECTION_DELAY: Duration = Duration::from_millis(2_500);
+    const BALANCER_DETECTION_DELAY: Duration = Duration::from_millis(2_500);
 
     /// Time by which the process exits before the end of its grace period, when it would be killed.
-    pub const EXIT_MARGIN: Duration = Duration::from_millis(500);
+    const EXIT_MARGIN: Duration = Duration::from_millis(500);
 
     /// Time before the exit in which the last answers are written.
-    pub const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+    const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 
     /// Largest fraction of the time that is left which each margin takes, and of the time until the last
     /// answers in which requests are taken: a short grace period is not spent on taking requests alone.
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -3,7 +3,7 @@
 mod log_lines;
 mod relay;
 mod start;
-pub mod stream_head;
+mod stream_head;
 
 use std::rc::Rc;
 use std::time::Duration;
--- a/sapphirespur_node/src/edge/stream/stream_head.rs
+++ b/sapphirespur_node/src/edge/stream/stream_head.rs
@@ -12,7 +12,7 @@
 /// What the head of a stream says of its body; the client has it, and another upstream that goes on with
 /// the stream has to agree.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct StreamHead {
+pub(super) struct StreamHead {
     status: StatusCode,
     /// Media type in lower case, without parameters; empty when there is none.
     media_type: String,
