--- a/sapphirespur_standin/src/users_platform/resumption.rs
+++ b/sapphirespur_standin/src/users_platform/resumption.rs
@@ -27,6 +27,13 @@
 }
 
 impl Resumption {
+    /// Returns the response of a runner to a request as text.
+    pub fn signed_text(&self, runner: &str, request: &str) -> String {
+        self.text(&format!(
+            "X-Sapphirespur-Attempt-Id: {request}\r\nX-Sapphirespur-Server-Signature: {runner}\r\n"
+        ))
+    }
+
     /// Returns the response as text; `signed` are the headers of each response.
     pub fn text(&self, signed: &str) -> String {
         let head = format!("HTTP/1.1 {}\r\n{signed}{}", self.status, self.headers);
--- a/sapphirespur_standin/src/users_platform/runner.rs
+++ b/sapphirespur_standin/src/users_platform/runner.rs
@@ -21,7 +21,7 @@
 use self::response::{write_refusal, write_response, write_without_end};
 use super::behaviour::Behaviour;
 use super::received_request::ReceivedRequest;
-use super::resumption::Resumption;
+use super::resumption::{Framing, Resumption};
 use super::running_request::RunningRequest;
 use super::version_fault::VersionFault;
 
@@ -108,6 +108,16 @@
     /// End of the path of requests under which a runner crashes with [`Behaviour::CrashOnPath`].
     pub const HARMFUL_PATH: &str = "/harmful";
 
+    /// Returns what is cut with [`Behaviour::CutAt`] for a request with this path.
+    pub fn whole_response(path: &str, framing: Framing) -> Resumption {
+        let (headers, body) = if is_stream_path(path) {
+            ("Content-Type: text/event-stream\r\n", Self::TWO_EVENTS)
+        } else {
+            ("", Self::TWO_LINES)
+        };
+        Resumption { status: "200 OK", headers, body, framing }
+    }
+
     /// Starts a runner of `service` on a free port of the loopback interface.
     ///
     /// # Errors
@@ -342,7 +352,7 @@
         _ => String::new(),
     };
     let signed = format!("{id_header}{stated}X-Sapphirespur-Server-Signature: {}\r\n", state.id);
-    let is_stream = request.line.contains("/stream/");
+    let is_stream = is_stream_path(&request.line);
     let (fault, fails) = state.next_fault(request);
     let (before_response, before_event) = state.pace.get();
     if !is_stream && !before_response.is_zero() {
@@ -375,13 +385,7 @@
             Ok(true)
         }
         Behaviour::CutAt { bytes, framing, is_reset } => {
-            let response = Resumption {
-                status: "200 OK",
-                headers: if is_stream { "Content-Type: text/event-stream\r\n" } else { "" },
-                body: if is_stream { Runner::TWO_EVENTS } else { Runner::TWO_LINES },
-                framing,
-            };
-            let text = response.text(&signed);
+            let text = Runner::whole_response(&request.line, framing).signed_text(&state.id, &id);
             stream.write_all(&text.as_bytes()[..bytes.min(text.len())]).await?;
             if is_reset {
                 // What was sent arrives before the reset, which would discard it.
@@ -464,3 +468,8 @@
         }
     }
 }
+
+/// Returns whether requests with a path are answered with event streams.
+fn is_stream_path(path: &str) -> bool {
+    path.contains("/stream/")
+}
