Stops and streams: a library's token, and less state

The signal for the last answers was a type of its own in the edge and a watch channel in the router; both use CancellationToken of tokio-util, which the project has. Whether a request may have run is a flag that a send sets and takes back, in place of a counter. Three loops of a stop are one function. The head of a stream keeps its header in place of a lower-case copy that was made twice for each stream. No change of behaviour.

Left: MeteredStream passes writes on as ClientStream and DeliveryStream do (five methods each); splitting the socket instead would shut its write side down on drop.

--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -1,5 +1,6 @@
 //! Handling of a client's request, from its head to its response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +18,6 @@
 use super::hop_headers;
 use super::lazy_identity::LazyIdentity;
 use super::response::{ClientResponse, ErrorResponse};
-use super::run_state::RunState;
 use super::send::Call;
 use super::shared::{Phase, Shared};
 use super::{buffered, stream};
@@ -53,12 +53,12 @@
     }
     hop_headers::remove_hop_by_hop(&mut parts.headers);
     let id = head.attempt_id.clone();
-    let run_state = Rc::new(RunState::default());
+    let may_have_run = Rc::new(Cell::new(false));
     tokio::select! {
         biased;
-        response = serve(Rc::clone(&cx), parts, head, body, Rc::clone(&run_state)) => response,
-        () = cx.answers_due.wait() => {
-            let error = if run_state.may_have_run() {
+        response = serve(Rc::clone(&cx), parts, head, body, Rc::clone(&may_have_run)) => response,
+        () = cx.answers_due.cancelled() => {
+            let error = if may_have_run.get() {
                 ErrorResponse::TimedOut
             } else {
                 ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER)
@@ -77,11 +77,11 @@
     parts: Parts,
     head: RequestHead,
     body: Incoming,
-    run_state: Rc<RunState>,
+    may_have_run: Rc<Cell<bool>>,
 ) -> ClientResponse {
     let mut request_guard = RequestGuard::new(&cx);
     let id = head.attempt_id.clone();
-    match route_request(&cx, parts, head, body, run_state, &mut request_guard).await {
+    match route_request(&cx, parts, head, body, may_have_run, &mut request_guard).await {
         Ok(call) if call.route.kind.is_stream() => stream::respond(cx, call, request_guard).await,
         Ok(call) => buffered::respond(&cx, call).await,
         Err(error) => {
@@ -106,7 +106,7 @@
     parts: Parts,
     head: RequestHead,
     body: Incoming,
-    run_state: Rc<RunState>,
+    may_have_run: Rc<Cell<bool>>,
     request_guard: &mut RequestGuard,
 ) -> Result<Call, ErrorResponse> {
     let arrived_at = cx.now();
@@ -167,7 +167,7 @@
         route: route.clone(),
         info,
         identity,
-        run_state,
+        may_have_run,
         arrived_at,
         deadline,
     })
--- a/sapphirespur_node/src/edge/lifecycle.rs
+++ b/sapphirespur_node/src/edge/lifecycle.rs
@@ -57,25 +57,26 @@
         cx.phase.set(Phase::Closing);
         cx.closing.notify_waiters();
         log::info!(in_flight = cx.in_flight.get(); "closing");
-        let is_before = |time: Time| cx.now() < time;
-        while cx.in_flight.get() > 0 && is_before(stop.answer_by) {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        wait_while(cx, || cx.in_flight.get() > 0, stop.answer_by).await;
 
         // Connections that were accepted until now still get their responses.
         cx.stop_accepting.notify_one();
         cx.closing.notify_waiters();
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        while cx.connections.get() > 0 && is_before(stop.answer_by) {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        let has_connections = || cx.connections.get() > 0;
+        wait_while(cx, has_connections, stop.answer_by).await;
 
-        if cx.connections.get() > 0 {
+        if has_connections() {
             log::warn!(in_flight = cx.in_flight.get(), connections = cx.connections.get(); "last answers");
         }
-        cx.answers_due.send();
-        while cx.connections.get() > 0 && is_before(stop.exit_at) {
-            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        }
+        cx.answers_due.cancel();
+        wait_while(cx, has_connections, stop.exit_at).await;
+    }
+}
+
+/// Waits for as long as something is to be finished, until a time at the latest.
+async fn wait_while(cx: &Shared, is_unfinished: impl Fn() -> bool, until: Time) {
+    while is_unfinished() && cx.now() < until {
+        tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/sapphirespur_node/src/edge/listed_names.rs
+++ b/sapphirespur_node/src/edge/listed_names.rs
@@ -38,23 +38,30 @@
     pub fn add_skipped(&mut self, router: &Router, skipped: &[SkippedNames]) {
         let upstreams = router.registry().upstreams();
         for gap in skipped {
-            let is_skipped = |name: &&Name| gap.contains(name.as_str());
             match gap.kind {
                 EntryKind::DataCentreOut => {
-                    let known = upstreams.data_centres_out().iter();
-                    self.data_centres_out.extend(known.filter(is_skipped).cloned());
+                    add_known(&mut self.data_centres_out, gap, upstreams.data_centres_out().iter());
                 }
                 EntryKind::RolloutOrder => {
-                    self.orders.extend(router.rollouts().services().filter(is_skipped).cloned());
+                    add_known(&mut self.orders, gap, router.rollouts().services());
                 }
                 EntryKind::RolloutRecord => {
-                    self.records.extend(router.rollouts().services().filter(is_skipped).cloned());
+                    add_known(&mut self.records, gap, router.rollouts().services());
                 }
                 EntryKind::Upstream => {
                     let known = upstreams.iter().map(|upstream| &upstream.entry.id);
-                    self.upstreams.extend(known.filter(is_skipped).cloned());
+                    add_known(&mut self.upstreams, gap, known);
                 }
             }
         }
     }
 }
+
+/// Adds the known names that the listing may lack.
+fn add_known<'a>(
+    names: &mut HashSet<Name>,
+    gap: &SkippedNames,
+    known: impl Iterator<Item = &'a Name>,
+) {
+    names.extend(known.filter(|name| gap.contains(name.as_str())).cloned());
+}
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -1,6 +1,7 @@
 //! A single send of a call to one upstream.
 
 use std::borrow::Cow;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +21,6 @@
 use super::lazy_identity::LazyIdentity;
 use super::pool::PoolKey;
 use super::received_body::ReceivedBody;
-use super::run_state::RunState;
 use super::shared::Shared;
 
 /// Time within which a connection to an upstream must open.
@@ -52,8 +52,8 @@
     pub info: CallInfo,
     /// Identity of the request.
     pub identity: Rc<LazyIdentity>,
-    /// Whether the request may have run.
-    pub run_state: Rc<RunState>,
+    /// Whether the request may have run, also for the answer of a request that is ended early.
+    pub may_have_run: Rc<Cell<bool>>,
     /// Time at which the head was received.
     pub arrived_at: Time,
     /// Time by which the response must end.
@@ -196,10 +196,10 @@
     }
 
     let req = call.request(cx, placement, last_event_id);
-    call.run_state.on_send();
+    let may_have_run = call.may_have_run.replace(true);
     let result = exchange(cx, call, connection, key, req, reservation, head_timeout).await;
     if matches!(result, SendResult::NotRun(_)) {
-        call.run_state.on_not_run();
+        call.may_have_run.set(may_have_run);
     }
     result
 }
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -9,13 +9,13 @@
 };
 use sapphirespur_core::time::Time;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use super::delivery::Deliveries;
 use super::dialect::Dialect;
 use super::log_budget::{LogBudget, LogClass};
 use super::metrics::Metrics;
 use super::pool::Pool;
-use super::stop_signal::StopSignal;
 use super::stream_lookups::StreamLookups;
 use super::workspace_counts::WorkspaceCounts;
 use crate::clock::{Clock, time_since_boot, wall_us};
@@ -72,8 +72,8 @@
     pub phase: Cell<Phase>,
     /// Times of the graceful stop; absent before one.
     pub stop: Cell<Option<StopSchedule>>,
-    /// Sent when requests that are still served get their final answer, before the process exits.
-    pub answers_due: StopSignal,
+    /// Cancelled when requests that are still served get their final answer, before the process exits.
+    pub answers_due: CancellationToken,
     /// Number of requests being served.
     pub in_flight: Cell<usize>,
     /// Number of open client connections.
@@ -139,7 +139,7 @@
             overload: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             stop: Cell::new(None),
-            answers_due: StopSignal::default(),
+            answers_due: CancellationToken::new(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
             buffered_bytes: Cell::new(0),
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -111,7 +111,7 @@
             let next = tokio::select! {
                 biased;
                 next = relay.next_bytes() => next,
-                () = cx.answers_due.wait() => Err(AbortReason::Stopping),
+                () = cx.answers_due.cancelled() => Err(AbortReason::Stopping),
             };
             match next {
                 Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
--- a/sapphirespur_node/src/edge/stream/start.rs
+++ b/sapphirespur_node/src/edge/stream/start.rs
@@ -141,7 +141,7 @@
     fn is_continued_by(&self, parts: &Parts) -> bool {
         let head = StreamHead::new(parts);
         let is_continued = match &self.head {
-            Some(begun) => head == *begun,
+            Some(begun) => begun.is_continued_by(&head),
             None => self.call.head.last_event_id.is_none() || head.may_go_on(),
         };
         if !is_continued && self.cx.may_log_failure() {
--- a/sapphirespur_node/src/router/control.rs
+++ b/sapphirespur_node/src/router/control.rs
@@ -13,7 +13,7 @@
 use sapphirespur_core::request::{Refusal, RequestId};
 use sapphirespur_core::router::{AttemptEvent, Router, RouterInput, RouterOutput};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
-use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::{Clock, wall_us};
 use crate::daemon::Shutdown;
@@ -49,8 +49,8 @@
     /// Channel on which background tasks send inputs to this thread.
     inputs: UnboundedSender<RouterInput>,
     drained: bool,
-    /// Tells the requests that are left to answer, since the process exits.
-    answers_due: watch::Sender<bool>,
+    /// Cancelled when requests that are left get their final answer, since the process exits.
+    answers_due: CancellationToken,
 }
 
 /// Runs a router until it has been asked to shut down and has drained, or the drain timed out.
@@ -75,11 +75,11 @@
     let control_address = bound_address(settings.listen.control, control.local_addr());
     links.accept(control);
 
-    let (answers_due, answers_due_rx) = watch::channel(false);
+    let answers_due = CancellationToken::new();
     let shared = SharedState {
         commands: commands_tx.clone(),
         clock,
-        answers_due: answers_due_rx,
+        answers_due: answers_due.clone(),
         ready: Arc::new(AtomicBool::new(false)),
         next_id: Arc::new(AtomicU64::new(0)),
         incarnation,
@@ -174,7 +174,7 @@
             }
         }
 
-        self.answers_due.send_replace(true);
+        self.answers_due.cancel();
         // Lets the last answers be written out before the process exits.
         tokio::time::sleep(EXIT_DELAY).await;
     }
--- a/sapphirespur_node/src/router/serve.rs
+++ b/sapphirespur_node/src/router/serve.rs
@@ -5,7 +5,8 @@
 use awc::Client;
 use sapphirespur_core::request::{AttemptId, Refusal, RefusalCode, RequestHead, RequestId};
 use sapphirespur_core::router::{AttemptEvent, Dispatch};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::router::answer_sender::AnswerSender;
@@ -30,19 +31,17 @@
     pub request_id: String,
     /// Call that the sidecar sends to the upstream.
     pub call: UpstreamCall,
-    /// Whether requests that are left get their final answer, since the process exits.
-    pub answers_due: watch::Receiver<bool>,
+    /// Cancelled when requests that are left get their final answer, since the process exits.
+    pub answers_due: CancellationToken,
 }
 
 impl RequestTask {
     /// Serves the request until its answer ends, the caller disconnects or the process is about to exit.
     pub async fn run(self, head: RequestHead, mut answer: AnswerSender) {
         let mut may_have_run = false;
-        let mut answers_due = self.answers_due.clone();
         tokio::select! {
             () = self.serve(head, &mut answer, &mut may_have_run) => return,
-            // An error means that the control thread has stopped, which happens at process exit, too.
-            _ = answers_due.wait_for(|is_due| *is_due) => {}
+            () = self.answers_due.cancelled() => {}
         }
         let refusal = if may_have_run {
             Refusal::outcome_unknown(RefusalCode::AnswerLost)
--- a/sapphirespur_node/src/router/traffic_handler.rs
+++ b/sapphirespur_node/src/router/traffic_handler.rs
@@ -10,7 +10,7 @@
 use futures::stream;
 use sapphirespur_core::request::{Refusal, RefusalCode, RequestHead, RequestId};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use crate::http::{BodyError, header, header_text, problem_response, read_body, text_response};
@@ -30,8 +30,8 @@
     pub commands: UnboundedSender<Command>,
     /// Clock of the process.
     pub clock: Clock,
-    /// Whether requests that are left get their final answer, since the process exits.
-    pub answers_due: watch::Receiver<bool>,
+    /// Cancelled when requests that are left get their final answer, since the process exits.
+    pub answers_due: CancellationToken,
     /// Whether the router accepts requests, as reported by `/readyz`.
     pub ready: Arc<AtomicBool>,
     /// Number of the next request within this router.
