--- a/sapphirespur_standin/src/users_platform/metadata_store.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store.rs
@@ -73,6 +73,10 @@
     fault: Cell<StoreFault>,
     /// Whether values of queries are percent-decoded, or taken as they are.
     decodes_queries: Cell<bool>,
+    /// Bytes of each response that are sent in a second; absent when all are sent at once.
+    bytes_per_s: Cell<Option<usize>>,
+    /// Every how many calls one is refused with 429; zero for none.
+    refusal_interval: Cell<u32>,
     /// Number of times the store was restored from a copy.
     era: Cell<u64>,
     /// Leases that hold.
@@ -190,6 +194,8 @@
             compacted: Cell::new(0),
             fault: Cell::new(StoreFault::None),
             decodes_queries: Cell::new(true),
+            bytes_per_s: Cell::default(),
+            refusal_interval: Cell::default(),
             era: Cell::new(1),
             leases: RefCell::default(),
             call_count: Cell::new(0),
@@ -251,6 +257,16 @@
         self.state.decodes_queries.set(decodes_queries);
     }
 
+    /// Sets how many bytes of each response are sent in a second, as over a link that is shared.
+    pub fn set_bytes_per_s(&self, bytes_per_s: usize) {
+        self.state.bytes_per_s.set(Some(bytes_per_s));
+    }
+
+    /// Sets that one call of every `interval` is refused with 429, as at the rate limit.
+    pub fn set_refusal_interval(&self, interval: u32) {
+        self.state.refusal_interval.set(interval);
+    }
+
     /// Writes a JSON value.
     pub fn put(&self, key: &str, value: &Value) {
         self.put_bytes(key, value.to_string().as_bytes());
--- a/sapphirespur_standin/src/users_platform/metadata_store/calls.rs
+++ b/sapphirespur_standin/src/users_platform/metadata_store/calls.rs
@@ -8,8 +8,10 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Collected, Full};
-use hyper::body::Incoming;
+use futures::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Collected, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use percent_encoding::percent_decode_str;
@@ -26,12 +28,22 @@
 /// Prefixes of keys that only operators and upstreams may write.
 const FOREIGN_PREFIXES: [&str; 2] = ["op/", "servers/"];
 
+/// Pieces per second in which a response is sent whose rate is limited.
+const PIECES_PER_S: u32 = 20;
+
+/// Body of a response.
+pub(super) type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+
 /// Answers a call.
 pub(super) async fn handle(
     state: Rc<State>,
     req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
-    state.call_count.set(state.call_count.get() + 1);
+) -> Result<Response<ResponseBody>, Infallible> {
+    let call = state.call_count.get() + 1;
+    state.call_count.set(call);
+    if state.refusal_interval.get() > 0 && call.is_multiple_of(state.refusal_interval.get()) {
+        return Ok(json_response(&state, StatusCode::TOO_MANY_REQUESTS, &json!({})));
+    }
     let query = req.uri().query().unwrap_or_default().to_owned();
     match state.fault.get() {
         StoreFault::Unavailable => {
@@ -66,13 +78,31 @@
 }
 
 /// Returns a response with the era of the store and a JSON body.
-fn json_response(state: &State, status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+fn json_response(state: &State, status: StatusCode, body: &Value) -> Response<ResponseBody> {
+    let body = Bytes::from(body.to_string());
+    let mut response = Response::new(match state.bytes_per_s.get() {
+        Some(bytes_per_s) => paced_body(body, bytes_per_s),
+        None => UnsyncBoxBody::new(Full::new(body)),
+    });
     *response.status_mut() = status;
     response.headers_mut().insert("store-era", HeaderValue::from(state.era.get()));
     response
 }
 
+/// Returns a body that is sent piece by piece.
+fn paced_body(body: Bytes, bytes_per_s: usize) -> ResponseBody {
+    let piece_bytes = (bytes_per_s / PIECES_PER_S as usize).max(1);
+    let pieces = stream::unfold(body, move |mut rest| async move {
+        if rest.is_empty() {
+            return None;
+        }
+        tokio::time::sleep(Duration::from_secs(1) / PIECES_PER_S).await;
+        let piece = rest.split_to(piece_bytes.min(rest.len()));
+        Some((Ok(Frame::data(piece)), rest))
+    });
+    UnsyncBoxBody::new(StreamBody::new(pieces))
+}
+
 /// Returns a parameter of the query, percent-decoded if the store does so.
 fn query_parameter<'a>(state: &State, query: &'a str, name: &str) -> Option<Cow<'a, str>> {
     let value = query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?;
