Registry: changes that are too large for one response are listed again

Cause: all changes since a revision were read in one response, and a response of the store had no limit.

Changes beyond that are listed again, page by page; a listing logs `data centre out` as a change does, since odd_entries follows it.

--- a/sapphirespur_node/src/edge/registry.rs
+++ b/sapphirespur_node/src/edge/registry.rs
@@ -33,6 +33,9 @@
     /// The registry refused the call with this HTTP status.
     #[error("refused with status {0}")]
     Refused(u16),
+    /// The response has more than this number of bytes.
+    #[error("response of more than {0} bytes")]
+    TooLarge(usize),
     /// The response cannot be decoded; holds the cause.
     #[error("invalid response: {0}")]
     Malformed(String),
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -7,6 +7,7 @@
     RegistryChange, RegistryChanges, RegistryEntry, RegistryOutage, RegistryVersion, RelayView,
     RevisedChange, Router,
 };
+use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
 use super::listed_names::ListedNames;
@@ -261,6 +262,8 @@
             }
         }
         listed.add_skipped(&router, &listing.skipped);
+        let known_out = router.registry().upstreams().data_centres_out();
+        listed.data_centres_out.difference(known_out).for_each(log_data_centre_out);
         router.registry_mut().set_data_centres_out(now, &listed.data_centres_out);
         router.registry_mut().remove_unlisted_at(&listed.upstreams, remove_at);
         router.rollouts_mut().on_listed(now, &listed.orders, &listed.records);
@@ -312,6 +315,11 @@
     }
 }
 
+/// Logs that a data centre was taken out of service.
+fn log_data_centre_out(data_centre: &Name) {
+    log::info!(data_centre = data_centre.as_str(); "data centre out");
+}
+
 /// Applies one written entry to the router's state.
 fn apply_entry(router: &mut Router, now: Time, entry: RegistryEntry) {
     match entry {
@@ -330,7 +338,7 @@
             log::info!(upstream = id.as_str(), version = version.as_str(), started_ms = started_ms, state = state.as_str(), cold_ms = cold_ms, is_new = is_new; "upstream entry");
         }
         RegistryEntry::DataCentreOut(data_centre) => {
-            log::info!(data_centre = data_centre.as_str(); "data centre out");
+            log_data_centre_out(&data_centre);
             router.registry_mut().mark_data_centre_out(data_centre);
         }
         RegistryEntry::RolloutOrder(order) => {
