Responses: their memory is limited, and the largest are ended first

Report of other operators: bytes without end in a head or body; the machine keeps them all and runs out of memory. It happens here with many clients: one router told that it has 88 MB, 400 clients, ten upstreams that never end, comes to 132 MB with bodies in chunks, 122 where clients read nothing or the body ends with its connection, 118 with events, 100 with a length that is not kept (56 with heads). Beside the last, 21 of 44 requests of a sound service failed.

Cause: the limit counted bytes of bodies and not memory. A buffer doubles and is copied (up to three times what is counted), read buffers of 64 KB for each connection counted toward nothing, a body was read although its length says that it can't be kept, and at the limit whichever response grew next was ended. Ruled out: that the limit is not applied.

Change: one account for each direction (core::edge::BufferAccount): requests, and all that was read of upstreams and is not written yet. A response may hold at most twice what stays free, so the largest stop first and others have room; requests are admitted as before. Bodies are kept in parts without copies, heads, read buffers and incomplete events count by their memory, at most 8 KB are read at once. Client connections have a limit by memory too. Outcomes too_large (as spoilt bytes) and no_memory (says nothing of the upstream).

Tests: endless_many, six forms; five fail on at 88 MB, all pass: 27 to 65 MB with 400 and 800 clients (release). floods expects what is counted now, the buffer of the declared length in place of the bytes received: as strict, an exact figure for each body. core buffer_account 7, endless 19, floods 4, slow_readers 8, responses 40, cut_responses 18, node 47 passed.

--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -93,6 +93,10 @@
     Broken,
     /// The connection ended before the response did.
     Disconnected,
+    /// The response is too large by itself, or the largest of those that filled the memory for responses.
+    TooLarge,
+    /// The memory for responses was full, because of others.
+    NoMemory,
     /// The upstream reported that it did not run the request.
     Rejected,
     /// The upstream did not run the request and asked for a pause.
@@ -115,6 +119,8 @@
             Self::Failed => "failed",
             Self::Broken => "broken",
             Self::Disconnected => "disconnected",
+            Self::TooLarge => "too_large",
+            Self::NoMemory => "no_memory",
             Self::Rejected => "rejected",
             Self::Paused => "paused",
             Self::Misdirected => "misdirected",
--- a/sapphirespur_core/src/edge/mod.rs
+++ b/sapphirespur_core/src/edge/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod backoff;
+mod buffer_account;
 mod call_info;
 mod change_log;
 mod departed;
@@ -77,6 +78,7 @@
 
 pub use admission::{Admission, Decline, DeclineReason, Placement};
 pub use backoff::Backoff;
+pub use buffer_account::BufferAccount;
 pub use call_info::CallInfo;
 pub use change_log::ChangeLog;
 pub use event_id::EventId;
--- a/sapphirespur_core/src/edge/rollout/rollouts.rs
+++ b/sapphirespur_core/src/edge/rollout/rollouts.rs
@@ -242,10 +242,11 @@
                 return;
             }
             SendOutcome::Failed => Fault::Failed,
-            SendOutcome::Broken | SendOutcome::Disconnected => Fault::Lost,
+            SendOutcome::Broken | SendOutcome::Disconnected | SendOutcome::TooLarge => Fault::Lost,
             SendOutcome::NoResponse => Fault::Slow,
             SendOutcome::Abandoned
             | SendOutcome::Misdirected
+            | SendOutcome::NoMemory
             | SendOutcome::Paused
             | SendOutcome::Rejected
             | SendOutcome::Withdrawn => return,
--- a/sapphirespur_core/src/edge/upstream.rs
+++ b/sapphirespur_core/src/edge/upstream.rs
@@ -184,12 +184,15 @@
             SendOutcome::Failed | SendOutcome::Rejected | SendOutcome::NoResponse => {
                 self.load.record_outcome(true);
             }
-            SendOutcome::Broken | SendOutcome::Disconnected => {
+            SendOutcome::Broken | SendOutcome::Disconnected | SendOutcome::TooLarge => {
                 self.load.record_outcome(true);
                 self.mark_unhealthy(now);
             }
             SendOutcome::Misdirected => self.gone_at = Some(now),
-            SendOutcome::Abandoned | SendOutcome::Paused | SendOutcome::Withdrawn => {}
+            SendOutcome::Abandoned
+            | SendOutcome::NoMemory
+            | SendOutcome::Paused
+            | SendOutcome::Withdrawn => {}
         }
     }
 
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -8,6 +8,7 @@
 mod properties;
 
 mod admission;
+mod buffer_account;
 mod change_log;
 mod cold_return;
 mod crash_scene;
--- a/sapphirespur_node/src/edge/buffered.rs
+++ b/sapphirespur_node/src/edge/buffered.rs
@@ -9,8 +9,8 @@
 
 use super::guards::UpstreamReservation;
 use super::hop_headers;
-use super::response::{ClientResponse, ErrorResponse, full_body};
-use super::send::{Call, MAX_RESPONSE_BYTES, SendResult, UpstreamResponse, read_to_end, send};
+use super::response::{ClientResponse, ErrorResponse, ResponseBody};
+use super::send::{Call, SendResult, UpstreamResponse, read_to_end, send};
 use super::shared::Shared;
 
 /// Largest number of sends of one request, including those that did not run.
@@ -255,12 +255,8 @@
     mut upstream_response: UpstreamResponse,
 ) -> Result<ClientResponse, SendOutcome> {
     let left = call.time_left(cx.now());
-    let body = tokio::time::timeout(
-        left,
-        read_to_end(cx, &mut upstream_response.body, MAX_RESPONSE_BYTES),
-    )
-    .await
-    .map_err(|_| SendOutcome::Broken)??;
+    let body = read_to_end(cx, &mut upstream_response.body);
+    let body = tokio::time::timeout(left, body).await.map_err(|_| SendOutcome::Broken)??;
     let parts = &upstream_response.parts;
     if body.is_empty()
         && hop_headers::has_lost_body(&call.parts.method, parts.status, &parts.headers)
@@ -269,7 +265,7 @@
     }
     upstream_response.connection.return_to_pool(cx);
 
-    let mut response = Response::new(full_body(body));
+    let mut response = Response::new(Box::pin(body) as ResponseBody);
     *response.status_mut() = upstream_response.parts.status;
     *response.headers_mut() = upstream_response.parts.headers;
     hop_headers::remove_hop_by_hop(response.headers_mut());
--- a/sapphirespur_node/src/edge/connect.rs
+++ b/sapphirespur_node/src/edge/connect.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::buffers::Buffers;
 use super::metered_stream::MeteredStream;
 use super::read_progress::ReadProgress;
 use super::received_body::ReceivedBody;
@@ -28,8 +30,7 @@
 /// Time that sent data may stay unacknowledged before a connection counts as broken.
 pub(super) const ACK_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Largest read buffer of a connection, and largest head of a response, in bytes; it counts toward no
-/// other limit.
+/// Largest read buffer of a connection, and largest head of a response, in bytes.
 pub(super) const MAX_READ_BUFFER_BYTES: usize = 64 * 1024;
 
 /// Reason why a connection cannot be opened.
@@ -85,8 +86,8 @@
     ) -> hyper::Result<Response<ReceivedBody>> {
         self.progress.on_part();
         let response = self.sender.send_request(req).await?;
-        self.progress.on_part();
-        Ok(response.map(|body| ReceivedBody::new(body, self.progress.clone())))
+        let head = self.progress.on_head();
+        Ok(response.map(|body| ReceivedBody::new(body, self.progress.clone(), head)))
     }
 }
 
@@ -104,6 +105,28 @@
 pub async fn connect(
     address: SocketAddr,
     timeout: Duration,
+) -> Result<HttpConnection, ConnectError> {
+    open(address, timeout, ReadProgress::default()).await
+}
+
+/// Opens an HTTP connection to an upstream within `timeout`. What was read of it and is of no use yet counts as
+/// part of a response.
+///
+/// # Errors
+///
+/// Returns an error when the connection is refused, fails or is not open within `timeout`.
+pub(super) async fn connect_counted(
+    address: SocketAddr,
+    timeout: Duration,
+    buffers: &Rc<Buffers>,
+) -> Result<HttpConnection, ConnectError> {
+    open(address, timeout, ReadProgress::counted(buffers)).await
+}
+
+async fn open(
+    address: SocketAddr,
+    timeout: Duration,
+    progress: ReadProgress,
 ) -> Result<HttpConnection, ConnectError> {
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
         .await
@@ -112,7 +135,6 @@
 
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_READ_BUFFER_BYTES);
-    let progress = ReadProgress::default();
     let stream = MeteredStream::new(stream, progress.clone());
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     let driver = actix_rt::spawn(async move {
--- a/sapphirespur_node/src/edge/delivered_body.rs
+++ b/sapphirespur_node/src/edge/delivered_body.rs
@@ -14,13 +14,19 @@
 pub(super) struct DeliveredBody {
     body: ResponseBody,
     delivery: Rc<Delivery>,
+    /// Whether the bytes of the body were counted at its start.
+    is_counted: bool,
 }
 
 impl DeliveredBody {
-    /// Wraps the body of a response.
+    /// Wraps the body of a response. One that is complete waits for its client as a whole.
     pub fn new(body: ResponseBody, delivery: Rc<Delivery>) -> Self {
         delivery.set_responding(true);
-        Self { body, delivery }
+        let complete_bytes = body.size_hint().exact();
+        if let Some(bytes) = complete_bytes {
+            delivery.add(bytes as usize);
+        }
+        Self { body, delivery, is_counted: complete_bytes.is_some() }
     }
 }
 
@@ -39,7 +45,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortReason>>> {
         let frame = ready!(self.body.as_mut().poll_frame(cx));
-        if let Some(Ok(frame)) = &frame
+        if !self.is_counted
+            && let Some(Ok(frame)) = &frame
             && let Some(data) = frame.data_ref()
         {
             self.delivery.add(data.len());
--- a/sapphirespur_node/src/edge/delivery.rs
+++ b/sapphirespur_node/src/edge/delivery.rs
@@ -8,6 +8,7 @@
 use sapphirespur_core::edge::ReaderWatch;
 use thiserror::Error;
 
+use super::buffers::BufferKind;
 use super::shared::Shared;
 
 /// Divisor of the limit on buffered response bytes that gives the limit on those that wait for their
@@ -103,6 +104,7 @@
     /// Counts bytes that are to be written.
     pub fn add(&self, bytes: usize) {
         self.bytes.set(self.bytes.get() + bytes);
+        self.cx.buffers.hold(BufferKind::Response, bytes);
         let total = &self.cx.deliveries.bytes;
         total.set(total.get() + bytes);
         if total.get() > self.cx.settings().limits.max_buffered_bytes / UNDELIVERED_DIVISOR {
@@ -162,6 +164,7 @@
     fn remove(&self, bytes: usize) {
         let written = bytes.min(self.bytes.get());
         self.bytes.set(self.bytes.get() - written);
+        self.cx.buffers.release(BufferKind::Response, written);
         let total = &self.cx.deliveries.bytes;
         total.set(total.get() - written);
     }
--- a/sapphirespur_node/src/edge/event_buffer.rs
+++ b/sapphirespur_node/src/edge/event_buffer.rs
@@ -46,6 +46,14 @@
         self.buf.len()
     }
 
+    /// Returns the most bytes of memory that the buffer takes with `bytes` more. It doubles when it grows, and
+    /// those that it has outgrown come to as much again: they rarely fit another use at once.
+    pub fn memory_with(&self, bytes: usize) -> usize {
+        let (capacity, len) = (self.buf.capacity(), self.buf.len() + bytes);
+        let capacity = if len <= capacity { capacity } else { len.max(2 * capacity) };
+        2 * capacity
+    }
+
     /// Returns the offset after the first blank line, where the first event ends.
     fn find_end(&mut self) -> Option<usize> {
         let mut at = self.scanned;
--- a/sapphirespur_node/src/edge/guards.rs
+++ b/sapphirespur_node/src/edge/guards.rs
@@ -1,6 +1,5 @@
 //! Guards for the resources that a request holds, released when dropped.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +8,8 @@
 use sapphirespur_core::name::Name;
 use sapphirespur_core::time::Time;
 
+use super::buffer_guard::BufferGuard;
+use super::buffers::BufferKind;
 use super::connect::connect;
 use super::dialect::ResponseHead;
 use super::lazy_identity::LazyIdentity;
@@ -214,7 +215,8 @@
     pub fn new(cx: &Rc<Shared>) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
 
-        Self { cx: Rc::clone(cx), buffer: BufferGuard::for_request(cx), is_accepted: false }
+        let buffer = BufferGuard::new(&cx.buffers, BufferKind::Request);
+        Self { cx: Rc::clone(cx), buffer, is_accepted: false }
     }
 
     /// Records that the router has time for the request.
@@ -227,10 +229,10 @@
         self.cx.in_flight.get()
     }
 
-    /// Counts `bytes` of the request body if the buffer limit of the process allows it; returns
-    /// `false` without counting them otherwise.
-    pub fn try_buffer(&mut self, bytes: usize) -> bool {
-        self.buffer.try_grow(bytes)
+    /// Counts `bytes` that the body of the request holds in all, if that is allowed; returns `false` without
+    /// counting them otherwise.
+    pub fn try_hold(&mut self, bytes: usize) -> bool {
+        self.buffer.try_resize(bytes)
     }
 }
 
@@ -242,71 +244,3 @@
         self.cx.in_flight.set(self.cx.in_flight.get() - 1);
     }
 }
-
-/// Messages whose buffered bytes are counted together.
-#[derive(Clone, Copy, Debug)]
-enum BufferKind {
-    Request,
-    Response,
-}
-
-/// Counts buffered bytes of a message until it is dropped.
-pub(super) struct BufferGuard {
-    cx: Rc<Shared>,
-    kind: BufferKind,
-    bytes: usize,
-}
-
-impl BufferGuard {
-    /// Counts the body of a request.
-    pub fn for_request(cx: &Rc<Shared>) -> Self {
-        Self { cx: Rc::clone(cx), kind: BufferKind::Request, bytes: 0 }
-    }
-
-    /// Counts the body of a response, or its incomplete event.
-    pub fn for_response(cx: &Rc<Shared>) -> Self {
-        Self { cx: Rc::clone(cx), kind: BufferKind::Response, bytes: 0 }
-    }
-
-    /// Counts `bytes` more if the limit allows it; returns `false` without counting them otherwise.
-    ///
-    /// Requests and responses have a limit each, so that neither keeps out the other.
-    pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let total = self.total().get() + bytes;
-        if total + self.undelivered() > self.cx.settings().limits.max_buffered_bytes {
-            return false;
-        }
-        self.total().set(total);
-        self.bytes += bytes;
-        true
-    }
-
-    /// Counts `bytes` instead of those so far if the limit allows it; returns `false` otherwise.
-    pub fn try_resize(&mut self, bytes: usize) -> bool {
-        let shrunk = self.bytes.saturating_sub(bytes);
-        self.bytes -= shrunk;
-        self.total().set(self.total().get() - shrunk);
-        self.try_grow(bytes - self.bytes)
-    }
-
-    /// Returns the bytes of complete messages that count toward the same limit.
-    fn undelivered(&self) -> usize {
-        match self.kind {
-            BufferKind::Request => 0,
-            BufferKind::Response => self.cx.deliveries.bytes(),
-        }
-    }
-
-    fn total(&self) -> &Cell<usize> {
-        match self.kind {
-            BufferKind::Request => &self.cx.buffered_bytes,
-            BufferKind::Response => &self.cx.buffered_response_bytes,
-        }
-    }
-}
-
-impl Drop for BufferGuard {
-    fn drop(&mut self) {
-        self.total().set(self.total().get() - self.bytes);
-    }
-}
--- a/sapphirespur_node/src/edge/handle.rs
+++ b/sapphirespur_node/src/edge/handle.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::{Body, Incoming};
@@ -25,7 +25,7 @@
 /// `Retry-After` of responses while this process cannot serve a request at all.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Largest buffer allocated for a request body before any of it arrives, in bytes.
+/// Largest buffer allocated when the first bytes of a request body arrive, in bytes.
 const INITIAL_BODY_CAPACITY_BYTES: usize = 16 * 1024;
 
 /// Fraction of the route's timeout by which a client's remaining time must be shorter for its
@@ -212,19 +212,30 @@
         return Err(ErrorResponse::TooLarge);
     }
 
-    // The declared bytes may never arrive, so the initial capacity is bounded.
-    let mut buf =
-        BytesMut::with_capacity((declared_bytes as usize).min(INITIAL_BODY_CAPACITY_BYTES));
+    let declared_bytes = declared_bytes as usize;
+    let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ErrorResponse::BadRequest)?;
         let Ok(data) = frame.into_data() else { continue };
-        if buf.len() + data.len() > max_bytes {
+        let len = buf.len() + data.len();
+        if len > max_bytes {
             return Err(ErrorResponse::TooLarge);
         }
-        if !request_guard.try_buffer(data.len()) {
-            return Err(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER));
+        if len > buf.capacity() {
+            let capacity = grown_capacity(buf.capacity(), len, declared_bytes);
+            if !request_guard.try_hold(capacity) {
+                return Err(ErrorResponse::NotRun(UNAVAILABLE_RETRY_AFTER));
+            }
+            buf.reserve_exact(capacity - buf.len());
         }
         buf.extend_from_slice(&data);
     }
-    Ok(buf.freeze())
+    Ok(buf.into())
+}
+
+/// Returns the capacity of a buffer that has to grow to `len` bytes. It doubles, so that bytes are rarely copied,
+/// but to no more than is declared; the declared bytes may never arrive.
+fn grown_capacity(capacity: usize, len: usize, declared_bytes: usize) -> usize {
+    let doubled = (2 * capacity).max(INITIAL_BODY_CAPACITY_BYTES);
+    if declared_bytes >= len { doubled.min(declared_bytes).max(len) } else { doubled.max(len) }
 }
--- a/sapphirespur_node/src/edge/metered_stream.rs
+++ b/sapphirespur_node/src/edge/metered_stream.rs
@@ -9,6 +9,10 @@
 
 use super::read_progress::ReadProgress;
 
+/// Most bytes that are read at once. Fewer than the first read buffer of a connection, which grows when it is
+/// filled: it is not worth its memory where responses wait for their clients.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Stream that fails when too much is read without a part of a response.
 #[derive(Debug)]
 pub(super) struct MeteredStream {
@@ -29,9 +33,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready(self.progress.on_read(buf.filled().len() - before))
+        let max_bytes = buf.remaining().min(MAX_READ_BYTES);
+        let mut piece = ReadBuf::new(buf.initialize_unfilled_to(max_bytes));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut piece))?;
+        let bytes = piece.filled().len();
+        buf.advance(bytes);
+        Poll::Ready(self.progress.on_read(bytes))
     }
 }
 
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -18,6 +18,7 @@
 
 use sapphirespur_core::collections::HashSet;
 
+use super::buffers::BufferKind;
 use super::retry_metrics::RetryMetrics;
 use super::rollout_metrics::RolloutMetrics;
 use super::shared::Shared;
@@ -88,6 +89,8 @@
     in_flight: Gauge,
     connections: Gauge,
     buffered_bytes: Gauge,
+    held_bytes: Family<KindLabel, Gauge>,
+    highest_held_bytes: Family<KindLabel, Gauge>,
     unread_bytes: Gauge,
     unread_responses: Family<KindLabel, Counter>,
     retries: RetryMetrics,
@@ -130,6 +133,8 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             buffered_bytes: Gauge::default(),
+            held_bytes: Family::default(),
+            highest_held_bytes: Family::default(),
             unread_bytes: Gauge::default(),
             unread_responses: Family::default(),
             retries: RetryMetrics::default(),
@@ -176,6 +181,12 @@
         r.register("in_flight", "Requests being served", metrics.in_flight.clone());
         r.register("connections", "Connections of clients", metrics.connections.clone());
         r.register("buffered_bytes", "Bodies in memory", metrics.buffered_bytes.clone());
+        r.register("held_bytes", "Bytes held for messages", metrics.held_bytes.clone());
+        r.register(
+            "highest_held_bytes",
+            "Most bytes held for messages so far",
+            metrics.highest_held_bytes.clone(),
+        );
         r.register("unread_bytes", "Bytes that wait for clients", metrics.unread_bytes.clone());
         r.register("unread", "Answers that were not read", metrics.unread_responses.clone());
         metrics.retries.register(r);
@@ -394,7 +405,14 @@
         self.peers.set(router.peers().count(now) as i64);
         self.in_flight.set(cx.in_flight.get() as i64);
         self.connections.set(cx.connections.get() as i64);
-        self.buffered_bytes.set(cx.buffered_bytes.get() as i64);
+        let requests = cx.buffers.account(BufferKind::Request);
+        self.buffered_bytes.set(requests.held() as i64);
+        for kind in BufferKind::ALL {
+            let account = cx.buffers.account(kind);
+            let label = KindLabel { kind: kind.as_str() };
+            self.held_bytes.get_or_create(&label).set(account.held() as i64);
+            self.highest_held_bytes.get_or_create(&label).set(account.highest() as i64);
+        }
         self.unread_bytes.set(cx.deliveries.bytes() as i64);
     }
 }
--- a/sapphirespur_node/src/edge/mod.rs
+++ b/sapphirespur_node/src/edge/mod.rs
@@ -3,7 +3,10 @@
 //! Everything runs on one thread: on VMs with a fraction of a core, handing each request to another
 //! thread and back costs more than the routing decision.
 
+mod buffer_guard;
 mod buffered;
+mod buffered_body;
+mod buffers;
 pub mod client_stream;
 mod connect;
 mod delivered_body;
@@ -30,6 +33,7 @@
 mod registry_sync;
 pub mod registry_thread;
 pub mod response;
+mod response_buffer;
 mod retry_metrics;
 mod rollout_keeper;
 mod rollout_keys;
--- a/sapphirespur_node/src/edge/received_body.rs
+++ b/sapphirespur_node/src/edge/received_body.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
+use super::buffer_guard::BufferGuard;
 use super::read_progress::ReadProgress;
 
 /// Body of a response; each piece of it counts as progress of its connection.
@@ -13,12 +14,14 @@
 pub struct ReceivedBody {
     body: Incoming,
     progress: ReadProgress,
+    /// Counts the head, which is kept as long as the body.
+    _head: Option<BufferGuard>,
 }
 
 impl ReceivedBody {
     /// Wraps the body of a response on a connection.
-    pub(super) fn new(body: Incoming, progress: ReadProgress) -> Self {
-        Self { body, progress }
+    pub(super) fn new(body: Incoming, progress: ReadProgress, head: Option<BufferGuard>) -> Self {
+        Self { body, progress, _head: head }
     }
 }
 
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Body;
 use hyper::http::request::Parts;
 use hyper::http::response;
 use hyper::{Request, Uri};
@@ -14,20 +15,24 @@
 use sapphirespur_core::time::Time;
 use tokio::time::timeout;
 
-use super::connect::{HttpConnection, connect};
+use super::buffer_guard::BufferGuard;
+use super::buffered_body::BufferedBody;
+use super::buffers::BufferKind;
+use super::connect::{HttpConnection, connect_counted};
 use super::dialect::{RequestHead, ResponseHead, UpstreamRequestHead};
-use super::guards::{BufferGuard, UpstreamReservation};
+use super::guards::UpstreamReservation;
 use super::hop_headers;
 use super::lazy_identity::LazyIdentity;
 use super::pool::PoolKey;
 use super::received_body::ReceivedBody;
+use super::response_buffer::ResponseBuffer;
 use super::shared::Shared;
 
 /// Time within which a connection to an upstream must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Largest response body that is buffered, in bytes.
-pub(super) const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Largest body of a refusal, in bytes, and the time within which it must end for its connection to be
 /// used again.
@@ -99,7 +104,7 @@
     /// Returns the connection to the pool when the upstream has read the request, which it may answer
     /// before; closes the connection if that is not soon or the memory for bodies is full.
     async fn return_when_sent(mut self, cx: Rc<Shared>) {
-        let mut guard = BufferGuard::for_request(&cx);
+        let mut guard = BufferGuard::new(&cx.buffers, BufferKind::Request);
         if !guard.try_grow(self.body_bytes) {
             return;
         }
@@ -173,7 +178,7 @@
     let pooled = cx.pool.borrow_mut().take(cx.now(), &key);
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match connect(placement.address, CONNECT_TIMEOUT).await {
+        None => match connect_counted(placement.address, CONNECT_TIMEOUT, &cx.buffers).await {
             Ok(connection) => connection,
             Err(e) => {
                 cx.pool.borrow_mut().close(placement.address);
@@ -275,35 +280,51 @@
 /// Reads the rest of a refusal, which is short, and returns its connection to the pool; closes the
 /// connection if the response does not end soon.
 async fn drain(cx: Rc<Shared>, mut refusal: UpstreamResponse) {
-    let body = read_to_end(&cx, &mut refusal.body, MAX_REFUSAL_BYTES);
-    if let Ok(Ok(_)) = timeout(DRAIN_TIMEOUT, body).await {
+    if let Ok(true) = timeout(DRAIN_TIMEOUT, discard(&mut refusal.body)).await {
         refusal.connection.return_to_pool(&cx);
     }
 }
 
-/// Reads a body of at most `max_bytes` to its end.
+/// Reads the body of a refusal and drops it; returns whether it has ended, and not too late.
+async fn discard(body: &mut ReceivedBody) -> bool {
+    let mut read_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        read_bytes += frame.data_ref().map_or(0, Bytes::len);
+        if read_bytes > MAX_REFUSAL_BYTES {
+            return false;
+        }
+    }
+    true
+}
+
+/// Reads the body of a response to its end.
 ///
 /// # Errors
 ///
 /// Returns the outcome of the send when the body ends early, or is too large by itself or together
-/// with what the process has buffered.
+/// with what the process has buffered. One that says at its start that it is too large is not read.
 pub(super) async fn read_to_end(
-    cx: &Rc<Shared>,
+    cx: &Shared,
     body: &mut ReceivedBody,
-    max_bytes: usize,
-) -> Result<Bytes, SendOutcome> {
-    let mut guard = BufferGuard::for_response(cx);
-    let mut buf = BytesMut::new();
+) -> Result<BufferedBody, SendOutcome> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if declared > MAX_RESPONSE_BYTES {
+        return Err(SendOutcome::TooLarge);
+    }
+    let mut buffer = ResponseBuffer::new(&cx.buffers, declared);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| SendOutcome::Disconnected)?;
         let Ok(data) = frame.into_data() else { continue };
-        if buf.len() + data.len() > max_bytes || !guard.try_grow(data.len()) {
-            return Err(SendOutcome::Broken);
+        if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
+            return Err(SendOutcome::TooLarge);
+        }
+        if !buffer.try_push(&data) {
+            let is_large = buffer.is_large();
+            return Err(if is_large { SendOutcome::TooLarge } else { SendOutcome::NoMemory });
         }
-        buf.extend_from_slice(&data);
     }
-
-    Ok(buf.freeze())
+    Ok(BufferedBody::new(buffer.into_parts()))
 }
 
 /// Returns the path and query of a URI, as the client sent them.
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::buffers::Buffers;
 use super::delivery::Deliveries;
 use super::dialect::Dialect;
 use super::log_budget::{LogBudget, LogClass};
@@ -78,10 +79,8 @@
     pub in_flight: Cell<usize>,
     /// Number of open client connections.
     pub connections: Cell<usize>,
-    /// Bytes of request bodies held in memory.
-    pub buffered_bytes: Cell<usize>,
-    /// Bytes of response bodies and incomplete events held in memory.
-    pub buffered_response_bytes: Cell<usize>,
+    /// Bytes of messages held in memory.
+    pub buffers: Rc<Buffers>,
     /// Response bytes that wait to be written to their clients.
     pub deliveries: Deliveries,
     /// Version after which the registry is watched; when absent, the registry is listed again.
@@ -118,6 +117,7 @@
             ..settings.decisions.clone()
         });
         router.start(clock.now());
+        let max_buffered_bytes = settings.limits.max_buffered_bytes;
 
         Self {
             settings: RefCell::new(Rc::new(settings)),
@@ -142,8 +142,7 @@
             answers_due: CancellationToken::new(),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
-            buffered_bytes: Cell::new(0),
-            buffered_response_bytes: Cell::new(0),
+            buffers: Rc::new(Buffers::new(max_buffered_bytes)),
             deliveries: Deliveries::default(),
             watch_version: Cell::new(None),
             last_registry_response: Cell::new(None),
@@ -164,6 +163,7 @@
         let mut router = self.router.borrow_mut();
         router.update_settings(&settings.decisions);
         router.update_seeds(&settings.seeds);
+        self.buffers.set_limit(settings.limits.max_buffered_bytes);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
--- a/sapphirespur_node/src/edge/stream.rs
+++ b/sapphirespur_node/src/edge/stream.rs
@@ -17,9 +17,11 @@
 use sapphirespur_core::time::Time;
 
 use self::stream_head::StreamHead;
+use super::buffer_guard::BufferGuard;
 use super::buffered::SendHistory;
+use super::buffers::BufferKind;
 use super::event_buffer::EventBuffer;
-use super::guards::{BufferGuard, MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
+use super::guards::{MIN_IDLE_TIMEOUT, RequestGuard, UpstreamReservation};
 use super::hop_headers;
 use super::response::{AbortReason, ClientResponse, ResponseBody};
 use super::send::{Call, UpstreamResponse};
@@ -38,7 +40,7 @@
     /// Head that the client has; absent before it.
     head: Option<StreamHead>,
     events: EventBuffer,
-    /// Counts the bytes of incomplete events.
+    /// Counts the buffer of incomplete events.
     buffer: BufferGuard,
     order: EventOrder,
     /// Time of the last bytes from an upstream; the arrival of the call before the first ones.
@@ -66,7 +68,7 @@
         passed_on_at: None,
         last_progress: call.arrived_at,
         order: EventOrder::new(call.head.last_event_id),
-        buffer: BufferGuard::for_response(&cx),
+        buffer: BufferGuard::new(&cx.buffers, BufferKind::Response),
         cx,
         call,
         sends: SendHistory::default(),
--- a/sapphirespur_node/src/edge/stream/relay.rs
+++ b/sapphirespur_node/src/edge/stream/relay.rs
@@ -14,6 +14,9 @@
 /// Largest incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Length of an incomplete event from which on it is one of the large ones, in bytes.
+const LARGE_EVENT_BYTES: usize = 16 * 1024;
+
 /// Result of waiting for bytes of the upstream.
 enum ReadOutcome {
     /// Bytes were received, or the upstream is still responsive.
@@ -135,14 +138,11 @@
         let read_timeout = if may_resume { left.min(MIN_IDLE_TIMEOUT) } else { left };
         match timeout(read_timeout, upstream_response.body.frame()).await {
             Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    self.events.push(&data);
-                    self.on_bytes_received();
-                }
-                let is_counted = self.buffer.try_resize(self.events.len());
-                if self.events.len() > MAX_EVENT_BYTES || !is_counted {
-                    return ReadOutcome::Lost(SendOutcome::Broken);
+                let Ok(data) = frame.into_data() else { return ReadOutcome::Continue };
+                if let Err(outcome) = self.push(&data) {
+                    return ReadOutcome::Lost(outcome);
                 }
+                self.on_bytes_received();
                 ReadOutcome::Continue
             }
             Ok(None) if self.events.is_empty() && !may_end => {
@@ -155,6 +155,24 @@
         }
     }
 
+    /// Buffers bytes of the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the outcome of the send when there is no memory for them, or the incomplete event is too large.
+    fn push(&mut self, data: &[u8]) -> Result<(), SendOutcome> {
+        if self.events.len() + data.len() > MAX_EVENT_BYTES {
+            return Err(SendOutcome::TooLarge);
+        }
+        if !self.buffer.try_resize(self.events.memory_with(data.len())) {
+            let is_large = self.events.len() > LARGE_EVENT_BYTES;
+            return Err(if is_large { SendOutcome::TooLarge } else { SendOutcome::NoMemory });
+        }
+        self.events.push(data);
+        self.buffer.try_resize(self.events.memory_with(0));
+        Ok(())
+    }
+
     /// Returns whether the stream has stalled at its upstream.
     fn is_stalled(&self, now: Time) -> bool {
         let idle = now.since(self.last_progress);
@@ -180,6 +198,7 @@
         self.sends.record_failure(&self.cx, &self.call, reservation, outcome, true);
         self.finish(outcome, false);
         self.events = EventBuffer::default();
+        self.buffer.try_resize(0);
         self.order.on_new_upstream();
         if placement.is_none() || self.start(placement).await.is_err() {
             self.log_aborted(outcome.as_str());
--- a/sapphirespur_node/src/settings/edge.rs
+++ b/sapphirespur_node/src/settings/edge.rs
@@ -26,7 +26,7 @@
 /// Limits on buffered bodies, client connections and the time to stop.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EdgeLimits {
-    /// Largest total size of buffered request bodies, in bytes.
+    /// Most bytes held for request bodies, and for responses, each.
     pub max_buffered_bytes: usize,
     /// Number of client connections above which those of refused clients are closed.
     pub refused_close_threshold: usize,
@@ -63,9 +63,14 @@
     pub log: LogSettings,
 }
 
-/// Divisor of the VM's memory that gives the limit for buffered request bodies.
+/// Divisor of the VM's memory that gives the limit for bodies of requests, that for what was read of upstreams and
+/// is not written yet, and that for connections; the last quarter is for the state of the fleet.
 const BUFFERED_MEMORY_DIVISOR: f64 = 4.0;
 
+/// Memory of a client's connection with the request on it and the connection to its upstream, without bodies, in
+/// bytes (docs/CAPACITY.md).
+const CONNECTION_BYTES: usize = 24 * 1024;
+
 /// Bytes in a megabyte of the VM's memory.
 const BYTES_PER_MB: f64 = 1_048_576.0;
 
@@ -76,8 +81,8 @@
 /// those of refused clients are closed.
 const REFUSED_CLOSE_DIVISOR: usize = 16;
 
-/// Divisor of the VM's file descriptors that gives the limit for client connections; connections to
-/// upstreams need the rest.
+/// Divisor of the VM's file descriptors that gives the limit for client connections, where memory allows so many;
+/// connections to upstreams need the rest.
 const MAX_CONNECTIONS_DIVISOR: usize = 2;
 
 /// Number of watches that fit into the shortest time within which a change must take effect.
@@ -130,6 +135,8 @@
         let memory_mb = f.decimal("limits", "memory-mb", 16.0..=1_048_576.0, 256.0)?;
         let descriptors = f.decimal("limits", "descriptors", 256.0..=1_048_576.0, 1_024.0)?;
 
+        let max_buffered_bytes = (memory_mb * BYTES_PER_MB / BUFFERED_MEMORY_DIVISOR) as usize;
+
         Ok(Self {
             path: path.to_owned(),
             seeds: f.addresses("peers", "seeds")?,
@@ -140,9 +147,10 @@
             ),
             watch_interval: read_tightest_bound(f)? / WATCHES_PER_BOUND,
             limits: EdgeLimits {
-                max_buffered_bytes: (memory_mb * BYTES_PER_MB / BUFFERED_MEMORY_DIVISOR) as usize,
+                max_buffered_bytes,
                 refused_close_threshold: descriptors as usize / REFUSED_CLOSE_DIVISOR,
-                max_connections: descriptors as usize / MAX_CONNECTIONS_DIVISOR,
+                max_connections: (descriptors as usize / MAX_CONNECTIONS_DIVISOR)
+                    .min(max_buffered_bytes / CONNECTION_BYTES),
                 grace: f.seconds("limits", "grace-s", SPAN_RANGE_S, Duration::from_secs(30))?,
             },
             decisions: RouterSettings {
--- a/sapphirespur_node/tests/edge/settings.rs
+++ b/sapphirespur_node/tests/edge/settings.rs
@@ -54,6 +54,17 @@
     assert_eq!((settings.decisions.cold_overshoot, settings.decisions.cold_allowance), (1.5, 5.0));
 }
 
+// Guards against more connections than the memory of a small VM holds beside what its messages may take.
+#[test]
+fn connections_fit_into_a_quarter_of_the_memory() {
+    let max_connections = |memory_mb: &str| {
+        let text = VALID.replace("memory-mb = 260", &format!("memory-mb = {memory_mb}"));
+        parse(&text).expect("valid settings").limits.max_connections
+    };
+    assert_eq!(max_connections("88"), 938);
+    assert_eq!(max_connections("260"), 2_050, "half of the descriptors");
+}
+
 #[test]
 fn shipped_example_is_valid() {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../extra/examples/direct.ini");
--- a/sapphirespur_standin/src/users_platform/endless_part.rs
+++ b/sapphirespur_standin/src/users_platform/endless_part.rs
@@ -9,8 +9,12 @@
     Head,
     /// Size of a chunk.
     ChunkSize,
-    /// Body.
+    /// Body in chunks.
     Body,
+    /// Body of a length that no router keeps.
+    LongBody,
+    /// Body that ends with its connection.
+    UnframedBody,
     /// Event of a stream.
     Event,
     /// Headers after the last chunk.
@@ -21,13 +25,19 @@
     Misdirected,
 }
 
+/// Bytes that are repeated in a body.
+const FILLER: &str = "endless ";
+
+/// Length of a long body, in bytes.
+const LONG_BODY_BYTES: u64 = 1 << 40;
+
 impl EndlessPart {
     /// Returns what is sent before the part, and the piece of the part that is repeated.
     pub(super) fn pieces(self, id_header: &str, signed: &str) -> (String, String) {
         const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
         const LINE: &str = "X-Filler: without end\r\n";
 
-        let chunk = format!("400\r\n{}\r\n", "endless ".repeat(128));
+        let chunk = format!("400\r\n{}\r\n", FILLER.repeat(128));
 
         let ok = format!("HTTP/1.1 200 OK\r\n{signed}");
         let refusal = |status: &str| format!("HTTP/1.1 {status}\r\n{id_header}");
@@ -36,6 +46,10 @@
             Self::Head => (ok, LINE.to_owned()),
             Self::ChunkSize => (format!("{ok}{CHUNKED}"), "0000".to_owned()),
             Self::Body => (format!("{ok}{CHUNKED}"), chunk),
+            Self::LongBody => {
+                (format!("{ok}Content-Length: {LONG_BODY_BYTES}\r\n\r\n"), FILLER.repeat(128))
+            }
+            Self::UnframedBody => (format!("{ok}\r\n"), FILLER.repeat(128)),
             Self::Event => (format!("{ok}Content-Type: text/event-stream\r\n{CHUNKED}"), chunk),
             Self::Trailers => (format!("{ok}{CHUNKED}0\r\n"), LINE.to_owned()),
             Self::Refusal => {
