Sidecar: a line of an event stream that does not end, ends its response

The report of bytes without end on the product's own path: to count tokens the sidecar kept a line until it ended, however long. With an upstream that sends an event stream without a line break, 33.6 MB passed the sidecar until the client of the test gave up, and the sidecar kept as much again.

Cause: LinesCodec without a longest line.

--- a/sapphirespur_node/src/sidecar/upstream.rs
+++ b/sapphirespur_node/src/sidecar/upstream.rs
@@ -16,7 +16,7 @@
 use sapphirespur_core::sidecar::{UpstreamEvent, UpstreamFailure};
 use sapphirespur_wire::FrameBody;
 use serde::Deserialize;
-use tokio_util::codec::{Decoder, LinesCodec};
+use tokio_util::codec::{Decoder, LinesCodec, LinesCodecError};
 
 use crate::edge::hop_headers::has_lost_body;
 use crate::http::header;
@@ -28,6 +28,9 @@
 /// Largest response body that is retained to read its token usage, in bytes.
 const MAX_USAGE_BYTES: usize = 4 * 1024 * 1024;
 
+/// Longest line of an event stream, in bytes; the line is kept until it ends.
+const MAX_LINE_BYTES: usize = 1024 * 1024;
+
 /// Time without data from the upstream after which its response counts as incomplete.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(600);
 
@@ -140,7 +143,9 @@
             Ok(Some(Ok(frame))) => {
                 let Ok(chunk) = frame.into_data() else { continue };
                 is_empty &= chunk.is_empty();
-                let tokens = inspector.on_chunk(&chunk);
+                let Ok(tokens) = inspector.on_chunk(&chunk) else {
+                    return UpstreamEvent::Failed(UpstreamFailure::Incomplete);
+                };
                 if tokens > 0 {
                     on_tokens(tokens);
                 }
@@ -191,7 +196,7 @@
         Self {
             unit: call.unit,
             is_stream,
-            lines: LinesCodec::new(),
+            lines: LinesCodec::new_with_max_length(MAX_LINE_BYTES),
             buf: BytesMut::new(),
             body: retains_body.then(BytesMut::new),
             has_end_marker: false,
@@ -199,7 +204,11 @@
     }
 
     /// Inspects a chunk and returns the number of tokens in it.
-    fn on_chunk(&mut self, chunk: &[u8]) -> u32 {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an event stream has a line that is too long or no text.
+    fn on_chunk(&mut self, chunk: &[u8]) -> Result<u32, LinesCodecError> {
         if let Some(body) = &mut self.body {
             body.extend_from_slice(chunk);
             if body.len() > MAX_USAGE_BYTES {
@@ -207,19 +216,19 @@
             }
         }
         if !self.is_stream || self.unit == CostUnit::Calls {
-            return 0;
+            return Ok(0);
         }
 
         self.buf.extend_from_slice(chunk);
         let mut tokens = 0;
-        while let Ok(Some(line)) = self.lines.decode(&mut self.buf) {
+        while let Some(line) = self.lines.decode(&mut self.buf)? {
             match line.strip_prefix("data:").map(str::trim) {
                 Some("[DONE]") => self.has_end_marker = true,
                 Some(_) => tokens += 1,
                 None => {}
             }
         }
-        tokens
+        Ok(tokens)
     }
 
     /// Returns the result of a call whose response has ended.
