--- a/sapphirespur_node/src/edge/delivered_body.rs
+++ b/sapphirespur_node/src/edge/delivered_body.rs
@@ -14,24 +14,24 @@
 pub(super) struct DeliveredBody {
     body: ResponseBody,
     delivery: Rc<Delivery>,
-    /// Whether the bytes of the body were counted at its start.
-    is_counted: bool,
+    /// Bytes that were counted at the start of a complete body and are not taken yet; none for a stream.
+    untaken: Option<usize>,
 }
 
 impl DeliveredBody {
     /// Wraps the body of a response. One that is complete waits for its client as a whole.
     pub fn new(body: ResponseBody, delivery: Rc<Delivery>) -> Self {
         delivery.set_responding(true);
-        let complete_bytes = body.size_hint().exact();
-        if let Some(bytes) = complete_bytes {
-            delivery.add(bytes as usize);
-        }
-        Self { body, delivery, is_counted: complete_bytes.is_some() }
+        let untaken = body.size_hint().exact().map(|bytes| bytes as usize);
+        delivery.add(untaken.unwrap_or_default());
+        Self { body, delivery, untaken }
     }
 }
 
 impl Drop for DeliveredBody {
     fn drop(&mut self) {
+        // A body that is not sent, as in response to HEAD.
+        self.delivery.remove(self.untaken.unwrap_or_default());
         self.delivery.set_responding(false);
     }
 }
@@ -45,11 +45,13 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AbortReason>>> {
         let frame = ready!(self.body.as_mut().poll_frame(cx));
-        if !self.is_counted
-            && let Some(Ok(frame)) = &frame
+        if let Some(Ok(frame)) = &frame
             && let Some(data) = frame.data_ref()
         {
-            self.delivery.add(data.len());
+            match &mut self.untaken {
+                Some(untaken) => *untaken = untaken.saturating_sub(data.len()),
+                None => self.delivery.add(data.len()),
+            }
         }
         Poll::Ready(frame)
     }
--- a/sapphirespur_node/src/edge/delivery.rs
+++ b/sapphirespur_node/src/edge/delivery.rs
@@ -161,7 +161,8 @@
         }
     }
 
-    fn remove(&self, bytes: usize) {
+    /// Counts bytes less that were written, or are not to be written after all.
+    pub fn remove(&self, bytes: usize) {
         let written = bytes.min(self.bytes.get());
         self.bytes.set(self.bytes.get() - written);
         self.cx.buffers.release(BufferKind::Response, written);
--- a/sapphirespur_node/src/edge/metered_stream.rs
+++ b/sapphirespur_node/src/edge/metered_stream.rs
@@ -11,7 +11,7 @@
 
 /// Most bytes that are read at once. Fewer than the first read buffer of a connection, which grows when it is
 /// filled: it is not worth its memory where responses wait for their clients.
-const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+pub(super) const MAX_READ_BYTES: usize = 8 * 1024 - 1;
 
 /// Stream that fails when too much is read without a part of a response.
 #[derive(Debug)]
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -405,8 +405,7 @@
         self.peers.set(router.peers().count(now) as i64);
         self.in_flight.set(cx.in_flight.get() as i64);
         self.connections.set(cx.connections.get() as i64);
-        let requests = cx.buffers.account(BufferKind::Request);
-        self.buffered_bytes.set(requests.held() as i64);
+        self.buffered_bytes.set(cx.buffers.account(BufferKind::Request).held() as i64);
         for kind in BufferKind::ALL {
             let account = cx.buffers.account(kind);
             let label = KindLabel { kind: kind.as_str() };
--- a/sapphirespur_node/src/edge/read_progress.rs
+++ b/sapphirespur_node/src/edge/read_progress.rs
@@ -7,6 +7,7 @@
 use super::buffer_guard::BufferGuard;
 use super::buffers::{BufferKind, Buffers};
 use super::connect::MAX_READ_BUFFER_BYTES;
+use super::metered_stream::MAX_READ_BYTES;
 
 /// Bytes that were read of a connection since the last part of a response that was of use: its head or a piece
 /// of its body. Shared by the stream that reads them and the body that they belong to.
@@ -59,9 +60,9 @@
         self.0.buffer.as_ref().map(|buffer| buffer.borrow_mut().take())
     }
 
-    /// Counts the buffer for `bytes`, which doubles as it grows.
+    /// Counts the buffer for `bytes`, which doubles as it grows. The first one belongs to the connection.
     fn try_hold(&self, bytes: usize) -> bool {
-        let capacity = if bytes == 0 { 0 } else { bytes.next_power_of_two() };
+        let capacity = if bytes <= MAX_READ_BYTES { 0 } else { bytes.next_power_of_two() };
         self.0.buffer.as_ref().is_none_or(|buffer| buffer.borrow_mut().try_resize(capacity))
     }
 }
--- a/sapphirespur_node/src/sidecar/upstream.rs
+++ b/sapphirespur_node/src/sidecar/upstream.rs
@@ -207,7 +207,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when an event stream has a line that is too long or no text.
+    /// Returns an error when an event stream has a line that is too long.
     fn on_chunk(&mut self, chunk: &[u8]) -> Result<u32, LinesCodecError> {
         if let Some(body) = &mut self.body {
             body.extend_from_slice(chunk);
@@ -221,14 +221,19 @@
 
         self.buf.extend_from_slice(chunk);
         let mut tokens = 0;
-        while let Some(line) = self.lines.decode(&mut self.buf)? {
-            match line.strip_prefix("data:").map(str::trim) {
-                Some("[DONE]") => self.has_end_marker = true,
-                Some(_) => tokens += 1,
-                None => {}
+        loop {
+            match self.lines.decode(&mut self.buf) {
+                Ok(Some(line)) => match line.strip_prefix("data:").map(str::trim) {
+                    Some("[DONE]") => self.has_end_marker = true,
+                    Some(_) => tokens += 1,
+                    None => {}
+                },
+                Ok(None) => return Ok(tokens),
+                Err(e @ LinesCodecError::MaxLineLengthExceeded) => return Err(e),
+                // A line that is no text has no tokens.
+                Err(LinesCodecError::Io(_)) => {}
             }
         }
-        Ok(tokens)
     }
 
     /// Returns the result of a call whose response has ended.
