--- a/sapphirespur_standin/tests/common/mod.rs
+++ b/sapphirespur_standin/tests/common/mod.rs
@@ -2,12 +2,15 @@
 
 #![allow(dead_code, missing_docs)]
 
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
 use awc::Client;
 use sapphirespur_standin::client::{CallError, Response, call_service, complete, count_runs};
-use sapphirespur_standin::processes::{Layout, ProcessFleet};
+use sapphirespur_standin::processes::{Layout, ProcessFleet, Signal};
+use serde_json::json;
 
 /// Model that every fleet configures.
 pub const MODEL: &str = "profile-writer";
@@ -31,6 +34,29 @@
     ProcessFleet::start(layout, bin, &dir).expect("the processes start")
 }
 
+/// Ends the upstream of a sidecar, and listens on its port in its place.
+pub fn replace_upstream(fleet: &mut ProcessFleet, sidecar: &str) -> TcpListener {
+    let address = fleet.standin_url(sidecar).replace("http://", "");
+    let process = format!("{sidecar}-upstream");
+    fleet.signal(&process, Signal::Kill).expect("the upstream ends");
+    fleet.wait(&process).expect("the upstream has ended");
+    TcpListener::bind(address).expect("its port is free")
+}
+
+/// Opens a connection to a router, and sends a request for a stream, which closes the connection.
+pub fn open_stream(address: &str) -> TcpStream {
+    let body = json!({ "model": MODEL, "prompt": "a b", "max_tokens": 60, "stream": true });
+    let body = body.to_string();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).expect("the router listens");
+    stream.write_all(request.as_bytes()).expect("the request is sent");
+    stream
+}
+
 /// Runs a future on a new actix system.
 pub fn block_on<T>(future: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(future)
--- a/sapphirespur_standin/tests/endless.rs
+++ b/sapphirespur_standin/tests/endless.rs
@@ -3,12 +3,11 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::time::Duration;
 
-use common::{KEY, MODEL, start};
-use sapphirespur_standin::processes::{Layout, Signal};
-use serde_json::json;
+use common::{open_stream, replace_upstream, start};
+use sapphirespur_standin::processes::Layout;
 
 const ROUTER: &str = "milano-r1";
 
@@ -37,16 +36,8 @@
 /// Reads a streamed response until it ends; returns its length, with the framing, and whether it looks
 /// complete.
 fn read_stream(address: &str) -> (usize, bool) {
-    let body = json!({ "model": MODEL, "prompt": "a b", "max_tokens": 60, "stream": true });
-    let body = body.to_string();
-    let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
-         content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    );
-    let mut stream = TcpStream::connect(address).expect("the router listens");
+    let stream = &mut open_stream(address);
     stream.set_read_timeout(Some(READ_TIMEOUT)).expect("a timeout");
-    stream.write_all(request.as_bytes()).expect("the request is sent");
     let (mut buf, mut end, mut total) = (vec![0; 64 * 1024], Vec::new(), 0);
     while total < MAX_RESPONSE_BYTES
         && let Ok(count @ 1..) = stream.read(&mut buf)
@@ -63,11 +54,7 @@
 fn line_without_end_ends_its_response() {
     let mut fleet = start("endless_line", Layout::minimal());
     for sidecar in fleet.layout.engine_names() {
-        let upstream = fleet.standin_url(&sidecar).replace("http://", "");
-        let process = format!("{sidecar}-upstream");
-        fleet.signal(&process, Signal::Kill).expect("the upstream ends");
-        fleet.wait(&process).expect("the upstream has ended");
-        let listener = TcpListener::bind(upstream).expect("its port is free");
+        let listener = replace_upstream(&mut fleet, &sidecar);
         std::thread::spawn(move || serve_endless_line(&listener));
     }
     let (bytes, is_complete) = read_stream(&fleet.router_url(ROUTER).replace("http://", ""));
--- a/sapphirespur_standin/tests/failures.rs
+++ b/sapphirespur_standin/tests/failures.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use common::{
-    KEY, MODEL, block_on, book, client, count_bookings, eventually, get_json, request_stream, start,
+    KEY, block_on, book, client, count_bookings, eventually, get_json, open_stream,
+    replace_upstream, request_stream, start,
 };
 use sapphirespur_standin::client::{CallError, call_service};
 use sapphirespur_standin::engine::EngineOptions;
@@ -44,15 +45,7 @@
 
 /// Returns the raw bytes of a streamed response, including the chunk framing.
 fn read_raw_response(address: &str) -> Vec<u8> {
-    let body = json!({ "model": MODEL, "prompt": "a b", "max_tokens": 60, "stream": true });
-    let body = body.to_string();
-    let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {KEY}\r\n\
-         content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    );
-    let mut stream = TcpStream::connect(address).expect("the router listens");
-    stream.write_all(request.as_bytes()).expect("the request is sent");
+    let mut stream = open_stream(address);
     let mut data = Vec::new();
     // A connection reset ends the response too, so the error is ignored.
     let _ = stream.read_to_end(&mut data);
@@ -152,11 +145,7 @@
             let mut fleet = start(stringify!($name), Layout::minimal());
             let address = fleet.router_url(ROUTER).replace("http://", "");
             for sidecar in fleet.layout.service_names() {
-                let upstream = fleet.standin_url(&sidecar).replace("http://", "");
-                let process = format!("{sidecar}-upstream");
-                fleet.signal(&process, Signal::Kill).expect("the upstream ends");
-                fleet.wait(&process).expect("the upstream has ended");
-                serve_cut(TcpListener::bind(upstream).expect("its port is free"), $response);
+                serve_cut(replace_upstream(&mut fleet, &sidecar), $response);
             }
             let whole = read_raw_call(&address, &format!("{} bytes", $response.len()));
             let head = $response.find("\r\n\r\n").expect("a head") + 4;
