Responses: whose fault a lack of memory is, is decided in one place

The rule that a large response is to blame for the memory that it does not get, and a small one is not, stood twice: for bodies and for incomplete events, with the same length. It is SendOutcome::without_memory now.

--- a/sapphirespur_core/src/edge/in_flight_request.rs
+++ b/sapphirespur_core/src/edge/in_flight_request.rs
@@ -112,6 +112,14 @@
 }
 
 impl SendOutcome {
+    /// Length from which on a response that finds no memory is one of the large ones, in bytes.
+    const LARGE_RESPONSE_BYTES: usize = 16 * 1024;
+
+    /// Returns the outcome of a send whose response finds no memory after `bytes` of its body or event.
+    pub fn without_memory(bytes: usize) -> Self {
+        if bytes > Self::LARGE_RESPONSE_BYTES { Self::TooLarge } else { Self::NoMemory }
+    }
+
     /// Returns a short name for logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/sapphirespur_node/src/edge/response_buffer.rs
+++ b/sapphirespur_node/src/edge/response_buffer.rs
@@ -36,11 +36,6 @@
         self.len
     }
 
-    /// Returns whether the body is one of the large ones.
-    pub fn is_large(&self) -> bool {
-        self.len > PART_BYTES
-    }
-
     /// Appends bytes; returns `false` when there is no memory for them.
     pub fn try_push(&mut self, mut bytes: &[u8]) -> bool {
         while !bytes.is_empty() {
--- a/sapphirespur_node/src/edge/send.rs
+++ b/sapphirespur_node/src/edge/send.rs
@@ -320,8 +320,7 @@
             return Err(SendOutcome::TooLarge);
         }
         if !buffer.try_push(&data) {
-            let is_large = buffer.is_large();
-            return Err(if is_large { SendOutcome::TooLarge } else { SendOutcome::NoMemory });
+            return Err(SendOutcome::without_memory(buffer.len()));
         }
     }
     Ok(BufferedBody::new(buffer.into_parts()))
--- a/sapphirespur_node/src/edge/stream/relay.rs
+++ b/sapphirespur_node/src/edge/stream/relay.rs
@@ -14,9 +14,6 @@
 /// Largest incomplete event that is buffered, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
-/// Length of an incomplete event from which on it is one of the large ones, in bytes.
-const LARGE_EVENT_BYTES: usize = 16 * 1024;
-
 /// Result of waiting for bytes of the upstream.
 enum ReadOutcome {
     /// Bytes were received, or the upstream is still responsive.
@@ -165,8 +162,7 @@
             return Err(SendOutcome::TooLarge);
         }
         if !self.buffer.try_resize(self.events.memory_with(data.len())) {
-            let is_large = self.events.len() > LARGE_EVENT_BYTES;
-            return Err(if is_large { SendOutcome::TooLarge } else { SendOutcome::NoMemory });
+            return Err(SendOutcome::without_memory(self.events.len()));
         }
         self.events.push(data);
         self.buffer.try_resize(self.events.memory_with(0));
