--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -609,6 +609,7 @@
     pub slots: u32,
     pub address: SocketAddr,
     is_down: Arc<AtomicBool>,
+    is_closed: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -636,14 +637,15 @@
         let listener = TcpListener::bind(address).unwrap_or_else(|e| give_up(&e.to_string()));
         let address = listener.local_addr().unwrap();
         let is_down = Arc::new(AtomicBool::new(false));
+        let is_closed = Arc::new(AtomicBool::new(false));
         let streams: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
         let (down, open, name) = (Arc::clone(&is_down), Arc::clone(&streams), id.to_owned());
+        let closed = Arc::clone(&is_closed);
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 // A runner that has ended accepts nothing: its listener closes here.
                 if down.load(Ordering::SeqCst) {
-                    let _ = stream.shutdown(Shutdown::Both);
-                    return;
+                    break;
                 }
                 if let Ok(copy) = stream.try_clone() {
                     open.lock().unwrap().push(copy);
@@ -653,18 +655,23 @@
                     let _ = serve_runner(Wire::new(stream), &name, &*behaviour);
                 });
             }
+            drop(listener);
+            closed.store(true, Ordering::SeqCst);
         });
-        Self { id: id.to_owned(), service, zone, slots, address, is_down, streams }
+        Self { id: id.to_owned(), service, zone, slots, address, is_down, is_closed, streams }
     }
 
-    /// Ends the runner: its port closes, and its connections.
+    /// Ends the runner as the end of its process does: its port closes, and its connections.
     pub fn stop(&self) {
         self.is_down.store(true, Ordering::SeqCst);
+        while !self.is_closed.load(Ordering::SeqCst) {
+            // Wakes the thread that accepts, which then drops the listener.
+            let _ = TcpStream::connect(self.address);
+            thread::sleep(Duration::from_millis(1));
+        }
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        // Wakes the thread that accepts, which then drops the listener.
-        let _ = TcpStream::connect(self.address);
     }
 
     /// Returns the entry that the runner writes to the store.
@@ -718,11 +725,20 @@
     /// waits until it is ready.
     pub fn start(name: &str, store: &Store, memory_mb: u32) -> Self {
         let ip = free_ip();
-        let port = || {
-            let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|e| give_up(&e.to_string()));
-            listener.local_addr().unwrap().port()
-        };
-        let (frontend, ready, peers) = (port(), port(), port());
+        Self::start_at(name, store, memory_mb, ip, free_port(&[ip]), &format!("{ip}:1"))
+    }
+
+    /// Starts a router at an address, with the port at which all routers hear one another, and the first
+    /// addresses to look for others.
+    pub fn start_at(
+        name: &str,
+        store: &Store,
+        memory_mb: u32,
+        ip: Ipv4Addr,
+        peers: u16,
+        seeds: &str,
+    ) -> Self {
+        let (frontend, ready) = (free_port(&[ip]), free_port(&[ip]));
         let memory = memory_mb.to_string();
         let fields = [
             ("node_name", name.to_owned()),
@@ -731,7 +747,7 @@
             ("listen_addresses.ready", format!("{ip}:{ready}")),
             ("ip_address", ip.to_string()),
             ("internal_port_range.0", peers.to_string()),
-            ("seed_nodes", format!("{ip}:{ready}")),
+            ("seed_nodes", seeds.to_owned()),
             ("platform.address", store.address.to_string()),
             ("platform.writes_per_s", "400".to_owned()),
             ("bounds.drain_ms", "2000".to_owned()),
@@ -845,8 +861,20 @@
     }
 }
 
+/// Returns a port that is free on each of some addresses.
+pub fn free_port(ips: &[Ipv4Addr]) -> u16 {
+    for _ in 0..100 {
+        let listener = TcpListener::bind((ips[0], 0)).unwrap_or_else(|e| give_up(&e.to_string()));
+        let port = listener.local_addr().unwrap().port();
+        if ips[1..].iter().all(|ip| TcpListener::bind((*ip, port)).is_ok()) {
+            return port;
+        }
+    }
+    give_up("no free port")
+}
+
 /// Returns a loopback address on which the port of the metrics is free.
-fn free_ip() -> Ipv4Addr {
+pub fn free_ip() -> Ipv4Addr {
     const METRICS_PORT: u16 = 9464;
     for attempt in 0..200_u64 {
         let seed = wall_ms().wrapping_mul(2_654_435_761).wrapping_add(attempt * 40_503);
