--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,7 +1,7 @@
 //! Case 9: routers whose seeds are all stale never hear of one another, and each of them lets a request that
 //! crashes runners through anew.
 
-#[path = "../kit-2/kit.rs"]
+#[path = "../kit-2.rs"]
 mod kit;
 
 use std::collections::{HashMap, HashSet};
