--- a/review/kit-2.rs
+++ b/review/kit-2.rs
@@ -32,12 +32,28 @@
     thread::Builder::new().stack_size(STACK_BYTES).spawn(f).expect("a thread starts")
 }
 
-/// Ends the case because it could not run.
+/// Processes that were started and have not ended yet.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case because it could not run, and all processes that it started.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("could not run: {reason}");
+    for pid in CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+    }
     std::process::exit(COULD_NOT_RUN)
 }
 
+/// Ends the case like [`give_up`] when its main thread panics.
+fn give_up_on_panic() {
+    std::panic::set_hook(Box::new(|info| {
+        if thread::current().name() == Some("main") {
+            give_up(&info.to_string());
+        }
+        eprintln!("{info}");
+    }));
+}
+
 /// Returns the time of day, in milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set").as_millis() as u64
@@ -53,6 +69,7 @@
 impl Record {
     /// Creates the record in the folder of the case.
     pub fn create(case: &str) -> Self {
+        give_up_on_panic();
         let path = format!("review/{case}/record.txt");
         let file = File::create(&path).unwrap_or_else(|e| give_up(&format!("{path}: {e}")));
         Self { started: Instant::now(), file: Arc::new(Mutex::new(file)) }
@@ -785,6 +802,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|e| give_up(&format!("target/release/sapphirespur-edge: {e}")));
+        CHILDREN.lock().unwrap().push(child.id());
         let router = Self {
             child,
             frontend: SocketAddr::new(ip.into(), frontend),
@@ -840,6 +858,8 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let pid = self.child.id();
+        CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).retain(|known| *known != pid);
     }
 
     /// Returns whether the process still runs.
