--- /dev/null
+++ b/review/standins-3/scenes.rs
@@ -0,0 +1,34 @@
+//! Scenes of the review's scripts: `scenes NAME ROOT FOLDER`.
+
+mod memory;
+mod platform;
+mod route;
+mod twice;
+
+use std::path::PathBuf;
+use std::process::exit;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, name, root, folder] = args.as_slice() else {
+        eprintln!("scenes NAME ROOT FOLDER");
+        exit(platform::COULD_NOT_RUN);
+    };
+    let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
+    let scene = match name.as_str() {
+        "memory" => memory::run,
+        "route" => route::run,
+        "twice" => twice::run,
+        _ => {
+            eprintln!("no scene of this name");
+            exit(platform::COULD_NOT_RUN);
+        }
+    };
+    match scene(&root, &folder) {
+        Ok(code) => exit(code),
+        Err(e) => {
+            eprintln!("could not run: {e}");
+            exit(platform::COULD_NOT_RUN);
+        }
+    }
+}
