--- a/review/standins-3/refusal.rs
+++ b/review/standins-3/refusal.rs
@@ -52,8 +52,8 @@
     Arc::new(move |runner: &Runner, arrival: &mut Arrival<'_>| {
         let peer = arrival.out.peer_addr()?;
         // An extra response arrives late, at the point where the next response is expected.
-        let is_due = runner.id == FAULTY
-            && faulty.due.lock().unwrap().take_if(|due| *due == peer).is_some();
+        let is_due =
+            runner.id == FAULTY && faulty.due.lock().unwrap().take_if(|due| *due == peer).is_some();
         if is_due {
             arrival.out.write_all(REFUSAL)?;
             runner.record.line(&format!(
@@ -137,7 +137,8 @@
 
     let (mut twice, mut refused) = (0, 0);
     for (id, status) in &replies {
-        let runs = |runner: &Runner| runner.runs.lock().unwrap().iter().filter(|run| *run == id).count();
+        let runs =
+            |runner: &Runner| runner.runs.lock().unwrap().iter().filter(|run| *run == id).count();
         let runs: usize = runners.iter().map(runs).sum();
         if runs > 1 {
             record.line(&format!("TWICE: {id} has run {runs} times"));
