--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -678,12 +678,13 @@
         Ok(runner)
     }
 
-    pub fn entry(&self) -> String {
-        entry(&self.service, &self.address.to_string(), &self.zone, self.slots, self.born, 1)
+    /// Returns the entry of the heartbeat with this number.
+    pub fn entry(&self, sequence: u64) -> String {
+        entry(&self.service, &self.address.to_string(), &self.zone, self.slots, self.born, sequence)
     }
 
     pub fn register(&self, store: &Store) {
-        store.put(&format!("servers/{}", self.id), self.entry().as_bytes());
+        store.put(&format!("servers/{}", self.id), self.entry(1).as_bytes());
     }
 
     fn serve(&self, stream: TcpStream) {
--- a/review/standins-3/route.rs
+++ b/review/standins-3/route.rs
@@ -16,6 +16,12 @@
 /// Time for which a runner works on a request.
 const WORK: Duration = Duration::from_millis(30);
 
+/// Interval between heartbeats of a runner (`heartbeat_interval_ms`).
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Time that is left to the router after the runner's own entry is back: longer than any bound of the sheet.
+const HEALED: Duration = Duration::from_secs(6);
+
 /// Identifier in the key of the other writer's entry, with the line break of a text file.
 const ODD_ID: &str = "registry-1\n";
 
@@ -55,7 +61,24 @@
     reply.status == 200
 }
 
-pub fn run(root: &Path, folder: &Path) -> io::Result<i32> {
+/// Key under which the other writer writes.
+#[derive(Clone, Copy, PartialEq)]
+enum Key {
+    /// One that is no valid header value.
+    Odd,
+    /// That of a runner, which writes its own entry again with its next heartbeat.
+    OfRunner,
+}
+
+pub fn run_odd_key(root: &Path, folder: &Path) -> io::Result<i32> {
+    run(root, folder, Key::Odd)
+}
+
+pub fn run_key_of_runner(root: &Path, folder: &Path) -> io::Result<i32> {
+    run(root, folder, Key::OfRunner)
+}
+
+fn run(root: &Path, folder: &Path, key: Key) -> io::Result<i32> {
     let record = Record::create(&folder.join("record.txt"))?;
     let store = Store::start()?;
     let zones = ["milano", "torino", "bologna"];
@@ -87,13 +110,21 @@
     }
     thread::sleep(Duration::from_secs(2));
     if has_trouble() {
+        let id = if key == Key::Odd { ODD_ID } else { &labels[0].id };
         let value = format!(
             "{{\"service\":\"registry\",\"address\":\"{}\",\"zone\":\"milano\",\"version\":\"v1\",\
              \"slots\":6,\"state\":\"ready\"}}",
             labels[0].address
         );
-        record.line(&format!("another writer writes servers/{ODD_ID:?}: {value}"));
-        store.put(&format!("servers/{ODD_ID}"), value.as_bytes());
+        record.line(&format!("another writer writes servers/{id:?}: {value}"));
+        store.put(&format!("servers/{id}"), value.as_bytes());
+    }
+    if key == Key::OfRunner {
+        thread::sleep(HEARTBEAT);
+        let (id, value) = (&labels[0].id, labels[0].entry(2));
+        record.line(&format!("{id} writes servers/{id:?} with its next heartbeat: {value}"));
+        store.put(&format!("servers/{id}"), value.as_bytes());
+        thread::sleep(HEALED);
     }
     thread::sleep(Duration::from_secs(1));
 
--- a/review/standins-3/scenes.rs
+++ b/review/standins-3/scenes.rs
@@ -19,7 +19,8 @@
     let scene = match name.as_str() {
         "memory" => memory::run,
         "refusal" => refusal::run,
-        "route" => route::run,
+        "route-odd-key" => route::run_odd_key,
+        "route-key-of-runner" => route::run_key_of_runner,
         "twice" => twice::run,
         _ => {
             eprintln!("no scene of this name");
