--- a/review/standins-3/scenes.rs
+++ b/review/standins-3/scenes.rs
@@ -1,5 +1,6 @@
 //! Scenes of the review's scripts: `scenes NAME ROOT FOLDER`.
 
+mod drain;
 mod memory;
 mod platform;
 mod refusal;
@@ -17,6 +18,7 @@
     };
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let scene = match name.as_str() {
+        "drain-key-of-runner" => drain::run,
         "memory" => memory::run,
         "refusal" => refusal::run,
         "route-odd-key" => route::run_odd_key,
