--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -313,7 +313,7 @@
     let b = text.as_bytes();
     let (mut out, mut i) = (Vec::new(), 0);
     while i < b.len() {
-        if b[i] == b'%' && i + 2 < b.len() + 0 {
+        if b[i] == b'%' && i + 2 < b.len() {
             if let Ok(n) = u8::from_str_radix(&text[i + 1..i + 3], 16) {
                 out.push(n);
                 i += 3;
--- a/review/standins-3/refusal.rs
+++ b/review/standins-3/refusal.rs
@@ -12,7 +12,7 @@
 
 /// Clients, the requests of each, and its pause between two: about the rate of the sheet.
 const CLIENTS: usize = 6;
-const REQUESTS: usize = 24;
+const REQUESTS: usize = 32;
 const PAUSE: Duration = Duration::from_millis(180);
 
 /// Time for which a runner works on a request.
@@ -43,7 +43,7 @@
 #[derive(Default)]
 struct Faulty {
     answers: AtomicU64,
-    /// Local and remote address of the connection on which the refusal is due.
+    /// Remote address of the connection on which the refusal is due.
     due: Mutex<Option<SocketAddr>>,
 }
 
