--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -765,6 +766,15 @@
 
 // Routers
 
+/// Option of `prctl`: the signal that a process gets when the thread that started it ends, so that no
+/// router outlives a script that is ended itself.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, signal: usize) -> i32;
+}
+
 /// Settings that the platform fills into the template, for a small deployment.
 pub struct Deployment {
     pub root: PathBuf,
@@ -873,13 +883,21 @@
     pub fn launch(&mut self) -> io::Result<()> {
         let log =
             File::options().create(true).append(true).open(self.settings.with_extension("log"))?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+            .stderr(log);
+        // SAFETY: `prctl` is async-signal-safe and touches no memory of the process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn()?;
         self.child = Some(child);
         self.starts += 1;
         Ok(())
