--- a/review/standins-3/platform.rs
+++ b/review/standins-3/platform.rs
@@ -329,6 +329,7 @@
 
 // Store
 
+#[derive(Clone)]
 struct Item {
     value: Vec<u8>,
     revision: u64,
@@ -344,6 +345,16 @@
     history: Vec<(u64, String, Option<Vec<u8>>)>,
     leases: HashMap<u64, Instant>,
     next_lease: u64,
+    /// Number of restores, and the revision before which there is no history since the last one.
+    era: u64,
+    base: u64,
+    is_away: bool,
+}
+
+/// Copy of the store's items, from which it may come back.
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
 }
 
 impl StoreState {
@@ -421,6 +432,32 @@
         self.state.1.notify_all();
     }
 
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.0.lock().unwrap();
+        StoreCopy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Is away for a moment, and comes back from an older copy of its items.
+    pub fn restore(&self, copy: StoreCopy, away: Duration) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+        thread::sleep(away);
+        let mut state = self.state.0.lock().unwrap();
+        state.items = copy.items;
+        state.revision = copy.revision;
+        state.base = copy.revision;
+        state.history.clear();
+        state.leases.clear();
+        state.era += 1;
+        state.is_away = false;
+    }
+
+    /// Returns the number of restores; none while the store is away.
+    fn era(&self) -> Option<u64> {
+        let state = self.state.0.lock().unwrap();
+        (!state.is_away).then_some(state.era)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut out) = stream.try_clone() else { return };
@@ -429,9 +466,14 @@
             if read_body(&mut reader, &mut request).is_err() {
                 return;
             }
+            let Some(era) = self.era() else { return };
             let (status, body) = self.answer(&request);
+            if self.era() != Some(era) {
+                return;
+            }
             let head = format!(
-                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
+                 Content-Length: {}\r\n\r\n",
                 body.len()
             );
             if out.write_all(head.as_bytes()).and_then(|()| out.write_all(body.as_bytes())).is_err()
@@ -499,6 +541,9 @@
                 {
                     return (410, "{}".to_owned());
                 }
+                if after < state.base || after > state.revision {
+                    return (410, "{}".to_owned());
+                }
                 loop {
                     let events: Vec<String> = state
                         .history
@@ -514,7 +559,7 @@
                         })
                         .collect();
                     let now = Instant::now();
-                    if !events.is_empty() || now >= until {
+                    if !events.is_empty() || now >= until || state.is_away {
                         return (
                             200,
                             format!(
--- a/review/standins-3/scenes.rs
+++ b/review/standins-3/scenes.rs
@@ -4,6 +4,7 @@
 mod memory;
 mod platform;
 mod refusal;
+mod restored;
 mod route;
 mod twice;
 
@@ -21,6 +22,7 @@
         "drain-key-of-runner" => drain::run,
         "memory" => memory::run,
         "refusal" => refusal::run,
+        "drain-restored-store" => restored::run,
         "route-odd-key" => route::run_odd_key,
         "route-key-of-runner" => route::run_key_of_runner,
         "twice" => twice::run,
--- a/review/standins-3/twice.rs
+++ b/review/standins-3/twice.rs
@@ -39,7 +39,7 @@
     ended: Option<Instant>,
 }
 
-fn config() -> String {
+pub fn config() -> String {
     "{\"version\":7,\"routes\":[{\"name\":\"r-dossier\",\"host\":\"a.example\",\"path_prefix\":\"/dossier/\",\
      \"kind\":\"streaming\",\"timeout_ms\":12000,\"target_latency_ms\":1200,\"priority\":1,\
      \"service\":\"sapphire-pool\",\"attempts\":2,\"anonymous_access\":true,\"session_affinity\":true,\
@@ -53,7 +53,7 @@
         .to_owned()
 }
 
-fn chunk(out: &mut impl Write, text: &str) -> io::Result<()> {
+pub fn chunk(out: &mut impl Write, text: &str) -> io::Result<()> {
     out.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
 }
 
