Third review: stand-ins beside the folders of the cases

The folders in review/ are those of the cases, 11 to 15; the stand-ins were in a further one. They are files of review/ now, built by review/build-3.sh as before, and unchanged but for the paths of their modules.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2021 -O -o target/review-3/scenes review/standins-3/scenes.rs
+rustc --edition 2021 -O -o target/review-3/scenes review/scenes-3.rs
--- a/review/standins-3/scenes.rs
+++ b/review/scenes-3.rs
@@ -1,11 +1,18 @@
 //! Scenes of the review's scripts: `scenes NAME ROOT FOLDER`.
 
+#[path = "drain-3.rs"]
 mod drain;
+#[path = "memory-3.rs"]
 mod memory;
+#[path = "platform-3.rs"]
 mod platform;
+#[path = "refusal-3.rs"]
 mod refusal;
+#[path = "restored-3.rs"]
 mod restored;
+#[path = "route-3.rs"]
 mod route;
+#[path = "twice-3.rs"]
 mod twice;
 
 use std::path::PathBuf;
