Fault: the reason why an entry is ignored no longer holds the entry

Cause: the error of serde_json for a mistyped field repeats the value that it finds, with up to six bytes for each byte of it. The text became the reason of `RegistryEntry::Invalid`, of which a listing holds one for each entry, the change log those of 10 s, and the log line another copy.

--- a/sapphirespur_core/src/lib.rs
+++ b/sapphirespur_core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod account;
 pub mod answer;
 pub mod at_most_once;
+pub mod bounded_text;
 pub mod collections;
 pub mod config;
 pub mod config_sync;
