Log: a line that does not fit the buffer is dropped as a whole

Cause: a line is written in several parts, and each part that did not fit the buffer of 256 KB was dropped by itself, while later parts of the same line were kept. It takes a reader that is slower than the log, or one long line.

Change: LineWriter collects a line and buffers or drops it as a whole.

Evidence: the three new tests in sapphirespur_node/tests/edge/log.rs failed before ("part of a line") and hold now.

--- a/sapphirespur_node/src/line_writer.rs
+++ b/sapphirespur_node/src/line_writer.rs
@@ -52,6 +52,11 @@
 #[derive(Debug)]
 pub struct LineWriter {
     buffer: Arc<Mutex<Buffer>>,
+    /// Beginning of the line that is being written: a line comes in several parts, and is buffered or dropped as a
+    /// whole.
+    line: Vec<u8>,
+    /// Whether the line is too long for the buffer.
+    is_too_long: bool,
     /// Channel that wakes the thread when the buffer is no longer empty.
     wake_tx: SyncSender<()>,
 }
@@ -70,27 +75,38 @@
             .name("log".to_owned())
             .spawn(move || write_batches(&shared, &wake_rx, out))?;
 
-        Ok(Self { buffer, wake_tx })
+        Ok(Self { buffer, line: Vec::new(), is_too_long: false, wake_tx })
     }
 
     /// Returns a handle that waits until the lines are written.
     pub fn flush_handle(&self) -> FlushHandle {
         FlushHandle(Arc::clone(&self.buffer))
     }
-}
 
-impl Write for LineWriter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    /// Moves the complete line to the buffer, or drops it. Returns whether the thread is to be woken, which has
+    /// taken all that was there before.
+    fn buffer_line(&mut self) -> bool {
+        let is_too_long = std::mem::take(&mut self.is_too_long);
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
-        if buffer.bytes.len() + bytes.len() > MAX_BUFFERED_BYTES {
+        let was_empty = buffer.bytes.is_empty();
+        let is_dropped = is_too_long || buffer.bytes.len() + self.line.len() > MAX_BUFFERED_BYTES;
+        if is_dropped {
             buffer.dropped += 1;
-            return Ok(bytes.len());
+        } else {
+            buffer.bytes.extend_from_slice(&self.line);
         }
+        self.line.clear();
+        was_empty
+    }
+}
 
-        let was_empty = buffer.bytes.is_empty();
-        buffer.bytes.extend_from_slice(bytes);
-        drop(buffer);
-        if was_empty {
+impl Write for LineWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.is_too_long |= self.line.len() + bytes.len() > MAX_BUFFERED_BYTES;
+        if !self.is_too_long {
+            self.line.extend_from_slice(bytes);
+        }
+        if bytes.ends_with(b"\n") && self.buffer_line() {
             match self.wake_tx.try_send(()) {
                 // When the channel is full, the thread has a wake-up pending.
                 Ok(()) | Err(TrySendError::Full(())) => {}
--- a/sapphirespur_node/tests/edge/log.rs
+++ b/sapphirespur_node/tests/edge/log.rs
@@ -75,6 +75,44 @@
     assert_eq!(String::from_utf8_lossy(&written.lock().expect("not poisoned")), expected);
 }
 
+/// Returns what a writer has written once it is unblocked and has reported dropped lines.
+fn written_after(unblock: &Sender<()>, written: &Mutex<Vec<u8>>) -> String {
+    unblock.send(()).expect("the output waits");
+    loop {
+        let text = String::from_utf8(written.lock().expect("not poisoned").clone()).expect("text");
+        if text.contains("log lines dropped") {
+            return text;
+        }
+        std::thread::yield_now();
+    }
+}
+
+macro_rules! whole_lines {
+    ($($name:ident: $parts:expr;)*) => {$(
+        // Guards against lines of which parts are missing, which no reader of JSON lines gets beyond.
+        #[test]
+        fn $name() {
+            let parts: &[&str] = &$parts;
+            let (mut writer, unblock, written) = blocked_writer();
+            for _ in 0..2_000 {
+                for part in parts {
+                    writer.write_all(part.as_bytes()).expect("never fails");
+                }
+            }
+            let text = written_after(&unblock, &written);
+            let line = parts.concat();
+            let is_whole = |found: &str| found == line.trim_end() || found.contains("dropped");
+            assert!(text.lines().all(is_whole), "part of a line");
+        }
+    )*};
+}
+
+whole_lines! {
+    lines_of_two_parts_are_dropped_as_a_whole: [&"x".repeat(1_000), "y\n"];
+    lines_with_a_short_first_part_are_dropped_as_a_whole: ["{", &"x".repeat(1_000), "}\n"];
+    lines_beyond_the_buffer_are_dropped_as_a_whole: ["{", &"x".repeat(300 * 1_024), "}\n"];
+}
+
 #[test]
 fn success_lines_do_not_use_up_the_budget_of_failures() {
     let budget = LogBudget::default();
