Log: a line has a largest length, and ignored entries have a budget of lines

What was seen: a line about an ignored entry was as long as the entry, or six times as long, and was written each time that the entry was. Attempt identifiers of clients and versions of upstreams reach the log in the same way.

Cause: the size of a log line and the number of lines about entries were up to whoever wrote the entry.

Change: a field or message of a line has at most 1 KB of text, all fields of a line 4 KB; the formatting ends there. Lines about ignored entries have a budget of their own, 10 a second; `sapphirespur_ignored_entries_total` counts all. `lines about requests left out` is now `log lines left out`, as it counts both.

Evidence: the three tests of long values failed before (lines of 21, 25 and 126 MB) and hold now (32 KB at most).

--- a/sapphirespur_node/src/edge/log_budget.rs
+++ b/sapphirespur_node/src/edge/log_budget.rs
@@ -1,10 +1,12 @@
-//! Rate limit on log lines about single requests.
+//! Rate limit on log lines about single requests and entries.
 
 use std::cell::Cell;
 
 /// Class of log lines; each has its own rate limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LogClass {
+    /// Entry of the registry that is ignored.
+    Entry,
     /// Request that was refused or failed.
     Failure,
     /// Request that succeeded.
@@ -14,12 +16,16 @@
 /// Log lines that may still be written in this second, and the number suppressed so far.
 #[derive(Debug)]
 pub struct LogBudget {
+    entries: Cell<u32>,
     failures: Cell<u32>,
     successes: Cell<u32>,
     suppressed: Cell<u64>,
 }
 
 impl LogBudget {
+    /// Lines about ignored entries per second: another writer may write the same ones again and again.
+    const ENTRIES_PER_S: u32 = 10;
+
     /// Lines about failures per second; more, as in a flood of refusals, are only counted.
     const FAILURES_PER_S: u32 = 100;
 
@@ -29,6 +35,7 @@
     /// Returns whether one line may be logged; otherwise counts it as suppressed.
     pub fn try_acquire(&self, class: LogClass) -> bool {
         let left = match class {
+            LogClass::Entry => &self.entries,
             LogClass::Failure => &self.failures,
             LogClass::Success => &self.successes,
         };
@@ -43,6 +50,7 @@
 
     /// Starts the next second and returns the number of lines suppressed in the last one.
     pub fn refill(&self) -> u64 {
+        self.entries.set(Self::ENTRIES_PER_S);
         self.failures.set(Self::FAILURES_PER_S);
         self.successes.set(Self::SUCCESSES_PER_S);
         self.suppressed.replace(0)
@@ -52,6 +60,7 @@
 impl Default for LogBudget {
     fn default() -> Self {
         Self {
+            entries: Cell::new(Self::ENTRIES_PER_S),
             failures: Cell::new(Self::FAILURES_PER_S),
             successes: Cell::new(Self::SUCCESSES_PER_S),
             suppressed: Cell::new(0),
--- a/sapphirespur_node/src/edge/metrics.rs
+++ b/sapphirespur_node/src/edge/metrics.rs
@@ -73,6 +73,7 @@
     relay_calls: Family<KindLabel, Counter>,
     rollouts: RolloutMetrics,
     listing_gaps: Counter,
+    ignored_entries: Counter,
     resumed_streams: Counter,
     taken_up_streams: Family<KindLabel, Counter>,
     unrecorded_streams: Counter,
@@ -117,6 +118,7 @@
             relay_calls: Family::default(),
             rollouts: RolloutMetrics::default(),
             listing_gaps: Counter::default(),
+            ignored_entries: Counter::default(),
             resumed_streams: Counter::default(),
             taken_up_streams: Family::default(),
             unrecorded_streams: Counter::default(),
@@ -166,6 +168,11 @@
             "Ranges of keys that listings of the registry may lack",
             metrics.listing_gaps.clone(),
         );
+        r.register(
+            "ignored_entries",
+            "Entries of the registry that were ignored",
+            metrics.ignored_entries.clone(),
+        );
         r.register("resumed", "Streams that went on elsewhere", metrics.resumed_streams.clone());
         r.register("taken_up", "Streams taken up, by source", metrics.taken_up_streams.clone());
         r.register("unrecorded", "Streams without a record", metrics.unrecorded_streams.clone());
@@ -311,6 +318,11 @@
         self.listing_gaps.inc_by(count as u64);
     }
 
+    /// Counts an entry of the registry that is ignored, since it cannot be decoded.
+    pub fn record_ignored_entry(&self) {
+        self.ignored_entries.inc();
+    }
+
     /// Counts a stream that was resumed at another upstream.
     pub fn record_resumed_stream(&self) {
         self.resumed_streams.inc();
--- a/sapphirespur_node/src/edge/registry_sync.rs
+++ b/sapphirespur_node/src/edge/registry_sync.rs
@@ -257,7 +257,7 @@
             listed.add(&entry);
             // Data centres are marked together, since those that are not listed are back.
             if !matches!(entry, RegistryEntry::DataCentreOut(_)) {
-                apply_entry(&mut router, now, entry);
+                apply_entry(&self.cx, &mut router, now, entry);
             }
         }
         listed.add_skipped(&router, &listing.skipped);
@@ -294,7 +294,7 @@
         let mut router = self.cx.router.borrow_mut();
         for RevisedChange { revision, change } in changes.changes {
             match change {
-                RegistryChange::Written(entry) => apply_entry(&mut router, now, entry),
+                RegistryChange::Written(entry) => apply_entry(&self.cx, &mut router, now, entry),
                 RegistryChange::UpstreamRemoved(id) => {
                     log::info!(upstream = id.as_str(), in_ms = remove_at.since(now).as_millis() as u64, revision = changes.version.revision; "upstream gone");
                     router.registry_mut().remove_upstream_at(id.as_str(), remove_at);
@@ -323,7 +323,7 @@
 }
 
 /// Applies one written entry to the router's state.
-fn apply_entry(router: &mut Router, now: Time, entry: RegistryEntry) {
+fn apply_entry(cx: &Shared, router: &mut Router, now: Time, entry: RegistryEntry) {
     match entry {
         RegistryEntry::Config(table) => {
             let (version, routes) = (table.version, table.route_count());
@@ -360,7 +360,10 @@
             router.set_bootstrap_entry(now, entry);
         }
         RegistryEntry::Invalid { key, reason } => {
-            log::warn!(key = key.as_str(), reason = reason.as_str(); "entry of the record ignored");
+            cx.metrics.record_ignored_entry();
+            if cx.may_log_entry() {
+                log::warn!(key = key.as_str(), reason = reason.as_str(); "entry of the record ignored");
+            }
         }
     }
 }
--- a/sapphirespur_node/src/edge/shared.rs
+++ b/sapphirespur_node/src/edge/shared.rs
@@ -95,7 +95,7 @@
     pub stop_accepting: Notify,
     /// Requests by workspace since the last summary in the log.
     pub workspace_counts: RefCell<WorkspaceCounts>,
-    /// Rate limit on log lines about requests.
+    /// Rate limit on log lines about requests and entries.
     pub log_budget: LogBudget,
 }
 
@@ -262,6 +262,11 @@
         self.log_budget.try_acquire(LogClass::Failure)
     }
 
+    /// Returns whether a line about an ignored entry of the registry may be logged, and counts it.
+    pub fn may_log_entry(&self) -> bool {
+        self.log_budget.try_acquire(LogClass::Entry)
+    }
+
     /// Returns whether a line about a successful request may be logged, and counts it.
     pub fn may_log_success(&self) -> bool {
         self.log_budget.try_acquire(LogClass::Success)
--- a/sapphirespur_node/src/edge/ticker.rs
+++ b/sapphirespur_node/src/edge/ticker.rs
@@ -180,7 +180,7 @@
     let suppressed = cx.log_budget.refill();
     cx.metrics.record_suppressed_log_lines(suppressed);
     if suppressed > 0 {
-        log::info!(lines = suppressed; "lines about requests left out");
+        log::info!(lines = suppressed; "log lines left out");
     }
     record_retries(cx, now);
     let overload = cx.overload.borrow();
--- a/sapphirespur_node/src/logging.rs
+++ b/sapphirespur_node/src/logging.rs
@@ -4,6 +4,7 @@
 
 use fern::Dispatch;
 use log::kv::{Error as KvError, Key, Value, VisitSource};
+use sapphirespur_core::bounded_text::bounded_text;
 use serde_json::{Map, json};
 use thiserror::Error;
 
@@ -11,6 +12,12 @@
 use crate::line_writer::{FlushHandle, LineWriter};
 use crate::settings::LogSettings;
 
+/// Longest text of a field or message, in bytes; what is longer comes from outside.
+const MAX_TEXT_BYTES: usize = 1_024;
+
+/// Longest text of all fields of a line together, in bytes.
+const MAX_FIELDS_BYTES: usize = 4 * 1_024;
+
 /// Reason why logging cannot be started.
 #[derive(Debug, Error)]
 pub enum LoggingError {
@@ -22,14 +29,32 @@
     AlreadySet(#[from] log::SetLoggerError),
 }
 
-/// Key-value pairs of a log record, as JSON; unsigned integers are numbers, all else is text.
-#[derive(Debug, Default)]
-struct Fields(Map<String, serde_json::Value>);
+/// Key-value pairs of a log record, as JSON; unsigned integers are numbers, all else is text, which is cut where
+/// it is too long.
+#[derive(Debug)]
+struct Fields {
+    pairs: Map<String, serde_json::Value>,
+    /// Bytes of text for which there is room.
+    room: usize,
+}
+
+impl Default for Fields {
+    fn default() -> Self {
+        Self { pairs: Map::new(), room: MAX_FIELDS_BYTES }
+    }
+}
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), KvError> {
-        let value = value.to_u64().map_or_else(|| json!(value.to_string()), |n| json!(n));
-        self.0.insert(key.to_string(), value);
+        let value = match value.to_u64() {
+            Some(number) => json!(number),
+            None => {
+                let text = bounded_text(value, MAX_TEXT_BYTES.min(self.room));
+                self.room = self.room.saturating_sub(text.len());
+                json!(text)
+            }
+        };
+        self.pairs.insert(key.to_string(), value);
         Ok(())
     }
 }
@@ -72,11 +97,12 @@
         let mut fields = Fields::default();
         // If a field cannot be formatted, the line is logged without it.
         let _ = record.key_values().visit(&mut fields);
-        fields.0.insert("time_us".to_owned(), json!(wall_us()));
-        fields.0.insert("level".to_owned(), json!(record.level().as_str()));
-        fields.0.insert("node".to_owned(), json!(node));
-        fields.0.insert("target".to_owned(), json!(record.target()));
-        fields.0.insert("message".to_owned(), json!(message.to_string()));
-        out.finish(format_args!("{}", serde_json::Value::Object(fields.0)));
+        let mut pairs = fields.pairs;
+        pairs.insert("time_us".to_owned(), json!(wall_us()));
+        pairs.insert("level".to_owned(), json!(record.level().as_str()));
+        pairs.insert("node".to_owned(), json!(node));
+        pairs.insert("target".to_owned(), json!(record.target()));
+        pairs.insert("message".to_owned(), json!(bounded_text(message, MAX_TEXT_BYTES)));
+        out.finish(format_args!("{}", serde_json::Value::Object(pairs)));
     })
 }
--- a/sapphirespur_node/tests/edge/log.rs
+++ b/sapphirespur_node/tests/edge/log.rs
@@ -4,8 +4,12 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 
+use log::{Level, LevelFilter, Log, Record};
 use sapphirespur_node::edge::log_budget::{LogBudget, LogClass};
 use sapphirespur_node::line_writer::LineWriter;
+use sapphirespur_node::logging::json_lines;
+use sapphirespur_node::settings::LogSettings;
+use serde_json::Value;
 
 /// Output that accepts no bytes until it is unblocked.
 struct BlockedOutput {
@@ -113,6 +117,41 @@
     lines_beyond_the_buffer_are_dropped_as_a_whole: ["{", &"x".repeat(300 * 1_024), "}\n"];
 }
 
+/// Longest line, in bytes: 4 KB of fields and 1 KB of message, with at most six bytes for each, and the keys.
+const MAX_LINE_BYTES: usize = 32 * 1_024;
+
+macro_rules! long_values {
+    ($($name:ident: $value:expr;)*) => {$(
+        // Guards against log lines whose length is up to clients, upstreams or writers of the store.
+        #[test]
+        fn $name() {
+            let value: String = $value;
+            let written = Arc::<Mutex<Vec<u8>>>::default();
+            let (tx, rx) = channel();
+            tx.send(()).expect("the receiver is there");
+            let out = BlockedOutput { unblock: rx, is_unblocked: false, written: Arc::clone(&written) };
+            let settings = LogSettings { level: LevelFilter::Info, file: None };
+            let dispatch = json_lines(&settings, "edge-1").chain(Box::new(out) as Box<dyn Write + Send>);
+            let (_, logger) = dispatch.into_log();
+            let pairs: Vec<(String, &str)> =
+                (0..20).map(|index| (format!("field{index}"), value.as_str())).collect();
+            let mut record = Record::builder();
+            record.level(Level::Info).key_values(&pairs);
+            logger.log(&record.args(format_args!("{value}")).build());
+            let line = written.lock().expect("not poisoned");
+            assert!(line.len() < MAX_LINE_BYTES, "{} bytes", line.len());
+            let fields: Value = serde_json::from_slice(&line).expect("a JSON object");
+            assert!(fields["field0"].as_str().is_some_and(|text| text.starts_with(&value[..100])));
+        }
+    )*};
+}
+
+long_values! {
+    line_of_long_plain_texts_has_a_largest_length: "x".repeat(1_000_000);
+    line_of_long_unprintable_texts_has_a_largest_length: "\u{1}".repeat(1_000_000);
+    line_of_long_texts_of_wide_characters_has_a_largest_length: "\u{1f600}".repeat(300_000);
+}
+
 #[test]
 fn success_lines_do_not_use_up_the_budget_of_failures() {
     let budget = LogBudget::default();
@@ -123,3 +162,13 @@
     assert_eq!(budget.refill(), 0);
     assert!(budget.try_acquire(LogClass::Failure));
 }
+
+// Guards against a log that only tells of one writer's entries, and of no request.
+#[test]
+fn lines_about_entries_do_not_use_up_the_budget_of_requests() {
+    let budget = LogBudget::default();
+    let entries = (0..1_000).filter(|_| budget.try_acquire(LogClass::Entry)).count();
+    assert!(entries <= 10, "{entries}");
+    assert!(budget.try_acquire(LogClass::Failure) && budget.try_acquire(LogClass::Success));
+    assert_eq!(budget.refill(), 1_000 - entries as u64);
+}
