Fault: long names in entries of other writers no longer stay in memory

Cause: names from entries had no largest length; `Name::MAX_BYTES` is checked for the names of the project's own configuration only.

--- a/sapphirespur_core/src/name.rs
+++ b/sapphirespur_core/src/name.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::hash::sha256_hex;
+
 /// Name of a VM, workspace, class, model, service, upstream or data centre.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -15,6 +17,22 @@
     /// Longest accepted name, in bytes.
     pub const MAX_BYTES: usize = 64;
 
+    /// Longest name that a process outside of the fleet gives and that is kept as it is, in bytes.
+    pub const MAX_GIVEN_BYTES: usize = 200;
+
+    /// Creates the name that a process outside of the fleet gives, of whatever length.
+    ///
+    /// One of more than [`MAX_GIVEN_BYTES`](Self::MAX_GIVEN_BYTES) is replaced by its beginning and its digest: what
+    /// is kept, logged and told to other routers has a largest length, and names that differ stay different.
+    pub fn given(text: &str) -> Self {
+        if text.len() <= Self::MAX_GIVEN_BYTES {
+            return Self::new(text);
+        }
+        let digest = sha256_hex(text.as_bytes());
+        let kept = text.floor_char_boundary(Self::MAX_GIVEN_BYTES - digest.len() - 1);
+        Self::new(&format!("{}~{digest}", &text[..kept]))
+    }
+
     /// Creates a name without validating it.
     pub fn new(text: &str) -> Self {
         Self(Arc::from(text))
