--- a/sapphirespur_core/src/edge/change_log.rs
+++ b/sapphirespur_core/src/edge/change_log.rs
@@ -36,7 +36,7 @@
         if self.until.is_none_or(|until| until.era != changes.version.era) {
             return;
         }
-        for change in &changes.changes {
+        for change in changes.changes.iter().filter(|change| !change.change.is_ignored()) {
             self.push(now, change.clone());
         }
         self.until = Some(changes.version);
--- a/sapphirespur_core/src/edge/registry_change.rs
+++ b/sapphirespur_core/src/edge/registry_change.rs
@@ -18,6 +18,13 @@
     RolloutOrderRemoved(Name),
 }
 
+impl RegistryChange {
+    /// Returns whether the change is that of an entry which is ignored, so that no router needs to know it.
+    pub fn is_ignored(&self) -> bool {
+        matches!(self, Self::Written(RegistryEntry::Invalid { .. }))
+    }
+}
+
 /// Change with the revision at which it was made.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RevisedChange {
--- a/sapphirespur_core/tests/edge/change_log.rs
+++ b/sapphirespur_core/tests/edge/change_log.rs
@@ -44,6 +44,20 @@
     Some((found.changes.iter().map(|change| change.revision).collect(), found.version.revision))
 }
 
+fn ignored(revision: u64) -> RevisedChange {
+    let entry = RegistryEntry::Invalid { key: "k".into(), reason: "r".into() };
+    RevisedChange { revision, change: RegistryChange::Written(entry) }
+}
+
+// Guards against memory and messages between routers that grow with the entries that none of them uses.
+#[test]
+fn ignored_entries_are_not_kept_for_other_routers() {
+    let mut log = log();
+    log.append(START + ms(600), &changes(5_000, (17..5_000).map(ignored).collect()));
+    log.append(START + ms(700), &changes(5_001, vec![removal(5_001)]));
+    assert_eq!(after(&log, 10), Some((vec![12, 15, 5_001], 5_001)));
+}
+
 macro_rules! changes_after {
     ($($name:ident: $revision:expr => $expected:expr;)*) => {
         $(
