Routers: what another router serves is read up to 4 MB

A router of an older build may still have reasons of megabytes in its change log, and hands them on while the fleet is replaced. By reading; no test brings about such a response. The tests of relays and of restored stores hold.

--- a/sapphirespur_node/src/edge/peer_client.rs
+++ b/sapphirespur_node/src/edge/peer_client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::header::HOST;
 use hyper::http::HeaderValue;
@@ -15,11 +15,16 @@
 use tokio::time::timeout;
 
 use super::connect::{ConnectError, HttpConnection, connect, probe};
+use super::received_body::ReceivedBody;
 use super::received_body_error::ReceivedBodyError;
 
 /// Time within which a connection to a router must open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest response, in bytes: a snapshot has the configuration, a megabyte at most, and 2,200 upstreams with their
+/// departed instances, which take some 500 bytes each.
+const MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// Reason why a router's response is not available.
 #[derive(Debug, Error)]
 pub(super) enum PeerError {
@@ -32,6 +37,9 @@
     /// The response is incomplete.
     #[error("incomplete response: {0}")]
     Body(#[from] ReceivedBodyError),
+    /// The response is larger than any that a router of this build sends.
+    #[error("response of more than {MAX_BYTES} bytes")]
+    TooLarge,
     /// The response did not arrive in time.
     #[error("timed out")]
     Timeout,
@@ -93,7 +101,7 @@
 
         let response = connection.send(req).await?;
         let status = response.status();
-        let body = response.into_body().collect().await?.to_bytes();
+        let body = read_body(response.into_body()).await?;
         self.connection = Some((router, connection));
         if status != StatusCode::OK {
             return Err(PeerError::Refused(status));
@@ -101,3 +109,16 @@
         Ok(postcard::from_bytes(&body)?)
     }
 }
+
+/// Reads a response to its end.
+async fn read_body(mut body: ReceivedBody) -> Result<Bytes, PeerError> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let piece = frame?.into_data().unwrap_or_default();
+        if buf.len() + piece.len() > MAX_BYTES {
+            return Err(PeerError::TooLarge);
+        }
+        buf.extend_from_slice(&piece);
+    }
+    Ok(buf.freeze())
+}
