ROUTE, DRAIN: an entry that lacks fields changes nothing of the upstream whose key it bears

Another writer writes one entry under the key of a runner, which lacks `cold_remaining_ms`, `sequence` and `born` and names another service; 7 to 16 s after the runner's own entry is back, 80 of 240 writes are run by that service. With the right service, the runner's draining is not heard.

Cause: the three fields were optional. Without a start, the entry counted as one of a new instance, the runner's own instance as departed, and its later entries as late ones of that.

--- a/sapphirespur_core/src/edge/departed.rs
+++ b/sapphirespur_core/src/edge/departed.rs
@@ -52,6 +52,11 @@
         self.by_id.remove(id);
     }
 
+    /// Returns whether an instance of an upstream that has said when it started has left.
+    pub fn has_any_start(&self, id: &Name) -> bool {
+        self.starts.contains_key(id)
+    }
+
     /// Returns whether an instance with the start of `entry` has left.
     pub fn has_start(&self, entry: &UpstreamEntry) -> bool {
         let starts = self.starts.get(&entry.id);
--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -39,7 +39,7 @@
     /// of the previous one, and replaces any other upstream at the same address. An entry that is
     /// older than the known one, as from a restored registry, changes nothing; one whose start is earlier
     /// than that of the known instance changes something only when it stays or others follow it, as the
-    /// clock of its VM may have been set back.
+    /// clock of its VM may have been set back. One without a start changes nothing of an instance that has one.
     ///
     /// Returns whether the entry belongs to a new process instance.
     pub fn apply_entry(
@@ -65,7 +65,7 @@
             self.unproven.forget(previous.id.as_str());
             return false;
         }
-        if self.departed.contains(&entry, is_from_copy) {
+        if self.departed.contains(&entry, is_from_copy) || self.lacks_start(&entry) {
             return false;
         }
 
@@ -86,6 +86,13 @@
         true
     }
 
+    /// Returns whether an entry says nothing of its start although an instance of its upstream has: an upstream
+    /// always says so or never, so the entry is of another writer.
+    fn lacks_start(&self, entry: &UpstreamEntry) -> bool {
+        let known = self.get(entry.id.as_str()).and_then(|known| known.entry.started_ms);
+        entry.started_ms.is_none() && (known.is_some() || self.departed.has_any_start(&entry.id))
+    }
+
     /// Adds a new instance, in place of those with its identity or address.
     fn replace_with(&mut self, now: Time, entry: UpstreamEntry, cold_until: Time) {
         self.unproven.forget(entry.id.as_str());
--- a/sapphirespur_core/tests/edge/main.rs
+++ b/sapphirespur_core/tests/edge/main.rs
@@ -16,6 +16,7 @@
 mod crash_scene;
 mod crashing_prompt;
 mod crashing_request;
+mod entries_of_other_writers;
 mod event_order;
 mod exchange;
 mod falling_shares;
