DRAIN: a copy of the store does not bring an upstream back that has left while requests are still there

Cause: an entry of the known instance with its known number cleared `gone_at`. That an entry may be of a copy was asked only of instances that had been forgotten, which waits for their last request.

Change: until the end of the grace period after a restore, an entry that is not newer than the known one changes nothing of an instance that has left. A newer one, and one whose removal is only scheduled, are used as before.

--- a/sapphirespur_core/src/edge/upstreams.rs
+++ b/sapphirespur_core/src/edge/upstreams.rs
@@ -53,7 +53,10 @@
         if let Some(existing) = self.get_mut(entry.id.as_str())
             && existing.entry.is_same_instance(&entry)
         {
-            if entry.precedes(&existing.entry) {
+            // A copy of the registry may hold the last entry of an instance that has left since.
+            let has_left = existing.gone_at.is_some_and(|at| at <= now);
+            let is_old_copy = is_from_copy && has_left && !existing.entry.precedes(&entry);
+            if entry.precedes(&existing.entry) || is_old_copy {
                 return false;
             }
             existing.gone_at = None;
--- a/sapphirespur_core/tests/edge/restored_registry.rs
+++ b/sapphirespur_core/tests/edge/restored_registry.rs
@@ -64,6 +64,34 @@
     assert!(router.registry_mut().apply_upstream(START + ms(500), restarted));
 }
 
+// DRAIN: a copy brings an upstream back that has left, as its last entry is in it and requests are still there.
+#[test]
+fn copy_does_not_bring_back_an_upstream_that_left_with_requests_in_flight() {
+    let mut router = router("r", 0);
+    router.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Ready));
+    assert!(is_placed(&mut router, START));
+    router.registry_mut().remove_upstream_at("u0", START + ms(100));
+    router.tick(START + ms(200));
+    router.registry_mut().on_restored(START + ms(200));
+    router.registry_mut().apply_upstream(START + ms(300), numbered(7, UpstreamState::Ready));
+    assert!(!is_placed(&mut router, START + ms(300)));
+
+    // A newer entry shows that the instance lives.
+    router.registry_mut().apply_upstream(START + ms(400), numbered(8, UpstreamState::Ready));
+    assert!(is_placed(&mut router, START + ms(400)));
+}
+
+// LOST: an upstream whose entry the store lacks for a moment after a restore is not used again, although it lives.
+#[test]
+fn copy_keeps_an_upstream_whose_removal_is_only_scheduled() {
+    let mut router = router("r", 0);
+    router.registry_mut().apply_upstream(START, numbered(7, UpstreamState::Ready));
+    router.registry_mut().remove_upstream_at("u0", START + ms(2_000));
+    router.registry_mut().on_restored(START);
+    router.registry_mut().apply_upstream(START + ms(100), numbered(7, UpstreamState::Ready));
+    assert!(is_placed(&mut router, START + ms(2_500)));
+}
+
 #[test]
 fn upstream_replaced_at_its_address_does_not_return_from_a_copy() {
     let mut router = router("r", 0);
